Lay out the layers, the kernel and the interfaces to the platform

Cause: nothing existed; every feature needs the same error value, plug-in contract, settings schema and platform interfaces before it can be written. Ruled out: one package per layer (a build step more, no gain at this size) and a script of our own for the layer rule (import-x/no-restricted-paths does it). Conclusion: features can now be built side by side, one folder each.

--- /dev/null
+++ b/src/kernel/common/registry.ts
@@ -0,0 +1,18 @@
+/** The process-wide list of contributions, filled by the import of `*.contribution` modules. */
+import type {Contribution} from './contribution.js';
+
+const contributions = new Map<string, Contribution>();
+
+/** Registers a contribution. Throws when its id is taken: two plug-ins of one id are a fault of the build. */
+export function registerContribution(contribution: Contribution): void {
+	if (contributions.has(contribution.id)) {
+		throw new Error(`contribution ${contribution.id} is registered twice`);
+	}
+
+	contributions.set(contribution.id, contribution);
+}
+
+/** Lists the registered contributions in order of registration. */
+export function listContributions(): readonly Contribution[] {
+	return [...contributions.values()];
+}
--- /dev/null
+++ b/src/kernel/node/timer-loop.ts
@@ -0,0 +1,56 @@
+/** The loop of a running daemon, over Node's timers. */
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Clock} from '../../base/common/clock.js';
+import {createDisposable, type Disposable} from '../../base/common/disposable.js';
+import {jitter, type Random} from '../../base/common/random.js';
+import type {Log} from '../common/log.js';
+import type {Loop, Task} from '../common/loop.js';
+
+/** Creates a loop over Node's timers. A task that throws is logged and runs again after its period. */
+export function createTimerLoop(clock: Clock, random: Random, log: Log): Loop {
+	function after(delayMs: number, action: (now: number) => void): Disposable {
+		const timer = setTimeout(() => {
+			action(clock.monotonic());
+		}, Math.max(0, delayMs));
+		return createDisposable(() => {
+			clearTimeout(timer);
+		});
+	}
+
+	async function runSafely(task: Task, now: number): Promise<void> {
+		try {
+			await task.run(now);
+		} catch (error) {
+			log.error('periodic task failed', {task: task.name, error: String(error)});
+		}
+	}
+
+	function every(task: Task): Disposable {
+		let active = true;
+		let pending: Disposable | undefined;
+
+		function schedule(): void {
+			if (!active) {
+				return;
+			}
+
+			pending = after(jitter(task.periodMs, task.jitterShare ?? 0, random), now => {
+				void runSafely(task, now).then(schedule);
+			});
+		}
+
+		schedule();
+		return createDisposable(() => {
+			active = false;
+			pending?.dispose();
+		});
+	}
+
+	return {
+		after,
+		every,
+		async sleep(delayMs) {
+			await delay(Math.max(0, delayMs));
+		},
+	};
+}
--- /dev/null
+++ b/src/kernel/test/kernel.test.ts
@@ -0,0 +1,68 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import type {Contribution} from '../common/contribution.js';
+import {createKernel} from '../common/kernel.js';
+import {silentLog} from '../common/log.js';
+import {silentMetrics} from '../common/metrics.js';
+import {createSystemClock} from '../../base/node/system-clock.js';
+import {createTimerLoop} from '../node/timer-loop.js';
+
+const test = suite('kernel');
+
+function createNoted(notes: string[], id: string, requires: readonly string[]): Contribution {
+	return {
+		id,
+		requires,
+		start() {
+			notes.push(`start ${id}`);
+			return {
+				async drain() {
+					notes.push(`drain ${id}`);
+				},
+				dispose() {
+					notes.push(`dispose ${id}`);
+				},
+			};
+		},
+	};
+}
+
+function createTestKernel(contributions: readonly Contribution[]) {
+	const clock = createSystemClock();
+	const surroundings = {
+		clock, random: () => 0.5, loop: createTimerLoop(clock, () => 0.5, silentLog), log: silentLog, metrics: silentMetrics,
+	};
+	return createKernel(surroundings, contributions, () => undefined);
+}
+
+test('starts in order of requirements and stops in reverse', async () => {
+	const notes: string[] = [];
+	const kernel = createTestKernel([createNoted(notes, 'b', ['a']), createNoted(notes, 'a', [])]);
+	const started = await kernel.start();
+	assert.ok(started.isOk());
+	await kernel.stop();
+	assert.equal(notes, ['start a', 'start b', 'drain b', 'drain a', 'dispose b', 'dispose a']);
+});
+
+test('names the contributions whose requirements cannot be met', async () => {
+	const kernel = createTestKernel([createNoted([], 'a', ['missing'])]);
+	const started = await kernel.start();
+	assert.match(started._unsafeUnwrapErr().message, /a \(requires missing\)/);
+});
+
+test('disposes what had started when a later contribution fails', async () => {
+	const notes: string[] = [];
+	const broken: Contribution = {
+		id: 'broken',
+		requires: ['a'],
+		start() {
+			throw new Error('no address');
+		},
+	};
+	const kernel = createTestKernel([createNoted(notes, 'a', []), broken]);
+	const started = await kernel.start();
+	assert.is(started._unsafeUnwrapErr().peer, 'broken');
+	assert.equal(notes, ['start a', 'dispose a']);
+});
+
+test.run();
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,65 @@
+/**
+ * Lint rules: XO's own, less the few that the house style overrides, plus the rule that layers import only downward.
+ */
+const layers = [
+	'base',
+	'kernel',
+	'settings',
+	'platform',
+	'peers',
+	'audit',
+	'membership',
+	'leases',
+	'plans',
+	'limits',
+	'routing',
+	'requests',
+	'weights',
+	'rollouts',
+	'standins',
+	'code',
+];
+
+const upwardZones = layers.slice(0, -1).map((layer, index) => ({
+	target: `./src/${layer}`,
+	from: layers.slice(index + 1).map(upper => `./src/${upper}`),
+	message: `Layer "${layer}" must not import from a layer above it.`,
+}));
+
+const pureZones = layers.map(layer => ({
+	target: `./src/${layer}/common`,
+	from: layers.map(other => `./src/${other}/node`),
+	message: 'Modules in common/ are pure and must not import from node/.',
+}));
+
+/** @type {import('xo').FlatXoConfig} */
+const config = [
+	{ignores: ['dist/**', 'src/**/gen/**', 'coverage/**']},
+	{
+		files: ['**/*.ts', '**/*.js'],
+		rules: {
+			'import-x/no-restricted-paths': ['error', {zones: [...upwardZones, ...pureZones]}],
+			'unicorn/no-array-for-each': 'off',
+			'unicorn/no-array-reduce': 'off',
+			'unicorn/no-array-callback-reference': 'off',
+			'unicorn/prevent-abbreviations': 'off',
+			'@typescript-eslint/naming-convention': 'off',
+			'import-x/extensions': 'off',
+			'n/file-extension-in-import': 'off',
+			'max-params': ['error', 5],
+			// Targets a newer language version than the supported Node.js releases.
+			'require-unicode-regexp': 'off',
+		},
+	},
+	{
+		files: ['**/test/**/*.ts', 'test/**/*.ts', 'scripts/**/*.ts', 'bench/**/*.ts'],
+		rules: {
+			'@typescript-eslint/no-unsafe-assignment': 'off',
+			'@typescript-eslint/no-unsafe-call': 'off',
+			'@typescript-eslint/no-unsafe-member-access': 'off',
+			'no-await-in-loop': 'off',
+		},
+	},
+];
+
+export default config;
