Give each model of an engine pool its own weight versions

Cause: several trainers share engines and each publishes its own versions; one version per engine could not say how stale a sample is to its own trainer. Ruled out: one pool per trainer, which would forbid sharing. Change: orders, statuses and generations name the model. Conclusion: staleness is measured per trainer on shared engines.

--- a/src/platform/common/engine.ts
+++ b/src/platform/common/engine.ts
@@ -23,6 +23,7 @@
 export type GenerationRequest = {
 	/** Unique per attempt; the engine repeats it on every event of the stream. */
 	readonly requestId: string;
+	readonly model: string;
 	readonly prompt: string;
 	readonly maximumTokens: number;
 	readonly seed: number;
@@ -62,10 +63,16 @@
 	readonly ageMs: number;
 };
 
-/** What an engine says of itself. */
-export type EngineStatus = {
+/** A model as an engine holds it. `version` is the one that it truly serves, 0 for none. */
+export type ModelStatus = {
+	readonly model: string;
 	readonly version: number;
 	readonly state: 'serving' | 'loading' | 'failed';
+};
+
+/** What an engine says of itself. */
+export type EngineStatus = {
+	readonly models: readonly ModelStatus[];
 	/** The highest fencing number that the engine has accepted; 0 for engines that ignore them. */
 	readonly fencing: number;
 };
@@ -75,6 +82,7 @@
 	readonly orderId: string;
 	readonly fencing: number;
 	readonly kind: 'load-version';
+	readonly model: string;
 	readonly version: number;
 };
 
@@ -93,7 +101,7 @@
 	/** Reads the engine's last load report. */
 	abstract load(): Promise<Result<LoadReport, Failure>>;
 
-	/** Reads the version that the engine truly serves. */
+	/** Reads the versions that the engine truly serves. */
 	abstract status(): Promise<Result<EngineStatus, Failure>>;
 
 	/** Gives an order; `fenced` when the engine has accepted a higher fencing number. Returns before the order is done. */
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -49,8 +49,6 @@
 	readonly servers: (pool: string) => readonly BackendServer[];
 	readonly engine: (server: BackendServer) => Engine;
 	readonly service: (server: BackendServer) => Service;
-	/** Bars an engine from taking rollouts, for instance on an unexpected weight version, or lifts the bar. */
-	readonly setUsable: (serverId: string, usable: boolean) => void;
 	/** Fires when the VM list or a server itself has shown a change. */
 	readonly onDidChangeServers: Event<readonly BackendServer[]>;
 	/** Dispatches that this daemon has under way on a server. */
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -41,7 +41,8 @@
 	name,
 	kind: z.literal('engine'),
 	adapter: z.string().default('http'),
-	model: name,
+	/** Models, or adapters of one base model, that the engines serve side by side; each has its own weight versions. */
+	models: z.array(name).min(1).readonly(),
 	/** Whether the engines of the pool refuse orders with an old fencing number. */
 	fencing: z.enum(['checked', 'ignored']),
 	/** Streams that one engine runs at once before it queues. */
@@ -62,6 +63,8 @@
 	name,
 	/** The engine pool that generates the trainer's samples. */
 	pool: name,
+	/** The model that the trainer trains; one of the pool's. */
+	model: name,
 	/** The scoring service that rates samples before delivery; none leaves them unrated. */
 	scoring: name.optional(),
 	/** The greatest allowed distance, in weight versions, between a delivered sample and the trainer's own version. */
@@ -153,7 +156,7 @@
 	pools: z.array(z.discriminatedUnion('kind', [enginePool, servicePool])).readonly(),
 	scoring: z.array(scoring).readonly().default([]),
 	trainers: z.array(trainer).readonly().default([]),
-	/** Fencing for the API of operators: SHA-256 digests of operator keys, hexadecimal. */
+	/** SHA-256 digests of the keys that give access to the operators' API, lower-case hexadecimal. */
 	operatorKeys: z.array(z.string().regex(/^[\da-f]{64}$/, 'a SHA-256 digest in lower-case hexadecimal')).readonly().default([]),
 	leases: leases.prefault({}),
 	membership: membership.prefault({}),
--- a/src/weights/common/engine-versions.ts
+++ b/src/weights/common/engine-versions.ts
@@ -1,10 +1,11 @@
-/** Which weight version the engines of a pool are ordered to serve, and which they truly serve. */
+/** Which weight version of a model the engines of a pool are ordered to serve, and which they truly serve. */
 import type {Event} from '../../base/common/event.js';
 import {createServiceKey} from '../../kernel/common/contribution.js';
 
-/** The versions of one pool as this daemon knows them. */
-export type PoolVersions = {
+/** The versions of one model in one pool as this daemon knows them. */
+export type ModelVersions = {
 	readonly pool: string;
+	readonly model: string;
 	/** The newest version that trainers have published. */
 	readonly target: number;
 	/** Versions as the engines themselves last reported them. */
@@ -13,10 +14,10 @@
 
 /** The weight versions of one daemon. */
 export type EngineVersions = {
-	readonly pool: (pool: string) => PoolVersions;
+	readonly find: (pool: string, model: string) => ModelVersions;
 	/** Tells that a trainer has published a version. */
-	readonly publish: (pool: string, version: number, now: number) => void;
-	readonly onDidChange: Event<PoolVersions>;
+	readonly publish: (pool: string, model: string, version: number, now: number) => void;
+	readonly onDidChange: Event<ModelVersions>;
 };
 
 /** The daemon's weight versions. */
