Reach the platform and the backend servers over HTTP

One small client decides what a failure says of the effect: notRun until the socket is connected or reused, because the request is written only then; outcomeUnknown afterwards, unless the peer answers 503 with x-not-run. Answers must be delimited and whole; events of a stream count only with the id of their request and an end event that agrees with them. Ruled out: the global fetch, which does not show when the first byte leaves.

--- /dev/null
+++ b/src/platform/node/endpoint-protocol.ts
@@ -0,0 +1,21 @@
+/** What engines and plain services have in common on the wire. */
+import {z} from 'zod';
+import type {Endpoint} from '../common/engine.js';
+
+/** Time for reports and orders, which a healthy backend server answers at once. */
+export const REPORT_TIMEOUT_MS = 2000;
+
+/** A load report as JSON. */
+export const loadReport = z.object({
+	running: z.number(),
+	queued: z.number(),
+	slots: z.number(),
+	tokensPerSecond: z.number(),
+	ageMs: z.number(),
+});
+
+/** Returns the base URL of an endpoint. */
+export function urlOf(endpoint: Endpoint): string {
+	const host = endpoint.address.includes(':') ? `[${endpoint.address}]` : endpoint.address;
+	return `http://${host}:${endpoint.port}`;
+}
--- /dev/null
+++ b/src/platform/node/http-service.ts
@@ -0,0 +1,50 @@
+/** A worker of a plain service over HTTP. */
+import {Buffer} from 'node:buffer';
+import {err, ok, type Result} from 'neverthrow';
+import {createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import type {Endpoint} from '../common/engine.js';
+import {Service, type ServiceAnswer, type ServiceCall} from '../common/service.js';
+import {
+	callJson, createHttpClient, createStatusFailure, saysNotRun, type HttpAnswer,
+} from './http-client.js';
+import {loadReport, REPORT_TIMEOUT_MS, urlOf} from './endpoint-protocol.js';
+
+/** Creates the service worker at an endpoint. */
+export function createHttpService(endpoint: Endpoint): Service {
+	const client = createHttpClient(urlOf(endpoint));
+
+	function readAnswer(answer: HttpAnswer, call: ServiceCall): Result<ServiceAnswer, Failure> {
+		const step = 'call service';
+		if (saysNotRun(answer)) {
+			return err(createStatusFailure(answer, step, client.peer));
+		}
+
+		const requestId = answer.headers['x-request-id'];
+		return requestId === call.requestId
+			? ok({
+				requestId: call.requestId, status: answer.status, contentType: answer.headers['content-type'], body: answer.body,
+			})
+			: err(createOutcomeUnknown('incomplete', {step, peer: client.peer}, `the answer bears the id ${String(requestId)}`));
+	}
+
+	return new (class extends Service {
+		override async call(call: ServiceCall, onSent: () => void, signal: AbortSignal) {
+			const answer = await client.call({
+				step: 'call service',
+				method: call.method,
+				path: call.path,
+				headers: {'x-request-id': call.requestId, ...(call.contentType !== undefined && {'content-type': call.contentType})},
+				body: Buffer.from(call.body),
+				onSent,
+				signal,
+			});
+			return answer.andThen(whole => readAnswer(whole, call));
+		}
+
+		override async load() {
+			return callJson(client, {
+				step: 'read load', method: 'GET', path: '/load', timeoutMs: REPORT_TIMEOUT_MS,
+			}, loadReport);
+		}
+	})();
+}
