Open contributions to the outside once all have started

Cause: a daemon that listens while contributions still register their services and routes answers its first calls with 404. Ruled out: a contribution that requires all others, because it would have to name every plug-in. Change: Context.onDidStart takes listeners that the kernel awaits in order after the last start; a throw fails the start and disposes everything.

--- a/src/kernel/common/contribution.ts
+++ b/src/kernel/common/contribution.ts
@@ -32,6 +32,11 @@
 	readonly use: <T>(key: ServiceKey<T>) => T;
 	/** Offers a service to contributions that start later. */
 	readonly provide: <T>(key: ServiceKey<T>, service: T) => void;
+	/**
+	 * Registers what opens the daemon to the outside, such as a listening port: called once every contribution has started
+	 * and registered its services and routes, awaited in order of registration. A throw fails the start of the kernel.
+	 */
+	readonly onDidStart: (listener: () => Promise<void> | void) => void;
 };
 
 /** What a started contribution leaves behind. */
--- a/src/kernel/common/kernel.ts
+++ b/src/kernel/common/kernel.ts
@@ -6,8 +6,8 @@
 } from './contribution.js';
 import {orderContributions} from './start-order.js';
 
-/** What the kernel itself is given: everything of a context but the services. */
-export type Surroundings = Omit<Context, 'use' | 'provide'>;
+/** What the kernel itself is given: everything of a context but the services and the kernel's own events. */
+export type Surroundings = Omit<Context, 'use' | 'provide' | 'onDidStart'>;
 
 /** A set of running contributions. */
 export type Kernel = {
@@ -24,10 +24,28 @@
 	readonly activation: Activation;
 };
 
+async function runStep(action: () => Promise<void> | void, step: string, peer: string): Promise<Result<void, Failure>> {
+	try {
+		await action();
+		return ok();
+	} catch (error) {
+		return err(createNotRun('unavailable', {step, peer}, error instanceof Error ? error.message : String(error)));
+	}
+}
+
+async function runInOrder(steps: ReadonlyArray<() => Promise<Result<void, Failure>>>): Promise<Result<void, Failure>> {
+	const initial: Promise<Result<void, Failure>> = Promise.resolve(ok());
+	return steps.reduce(async (previous, step) => {
+		const before = await previous;
+		return before.isErr() ? before : step();
+	}, initial);
+}
+
 /** Creates a kernel over the given contributions. `provided` offers services before any contribution starts. */
 export function createKernel(surroundings: Surroundings, contributions: readonly Contribution[], provide: (context: Context) => void): Kernel {
 	const services = new Map<string, unknown>();
 	const started: Started[] = [];
+	const listeners: Array<() => Promise<Result<void, Failure>>> = [];
 
 	const context: Context = {
 		...surroundings,
@@ -43,16 +61,26 @@
 		provide<T>(key: ServiceKey<T>, service: T) {
 			services.set(key.name, service);
 		},
+		onDidStart() {
+			throw new Error('only contributions may wait for the start');
+		},
 	};
 
+	function createContext(contribution: Contribution): Context {
+		return {
+			...context,
+			log: context.log.child({feature: contribution.id}),
+			onDidStart(listener) {
+				listeners.push(async () => runStep(listener, 'open contribution', contribution.id));
+			},
+		};
+	}
+
 	async function startOne(contribution: Contribution): Promise<Result<void, Failure>> {
-		try {
-			const activation = await contribution.start({...context, log: context.log.child({feature: contribution.id})});
+		return runStep(async () => {
+			const activation = await contribution.start(createContext(contribution));
 			started.push({id: contribution.id, activation});
-			return ok();
-		} catch (error) {
-			return err(createNotRun('unavailable', {step: 'start contribution', peer: contribution.id}, String(error)));
-		}
+		}, 'start contribution', contribution.id);
 	}
 
 	function disposeStarted(): void {
@@ -77,11 +105,8 @@
 				return err(order.error);
 			}
 
-			const initial: Promise<Result<void, Failure>> = Promise.resolve(ok());
-			const outcome = await order.value.reduce(async (previous, contribution) => {
-				const before = await previous;
-				return before.isErr() ? before : startOne(contribution);
-			}, initial);
+			const startedAll = await runInOrder(order.value.map(contribution => async () => startOne(contribution)));
+			const outcome = startedAll.isErr() ? startedAll : await runInOrder(listeners);
 			if (outcome.isErr()) {
 				disposeStarted();
 			}
--- a/src/kernel/test/kernel.test.ts
+++ b/src/kernel/test/kernel.test.ts
@@ -65,4 +65,40 @@
 	assert.equal(notes, ['start a', 'dispose a']);
 });
 
+test('opens contributions once all have started, in order of registration', async () => {
+	const notes: string[] = [];
+	const opening: Contribution = {
+		id: 'a',
+		requires: [],
+		async start(context) {
+			context.onDidStart(async () => {
+				notes.push('open a');
+			});
+			return createNoted(notes, 'a', []).start(context);
+		},
+	};
+	const kernel = createTestKernel([opening, createNoted(notes, 'b', ['a'])]);
+	const started = await kernel.start();
+	assert.ok(started.isOk());
+	assert.equal(notes, ['start a', 'start b', 'open a']);
+});
+
+test('disposes everything when the daemon cannot be opened', async () => {
+	const notes: string[] = [];
+	const broken: Contribution = {
+		id: 'broken',
+		requires: ['a'],
+		async start(context) {
+			context.onDidStart(() => {
+				throw new Error('port in use');
+			});
+			return createNoted(notes, 'broken', []).start(context);
+		},
+	};
+	const kernel = createTestKernel([createNoted(notes, 'a', []), broken]);
+	const started = await kernel.start();
+	assert.is(started._unsafeUnwrapErr().message, 'port in use');
+	assert.equal(notes, ['start a', 'start broken', 'dispose broken', 'dispose a']);
+});
+
 test.run();
