Report a lost answer that was overtaken by another write as unknown

Cause: settling a lost answer called every foreign later version a conflict with effect notRun, though the own write may have stood before it. Ruled out: searching the history of the object; the store keeps none. Change: such a conflict carries effect outcomeUnknown; a test overtakes a write. Conclusion: notRun is said only where the write surely did not take effect.

--- a/src/platform/common/settled-write.ts
+++ b/src/platform/common/settled-write.ts
@@ -1,6 +1,6 @@
 /** Settles writes whose answer was lost, by reading the object back and looking for one's own write id. */
 import {err, ok, type Result} from 'neverthrow';
-import {createNotRun, type Failure} from '../../base/common/failure.js';
+import {createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
 import type {ConditionalWrite, Store, StoredObject} from './store.js';
 
 /** Times that a doubtful write is read back before it is reported as unknown. */
@@ -28,14 +28,15 @@
 	// An unchanged object does not prove that the write will not arrive yet, so the doubt stays.
 	return version === write.ifVersion
 		? err(doubt)
-		: err(createNotRun('conflict', {step: 'settle write', peer: `${write.kind}/${write.name}`}, `another write made it version ${version}`));
+		: err(createOutcomeUnknown('conflict', {step: 'settle write', peer: `${write.kind}/${write.name}`}, `another write made it version ${version}`));
 }
 
 /**
- * Writes an object and settles a lost answer. `conflict` is certain; a failure with effect `outcomeUnknown` means that
- * the store could not be read back or that the write may still arrive, and the caller must not assume either.
+ * Writes an object and settles a lost answer.
  *
- * A conflict after the own write was overwritten by someone else is reported as `conflict` too: the caller reads anew.
+ * A `conflict` with effect `notRun` is certain. A `conflict` with effect `outcomeUnknown` means that the answer was lost
+ * and another write came after: the own write may have stood for a while, so the caller reads anew. Any other failure
+ * with effect `outcomeUnknown` means that the store could not be read back or that the write may still arrive.
  */
 export async function writeSettled(store: Store, write: ConditionalWrite): Promise<Result<StoredObject, Failure>> {
 	const written = await store.write(write);
--- a/src/platform/test/settled-write.test.ts
+++ b/src/platform/test/settled-write.test.ts
@@ -29,6 +29,22 @@
 	assert.is(written._unsafeUnwrapErr().code, 'conflict');
 });
 
+test('does not call a write undone that another write may have replaced', async () => {
+	const memory = createMemoryStore();
+	const other = memory.open();
+	const store = memory.open(call => {
+		if (call === 'read') {
+			void other.write({...write, ifVersion: 1, writeId: {writer: 'entry-2', sequence: '1'}});
+			return 'none';
+		}
+
+		return 'lostAnswer';
+	});
+	const written = await writeSettled(store, write);
+	assert.is(written._unsafeUnwrapErr().code, 'conflict');
+	assert.is(written._unsafeUnwrapErr().effect, 'outcomeUnknown');
+});
+
 test('keeps the outcome unknown while the store cannot be read', async () => {
 	const {store} = openWithFaults(['lostAnswer', 'down', 'down', 'down']);
 	const written = await writeSettled(store, write);
