--- /dev/null
+++ b/src/code/node/contributions.ts
@@ -0,0 +1,9 @@
+/** All features of the daemon. Importing a `contribution` module registers it with the kernel. */
+import '../../peers/peers.contribution.js';
+import type {Contribution} from '../../kernel/common/contribution.js';
+import {listContributions} from '../../kernel/common/registry.js';
+
+/** Lists the features that a daemon starts. */
+export function listFeatures(): readonly Contribution[] {
+	return listContributions();
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,22 @@
+/** The library: everything that embeds a daemon, its plug-in contract, and the interfaces to the platform. */
+export {startDaemon, type Daemon, type DaemonOptions} from './code/node/daemon.js';
+export {listFeatures} from './code/node/contributions.js';
+export {checkSettings, createSettingsJsonSchema} from './settings/common/check.js';
+export {settingsSchema, settingsKey, type Settings} from './settings/common/settings.js';
+export {readSettings} from './settings/node/json-file.js';
+export {registerContribution, listContributions} from './kernel/common/registry.js';
+export {createServiceKey} from './kernel/common/contribution.js';
+export type {
+	Activation, Context, Contribution, ServiceKey,
+} from './kernel/common/contribution.js';
+export type {Surroundings} from './kernel/common/kernel.js';
+export type {Failure, FailureCode, Effect} from './base/common/failure.js';
+export {
+	adaptersKey, type Adapters, type AdapterTable, type RemotePeer,
+} from './platform/common/adapters.js';
+export {Engine} from './platform/common/engine.js';
+export {Service} from './platform/common/service.js';
+export {Scorer} from './platform/common/scorer.js';
+export {Store} from './platform/common/store.js';
+export {VmList} from './platform/common/vm-list.js';
+export {WeightStore} from './platform/common/weight-store.js';
--- a/src/kernel/common/kernel.ts
+++ b/src/kernel/common/kernel.ts
@@ -13,8 +13,11 @@
 export type Kernel = {
 	/** Starts all contributions. On a failure those already started are disposed. */
 	readonly start: () => Promise<Result<void, Failure>>;
-	/** Drains in reverse order of start, then disposes in the same order. */
-	readonly stop: () => Promise<void>;
+	/**
+	 * Drains in reverse order of start, then disposes in the same order. Resolves with false when the drain was cut off
+	 * after `limitMs`; without a limit it waits for as long as the work takes.
+	 */
+	readonly stop: (limitMs?: number) => Promise<boolean>;
 	/** Returns a provided service; throws when it was not provided. */
 	readonly use: <T>(key: ServiceKey<T>) => T;
 };
@@ -97,6 +100,26 @@
 		}
 	}
 
+	async function drainAll(): Promise<boolean> {
+		await started.toReversed().reduce(async (previous, entry) => {
+			await previous;
+			await drainOne(entry);
+		}, Promise.resolve());
+		return true;
+	}
+
+	async function drainWithin(limitMs: number): Promise<boolean> {
+		return new Promise(resolve => {
+			const limit = context.loop.after(limitMs, () => {
+				resolve(false);
+			});
+			void drainAll().then(() => {
+				limit.dispose();
+				resolve(true);
+			});
+		});
+	}
+
 	return {
 		async start() {
 			provide(context);
@@ -113,12 +136,10 @@
 
 			return outcome;
 		},
-		async stop() {
-			await started.toReversed().reduce(async (previous, entry) => {
-				await previous;
-				await drainOne(entry);
-			}, Promise.resolve());
+		async stop(limitMs) {
+			const drained = limitMs === undefined ? await drainAll() : await drainWithin(limitMs);
 			disposeStarted();
+			return drained;
 		},
 		use: context.use,
 	};
--- /dev/null
+++ b/src/settings/common/check.ts
@@ -0,0 +1,22 @@
+/** Checks a settings document as a whole: first each value, then the values against one another. */
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {checkAcross} from './cross-checks.js';
+import {describeIssues, type Problem} from './problem.js';
+import {settingsSchema, type Settings} from './settings.js';
+
+/** Returns the JSON Schema of the settings file, as editors read it. */
+export function createSettingsJsonSchema(): Readonly<Record<string, unknown>> {
+	return z.toJSONSchema(settingsSchema, {io: 'input'});
+}
+
+/** Checks a parsed settings document and fills in defaults. Nothing is returned when anything is wrong. */
+export function checkSettings(document: unknown): Result<Settings, readonly Problem[]> {
+	const parsed = settingsSchema.safeParse(document);
+	if (!parsed.success) {
+		return err(describeIssues(parsed.error.issues, document, createSettingsJsonSchema()));
+	}
+
+	const problems = checkAcross(parsed.data);
+	return problems.length > 0 ? err(problems) : ok(parsed.data);
+}
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -6,7 +6,7 @@
 import {createServiceKey} from '../../kernel/common/contribution.js';
 
 const name = z.string().regex(/^[a-z][a-z\d-]{0,62}$/, 'a name of lower-case letters, digits and hyphens');
-const ipAddress = z.union([z.ipv4(), z.ipv6()]);
+const ipAddress = z.union([z.ipv4(), z.ipv6()], {error: 'an IPv4 or IPv6 address'});
 const port = z.int().min(1).max(65_535);
 const durationMs = z.int().min(1).max(86_400_000);
 const share = z.number().min(0).max(1);
--- a/xo.config.js
+++ b/xo.config.js
@@ -46,6 +46,8 @@
 			'@typescript-eslint/naming-convention': 'off',
 			'import-x/extensions': 'off',
 			'n/file-extension-in-import': 'off',
+			// Plug-ins register themselves when their module is imported.
+			'import-x/no-unassigned-import': ['error', {allow: ['**/*.contribution.js']}],
 			'max-params': ['error', 5],
 			// Targets a newer language version than the supported Node.js releases.
 			'require-unicode-regexp': 'off',
