--- a/src/code/node/commands/serve.ts
+++ b/src/code/node/commands/serve.ts
@@ -21,8 +21,8 @@
 	});
 }
 
-async function runUntilStopped(daemon: Daemon): Promise<ExitCode> {
-	await Promise.race([waitForSignal(), daemon.stopRequested]);
+async function runUntilStopped(daemon: Daemon, signal: Promise<string>): Promise<ExitCode> {
+	await Promise.race([signal, daemon.stopRequested]);
 	const drained = await daemon.stop();
 	return drained ? exitCodes.done : exitCodes.drainCutOff;
 }
@@ -33,8 +33,10 @@
 		return reportProblems(file, settings.error);
 	}
 
+	// A signal that comes while the daemon starts ends it as well, once it has started.
+	const signal = waitForSignal();
 	const daemon = await startDaemon({settings: settings.value, contributions: listFeatures()});
-	return daemon.isErr() ? reportFailure(daemon.error) : runUntilStopped(daemon.value);
+	return daemon.isErr() ? reportFailure(daemon.error) : runUntilStopped(daemon.value, signal);
 }
 
 /** The command `serve`. */
--- a/src/code/node/contributions.ts
+++ b/src/code/node/contributions.ts
@@ -1,4 +1,5 @@
 /** All features of the daemon. Importing a `contribution` module registers it with the kernel. */
+import '../../platform/platform.contribution.js';
 import '../../peers/peers.contribution.js';
 import type {Contribution} from '../../kernel/common/contribution.js';
 import {listContributions} from '../../kernel/common/registry.js';
--- a/src/code/test/daemon.test.ts
+++ b/src/code/test/daemon.test.ts
@@ -1,5 +1,5 @@
 import {createServer} from 'node:net';
-import {EventEmitter, once} from 'node:events';
+import {once} from 'node:events';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {Contribution} from '../../kernel/common/contribution.js';
@@ -48,7 +48,7 @@
 }
 
 const endless = async () => {
-	await once(new EventEmitter(), 'never');
+	await once(new EventTarget(), 'never');
 };
 
 test('says that the drain was whole, also to later callers', async () => {
