Let operators read, compare and change the lists from the command line

Cause: operators could neither see nor change what a daemon serves, and a lost race would have overwritten the other's change. Change: plans get|set|diff, status, audit, drain, keys create|hash against a daemon's HTTP API.

--- a/src/code/node/main.ts
+++ b/src/code/node/main.ts
@@ -4,14 +4,27 @@
 import createParser from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {exitCodes} from '../common/exit-code.js';
+import {auditCommand, drainCommand, statusCommand} from './commands/fleet.js';
+import {keysCommand} from './commands/keys.js';
+import {plansCommand} from './commands/plans.js';
 import {serveCommand} from './commands/serve.js';
 import {settingsCommand} from './commands/settings.js';
 import {printError} from './terminal.js';
 
+/** Arguments that the parser or an option's own check has refused; anything else is a fault of the program. */
+function isBadInput(error: Error | undefined): boolean {
+	return error === undefined || error.name === 'YError';
+}
+
 await createParser(hideBin(process.argv))
 	.scriptName('rosemaryshore')
 	.command(serveCommand)
 	.command(settingsCommand)
+	.command(plansCommand)
+	.command(statusCommand)
+	.command(auditCommand)
+	.command(drainCommand)
+	.command(keysCommand)
 	.demandCommand(1, 'name a command; --help lists them')
 	.strict()
 	.fail((message, error, parser) => {
--- /dev/null
+++ b/src/code/node/operator-client.ts
@@ -0,0 +1,133 @@
+/** The operators' side of a daemon's HTTP API. */
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import {listsSchema, type Lists, type VersionedLists} from '../../plans/common/lists.js';
+import {createHttpClient, type HttpAnswer} from '../../platform/node/http-client.js';
+
+/** Where the daemon is and who is asking. */
+export type OperatorAccess = {
+	/** Base URL of the daemon's caller port. */
+	readonly daemon: string;
+	readonly key: string;
+};
+
+/** An operator's change. */
+export type ListsUpdate = {
+	readonly operator: string;
+	readonly ifVersion: number;
+	readonly lists: Lists;
+};
+
+/** Calls of the operators' API. */
+export type OperatorClient = {
+	readonly readLists: () => Promise<Result<VersionedLists, Failure>>;
+	readonly writeLists: (update: ListsUpdate) => Promise<Result<VersionedLists, Failure>>;
+	readonly readStatus: () => Promise<Result<Readonly<Record<string, unknown>>, Failure>>;
+	readonly readAudit: (sinceMs: number, limit: number) => Promise<Result<readonly AuditLine[], Failure>>;
+	readonly drain: () => Promise<Result<void, Failure>>;
+};
+
+const versionedLists = z.object({version: z.int().min(0), lists: listsSchema});
+const status = z.record(z.string(), z.unknown());
+const auditLine = z.looseObject({
+	at: z.number(), actor: z.string(), action: z.string(), subject: z.string(), detail: z.string().optional(),
+});
+const audit = z.object({entries: z.array(auditLine).readonly()});
+const problem = z.object({
+	type: z.string(),
+	detail: z.string().default(''),
+	effect: z.enum(['notRun', 'outcomeUnknown']).default('outcomeUnknown'),
+	step: z.string().default('handle request'),
+	peer: z.string().default('daemon'),
+});
+
+/** One entry of the audit trail. */
+export type AuditLine = z.output<typeof auditLine>;
+
+/** Longest wait for an answer. */
+const TIMEOUT_MS = 10_000;
+
+const codes = new Set<string>([
+	'aborted',
+	'conflict',
+	'deadlineExceeded',
+	'fenced',
+	'incomplete',
+	'invalid',
+	'notFound',
+	'notOwner',
+	'overloaded',
+	'rejected',
+	'stale',
+	'suspect',
+	'unauthenticated',
+	'unauthorized',
+	'unavailable',
+	'unsupported',
+]);
+
+function isFailureCode(word: string): word is Failure['code'] {
+	return codes.has(word);
+}
+
+function parseBody(answer: HttpAnswer): unknown {
+	try {
+		const body: unknown = JSON.parse(new TextDecoder().decode(answer.body));
+		return body;
+	} catch {
+		return undefined;
+	}
+}
+
+function readProblem(answer: HttpAnswer, step: string, peer: string): Failure {
+	const parsed = problem.safeParse(parseBody(answer));
+	if (!parsed.success) {
+		return createOutcomeUnknown('unavailable', {step, peer}, `the daemon answered ${answer.status} without a problem detail`);
+	}
+
+	const {effect, detail, type} = parsed.data;
+	const word = type.replace(/^urn:rosemaryshore:/, '');
+	const code = isFailureCode(word) ? word : 'unavailable';
+	const create = effect === 'notRun' ? createNotRun : createOutcomeUnknown;
+	return create(code, {step: `${step}: ${parsed.data.step}`, peer: parsed.data.peer}, detail);
+}
+
+/** Creates a client of one daemon. */
+export function createOperatorClient(access: OperatorAccess): OperatorClient {
+	const http = createHttpClient(access.daemon);
+	const headers = {authorization: `Bearer ${access.key}`, 'content-type': 'application/json'};
+
+	async function call<T>(method: string, path: string, schema: z.ZodType<T>, json?: unknown): Promise<Result<T, Failure>> {
+		const step = `${method} ${path.replace(/\?.*$/, '')}`;
+		const answer = await http.call({
+			step, method, path, headers, timeoutMs: TIMEOUT_MS, ...(json !== undefined && {body: JSON.stringify(json)}),
+		});
+		if (answer.isErr()) {
+			return err(answer.error);
+		}
+
+		if (answer.value.status < 200 || answer.value.status > 299) {
+			return err(readProblem(answer.value, step, http.peer));
+		}
+
+		const parsed = schema.safeParse(parseBody(answer.value));
+		return parsed.success
+			? ok(parsed.data)
+			: err(createOutcomeUnknown('incomplete', {step, peer: http.peer}, 'the answer does not have the expected form'));
+	}
+
+	return {
+		readLists: async () => call('GET', '/v1/configuration', versionedLists),
+		writeLists: async update => call('PUT', '/v1/configuration', versionedLists, update),
+		readStatus: async () => call('GET', '/v1/status', status),
+		async readAudit(sinceMs, limit) {
+			const answer = await call('GET', `/v1/audit?since=${sinceMs}&limit=${limit}`, audit);
+			return answer.map(({entries}) => entries);
+		},
+		async drain() {
+			const answer = await call('POST', '/v1/drain', z.unknown(), {});
+			return answer.map(() => undefined);
+		},
+	};
+}
