--- /dev/null
+++ b/src/leases/leases.contribution.ts
@@ -0,0 +1,50 @@
+/** Starts the daemon's part in the shard leases. */
+import {registerContribution} from '../kernel/common/registry.js';
+import {membershipKey} from '../membership/common/membership.js';
+import {LeaseService} from '../peers/common/gen/rosemaryshore/leases/v1/leases_pb.js';
+import {peersKey} from '../peers/common/peers.js';
+import {storeKey} from '../platform/common/store.js';
+import {settingsKey} from '../settings/common/settings.js';
+import {shardsKey} from './common/shards.js';
+import {createShardsService} from './common/shards-service.js';
+import {createConnectLeaseLink} from './node/connect-lease-link.js';
+
+/** Delay per place in the order of preference before a daemon takes a free lease. */
+const STANDBY_DELAY_MS = 1000;
+
+registerContribution({
+	id: 'leases',
+	requires: ['platform', 'membership'],
+	start(context) {
+		const settings = context.use(settingsKey);
+		const membership = context.use(membershipKey);
+		const peers = context.use(peersKey);
+		const {id, incarnation, address, peerPort} = membership.self();
+		const service = createShardsService({
+			self: {
+				daemonId: id, incarnation, address, peerPort,
+			},
+			count: settings.leases.shards,
+			times: {...settings.leases, standbyDelayMs: STANDBY_DELAY_MS},
+			store: context.use(storeKey),
+			link: createConnectLeaseLink(peers),
+			membership,
+			loop: context.loop,
+			clock: context.clock,
+			log: context.log,
+		});
+		peers.serve(LeaseService, {
+			async offer(request) {
+				await service.takeOffer(request.shard);
+				return {};
+			},
+		});
+		context.provide(shardsKey, service);
+		return {
+			drain: async () => service.releaseAll(),
+			dispose() {
+				service.dispose();
+			},
+		};
+	},
+});
--- /dev/null
+++ b/src/leases/node/connect-lease-link.ts
@@ -0,0 +1,21 @@
+/** Hand-overs of leases over Connect. */
+import type {Result} from 'neverthrow';
+import type {Failure} from '../../base/common/failure.js';
+import {LeaseService} from '../../peers/common/gen/rosemaryshore/leases/v1/leases_pb.js';
+import {callPeer} from '../../peers/common/peer-call.js';
+import type {PeerAddress, Peers} from '../../peers/common/peers.js';
+import {LeaseLink} from '../common/lease-link.js';
+
+/** Time for one offer; a lost one costs no more than the wait for the next look at the lease. */
+const OFFER_TIMEOUT_MS = 1000;
+
+/** Creates the sending side of hand-overs. */
+export function createConnectLeaseLink(peers: Peers): LeaseLink {
+	return new (class extends LeaseLink {
+		override async offer(peer: PeerAddress, shard: number, version: number): Promise<Result<void, Failure>> {
+			const answer = await callPeer('offer lease', peer, async () =>
+				peers.client(LeaseService, peer, OFFER_TIMEOUT_MS).offer({shard, version: BigInt(version)}));
+			return answer.map(() => undefined);
+		}
+	})();
+}
--- /dev/null
+++ b/src/membership/common/broadcast-queue.ts
@@ -0,0 +1,49 @@
+/** Chooses which updates go into the next message: those that were sent the fewest times, each a bounded number of times. */
+
+/** Updates that wait to be spread, by key. A newer update of a key replaces the older one. */
+export type BroadcastQueue = {
+	readonly add: (key: string) => void;
+	readonly remove: (key: string) => void;
+	/** Takes up to `limit` keys, counting a transmission of each; `maximumTransmissions` drops a key afterwards. */
+	readonly take: (limit: number, maximumTransmissions: number) => readonly string[];
+	readonly size: () => number;
+};
+
+/** Creates an empty queue. */
+export function createBroadcastQueue(): BroadcastQueue {
+	const transmissions = new Map<string, number>();
+
+	function countTransmission(key: string, maximumTransmissions: number): void {
+		const count = (transmissions.get(key) ?? 0) + 1;
+		if (count >= maximumTransmissions) {
+			transmissions.delete(key);
+			return;
+		}
+
+		transmissions.set(key, count);
+	}
+
+	return {
+		add(key) {
+			// Deleting first moves the key behind its equals, so that none is starved.
+			transmissions.delete(key);
+			transmissions.set(key, 0);
+		},
+		remove(key) {
+			transmissions.delete(key);
+		},
+		take(limit, maximumTransmissions) {
+			const keys = [...transmissions].toSorted((a, b) => a[1] - b[1]).slice(0, limit).map(([key]) => key);
+			keys.forEach(key => {
+				countTransmission(key, maximumTransmissions);
+			});
+			return keys;
+		},
+		size: () => transmissions.size,
+	};
+}
+
+/** Returns how often an update is sent so that it reaches a whole fleet with high probability. */
+export function transmissionsFor(fleetSize: number): number {
+	return Math.ceil(3 * Math.log2(fleetSize + 1)) + 1;
+}
--- a/src/membership/common/membership.ts
+++ b/src/membership/common/membership.ts
@@ -21,7 +21,7 @@
 /** A small value that a daemon spreads to all others; the highest version per topic and origin wins. */
 export type Rumor = {
 	readonly topic: string;
-	/** The daemon that the value is about, or an empty text for values of the whole fleet. */
+	/** What the value is about, such as a daemon or a shard; an empty text for values of the whole fleet. */
 	readonly origin: string;
 	readonly version: number;
 	/** At most a few hundred bytes of JSON. */
--- /dev/null
+++ b/src/membership/membership.contribution.ts
@@ -0,0 +1,82 @@
+/** Starts the daemon's membership, seeded by settings and by the VM list. */
+import type {Context} from '../kernel/common/contribution.js';
+import {registerContribution} from '../kernel/common/registry.js';
+import {peersKey, type PeerAddress} from '../peers/common/peers.js';
+import {vmListKey, type VmList} from '../platform/common/vm-list.js';
+import {regionOf, settingsKey, type Settings} from '../settings/common/settings.js';
+import {PROTOCOL_VERSION} from './common/member-record.js';
+import {membershipKey, type Member} from './common/membership.js';
+import {createMembershipService} from './common/membership-service.js';
+import {createConnectGossipLink, serveGossip} from './node/connect-gossip-link.js';
+
+/** The pool name of VMs that run a daemon. */
+const ENTRY_POOL = 'entry';
+
+/** Time between two reads of the VM list by one daemon, for candidates only. */
+const VM_LIST_INTERVAL_MS = 10_000;
+
+function createSelf(context: Context, settings: Settings): Member {
+	const {
+		id, address, peerPort, availabilityZone,
+	} = settings.daemon;
+	return {
+		id, address, peerPort, availabilityZone, incarnation: context.clock.wall(), state: 'alive', protocol: PROTOCOL_VERSION,
+	};
+}
+
+async function readEntryVms(vmList: VmList): Promise<readonly PeerAddress[] | undefined> {
+	const listed = await vmList.list();
+	return listed
+		.map(vms => vms.filter(vm => vm.pool === ENTRY_POOL && vm.state === 'live').map(vm => ({address: vm.address, peerPort: vm.port})))
+		.unwrapOr(undefined);
+}
+
+function isSameAddress(a: PeerAddress, b: PeerAddress): boolean {
+	return a.address === b.address && a.peerPort === b.peerPort;
+}
+
+registerContribution({
+	id: 'membership',
+	requires: ['platform'],
+	async start(context) {
+		const settings = context.use(settingsKey);
+		const peers = context.use(peersKey);
+		const vmList = context.use(vmListKey);
+		const self = createSelf(context, settings);
+		const ownRegion = regionOf(settings, self.availabilityZone);
+		let entryVms: readonly PeerAddress[] = [];
+
+		async function refreshEntryVms(): Promise<void> {
+			entryVms = await readEntryVms(vmList) ?? entryVms;
+		}
+
+		const service = createMembershipService({
+			...settings.membership,
+			self,
+			isNear: member => regionOf(settings, member.availabilityZone) === ownRegion,
+			candidates: () => [...settings.seeds, ...entryVms].filter(candidate => !isSameAddress(candidate, self)),
+			link: createConnectGossipLink(peers, settings.membership.suspectAfterMs / 2),
+			loop: context.loop,
+			clock: context.clock,
+			random: context.random,
+			log: context.log,
+		});
+		serveGossip(peers, service.receiver);
+		const polling = context.loop.every({
+			name: 'read entry VMs', periodMs: VM_LIST_INTERVAL_MS, jitterShare: 0.2, run: refreshEntryVms,
+		});
+		context.provide(membershipKey, service);
+		await refreshEntryVms();
+		const joined = await service.joinFleet();
+		context.log.info('membership started', {joined, members: service.members().length});
+		return {
+			async drain() {
+				service.leave(context.clock.monotonic());
+			},
+			dispose() {
+				polling.dispose();
+				service.dispose();
+			},
+		};
+	},
+});
