--- /dev/null
+++ b/src/audit/audit.contribution.ts
@@ -0,0 +1,29 @@
+/** Provides the daemon's audit trail. */
+import {registerContribution} from '../kernel/common/registry.js';
+import {storeKey} from '../platform/common/store.js';
+import {settingsKey} from '../settings/common/settings.js';
+import {auditKey} from './common/audit.js';
+import {createAuditService} from './common/audit-service.js';
+
+registerContribution({
+	id: 'audit',
+	requires: ['platform'],
+	start(context) {
+		const service = createAuditService({
+			daemonId: context.use(settingsKey).daemon.id,
+			store: context.use(storeKey),
+			loop: context.loop,
+			clock: context.clock,
+			log: context.log,
+		});
+		context.provide(auditKey, service);
+		return {
+			async drain() {
+				await service.flush();
+			},
+			dispose() {
+				service.dispose();
+			},
+		};
+	},
+});
--- a/src/audit/common/audit.ts
+++ b/src/audit/common/audit.ts
@@ -31,6 +31,10 @@
 export type Audit = {
 	/** Queues an entry; entries are written to the store in batches. */
 	readonly record: (entry: Omit<AuditEntry, 'id' | 'at'>) => void;
+	/** Queues entries that were made elsewhere; an entry that was queued or written twice is read once. */
+	readonly copy: (entries: readonly AuditEntry[]) => void;
+	/** Adds entries that live outside the trail's own objects to what is read. */
+	readonly addSource: (source: () => readonly AuditEntry[]) => void;
 	/** Writes what is queued now. */
 	readonly flush: () => Promise<Result<void, Failure>>;
 	readonly read: (query: AuditQuery) => Promise<Result<readonly AuditEntry[], Failure>>;
--- a/src/membership/common/membership-service.ts
+++ b/src/membership/common/membership-service.ts
@@ -12,7 +12,7 @@
 import {createGossip, type GossipChanges} from './gossip.js';
 import type {GossipLink, GossipReceiver} from './gossip-link.js';
 import {OLDEST_PROTOCOL_VERSION, type MemberRecord} from './member-record.js';
-import type {Member, Membership, Rumor} from './membership.js';
+import type {HeardRumor, Member, Membership} from './membership.js';
 
 /** What membership runs on. */
 export type MembershipOptions = {
@@ -66,7 +66,7 @@
 		self: options.self, suspicionMs: options.deadAfterMs - options.suspectAfterMs, isNear: options.isNear, random,
 	});
 	const changed = createEmitter<readonly Member[]>();
-	const heard = createEmitter<Rumor>();
+	const heard = createEmitter<HeardRumor>();
 	let lastRoundAt = clock.monotonic();
 	let lastPullAt = 0;
 	let pauses = 0;
@@ -76,13 +76,13 @@
 		return gossip.records().filter(record => record.state !== 'dead');
 	}
 
-	function report(changes: GossipChanges): void {
+	function report(changes: GossipChanges, via?: string): void {
 		if (changes.members.length > 0) {
 			changed.fire(members());
 		}
 
 		changes.rumors.forEach(rumor => {
-			heard.fire(rumor);
+			heard.fire({...rumor, ...(via !== undefined && {via})});
 		});
 		if (changes.rumors.length > 0) {
 			runExtraRound();
@@ -110,7 +110,7 @@
 			return false;
 		}
 
-		report(gossip.receive(answer.value, clock.monotonic()));
+		report(gossip.receive(answer.value, clock.monotonic()), answer.value.sender.id);
 		return true;
 	}
 
@@ -227,7 +227,7 @@
 					return err(createNotRun('unsupported', origin, `protocol ${sender.protocol} is older than ${OLDEST_PROTOCOL_VERSION}, the oldest understood here`));
 				}
 
-				report(gossip.receive(message, clock.monotonic()));
+				report(gossip.receive(message, clock.monotonic()), sender.id);
 				return ok(gossip.compose());
 			},
 			async probe(peer) {
--- a/src/membership/common/membership.ts
+++ b/src/membership/common/membership.ts
@@ -28,6 +28,12 @@
 	readonly value: string;
 };
 
+/** A rumor as it was heard. */
+export type HeardRumor = Rumor & {
+	/** The member that told it, when it came in a message. */
+	readonly via?: string;
+};
+
 /** The fleet as this daemon sees it. */
 export type Membership = {
 	readonly self: () => Member;
@@ -42,7 +48,7 @@
 	readonly spread: (rumor: Rumor) => void;
 	/** Lists the newest rumors of a topic. */
 	readonly rumors: (topic: string) => readonly Rumor[];
-	readonly onDidHear: Event<Rumor>;
+	readonly onDidHear: Event<HeardRumor>;
 };
 
 /** The daemon's membership. */
--- /dev/null
+++ b/src/persistence/node/file-snapshots.ts
@@ -0,0 +1,84 @@
+/**
+ * Snapshots as files under the data folder. A snapshot is written to a temporary file, synced and renamed, and carries
+ * a checksum, so that a torn or corrupt file is noticed and passed over.
+ */
+import {
+	closeSync, fsyncSync, mkdirSync, openSync, readFileSync, renameSync, writeSync,
+} from 'node:fs';
+import path from 'node:path';
+import {hashToHex} from '../../base/common/hash.js';
+import type {Log} from '../../kernel/common/log.js';
+import type {Snapshots} from '../common/snapshots.js';
+
+/** Characters of the checksum line: 64 hexadecimal digits and a line feed. */
+const CHECKSUM_LINE_LENGTH = 65;
+
+function encode(text: string): string {
+	return `${hashToHex(text)}\n${text}`;
+}
+
+function decode(content: string): string | undefined {
+	const text = content.slice(CHECKSUM_LINE_LENGTH);
+	return content.slice(0, CHECKSUM_LINE_LENGTH) === `${hashToHex(text)}\n` ? text : undefined;
+}
+
+function syncPath(target: string): void {
+	const descriptor = openSync(target, 'r');
+	try {
+		fsyncSync(descriptor);
+	} finally {
+		closeSync(descriptor);
+	}
+}
+
+function replaceFile(folder: string, file: string, content: string): void {
+	const temporary = `${file}.tmp`;
+	const descriptor = openSync(temporary, 'w');
+	try {
+		writeSync(descriptor, content);
+		fsyncSync(descriptor);
+	} finally {
+		closeSync(descriptor);
+	}
+
+	renameSync(temporary, file);
+	syncPath(folder);
+}
+
+function isMissing(error: unknown): boolean {
+	return error instanceof Error && 'code' in error && error.code === 'ENOENT';
+}
+
+/** Creates snapshots in a folder, which is made when it is missing. */
+export function createFileSnapshots(folder: string, log: Log): Snapshots {
+	mkdirSync(folder, {recursive: true});
+	const fileOf = (name: string) => path.join(folder, `${name}.snapshot`);
+
+	return {
+		read(name) {
+			const file = fileOf(name);
+			try {
+				const text = decode(readFileSync(file, 'utf8'));
+				if (text === undefined) {
+					log.error('snapshot damaged and passed over', {step: 'read snapshot', peer: file});
+				}
+
+				return text;
+			} catch (error) {
+				if (!isMissing(error)) {
+					log.error('snapshot not readable', {step: 'read snapshot', peer: file, error: String(error)});
+				}
+
+				return undefined;
+			}
+		},
+		write(name, text) {
+			const file = fileOf(name);
+			try {
+				replaceFile(folder, file, encode(text));
+			} catch (error) {
+				log.error('snapshot not written', {step: 'write snapshot', peer: file, error: String(error)});
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/plans/common/configuration-service.ts
@@ -0,0 +1,265 @@
+/**
+ * Keeps the configuration of one daemon at the newest version: versions spread by rumor, bodies are fetched from peers,
+ * and a few daemons of each availability zone read the store.
+ */
+import type {Result} from 'neverthrow';
+import type {Audit} from '../../audit/common/audit.js';
+import type {Clock} from '../../base/common/clock.js';
+import {createDisposableStore, type Disposable} from '../../base/common/disposable.js';
+import {createEmitter} from '../../base/common/event.js';
+import {formatFailure, type Failure} from '../../base/common/failure.js';
+import {rankByRendezvous} from '../../base/common/hash.js';
+import type {Random} from '../../base/common/random.js';
+import type {Log} from '../../kernel/common/log.js';
+import type {Loop} from '../../kernel/common/loop.js';
+import type {Member, Membership} from '../../membership/common/membership.js';
+import type {Snapshots} from '../../persistence/common/snapshots.js';
+import type {Store} from '../../platform/common/store.js';
+import type {Configuration} from './configuration.js';
+import type {ConfigurationBody, ConfigurationLink} from './configuration-link.js';
+import {createConfigurationHolder, type ConfigurationHolder} from './configuration-holder.js';
+import type {VersionedLists} from './lists.js';
+import {createProposals} from './proposals.js';
+import {configurationId} from './stored-configuration.js';
+
+/** What the configuration of a daemon runs on. */
+export type ConfigurationOptions = {
+	readonly membership: Membership;
+	readonly store: Store;
+	readonly link: ConfigurationLink;
+	readonly audit: Audit;
+	readonly snapshots: Snapshots;
+	readonly loop: Loop;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly createHolder?: () => ConfigurationHolder;
+};
+
+/** The configuration with the controls of its daemon. */
+export type ConfigurationService = Configuration & Disposable & {
+	/** Takes the newest version that the data folder, the store and the peers show now. */
+	readonly recover: () => Promise<void>;
+	/** Answers a peer; waits a little for a version that is on its way here. */
+	readonly serve: (wantedVersion: number, ownVersion: number) => Promise<ConfigurationBody>;
+};
+
+/** The topic of rumors about versions. */
+export const CONFIGURATION_TOPIC = 'configuration';
+
+/** Daemons of each availability zone that read the store. */
+const WATCHERS_PER_ZONE = 2;
+
+/** Time between two reads of the store by a watcher. */
+const WATCH_MS = 2000;
+
+/** How long a peer waits for a version before it answers without it. */
+const SERVE_WAIT_MS = 800;
+
+/** Rounds of catching up before the rumor must be heard again, and the wait between them. */
+const CATCH_UP_ROUNDS = 20;
+const CATCH_UP_WAIT_MS = 500;
+
+/** Other peers asked in one round, after the one that told of the version. */
+const OTHER_PEERS = 2;
+
+/** Rounds of catching up that a starting daemon waits for. */
+const RECOVERY_ROUNDS = 4;
+
+const SNAPSHOT_NAME = 'configuration';
+
+type Snapshot = {
+	readonly version: number;
+	readonly value: string;
+};
+
+function parseSnapshot(text: string): Snapshot | undefined {
+	const separator = text.indexOf('\n');
+	const version = Number(text.slice(0, separator));
+	return separator > 0 && Number.isSafeInteger(version) ? {version, value: text.slice(separator + 1)} : undefined;
+}
+
+/** Creates the configuration of one daemon and starts to follow the store and the peers. */
+export function createConfigurationService(options: ConfigurationOptions): ConfigurationService {
+	const {membership, store, link, audit, snapshots, loop, random, log} = options;
+	const holder = (options.createHolder ?? createConfigurationHolder)();
+	const changed = createEmitter<VersionedLists>();
+	const disposables = createDisposableStore();
+	const {id, incarnation} = membership.self();
+	let wantedVersion = 0;
+	let isCatchingUp = false;
+	let watching: Disposable | undefined;
+
+	function take(version: number, value: string): void {
+		const outcome = holder.offer(version, value);
+		if (outcome === 'unreadable') {
+			log.error('configuration not readable', {step: 'read configuration', peer: 'store', version});
+			return;
+		}
+
+		if (outcome === 'applied') {
+			snapshots.write(SNAPSHOT_NAME, `${version}\n${value}`);
+			membership.spread({
+				topic: CONFIGURATION_TOPIC, origin: '', version, value: '',
+			});
+			changed.fire({version, lists: holder.current().lists});
+		}
+	}
+
+	async function refresh(): Promise<Result<void, Failure>> {
+		const found = await store.read(configurationId);
+		return found.andTee(object => {
+			if (object) {
+				take(object.version, object.value);
+			}
+		});
+	}
+
+	function isBehind(): boolean {
+		return wantedVersion > holder.current().version;
+	}
+
+	async function fetchFrom(peer: Member): Promise<void> {
+		const fetched = await link.fetch(peer, wantedVersion, holder.current().version);
+		fetched.match(body => {
+			if (body.value !== '') {
+				take(body.version, body.value);
+			}
+		}, failure => {
+			log.debug('configuration not fetched', {failure: formatFailure(failure)});
+		});
+	}
+
+	function choosePeers(via: string | undefined): readonly Member[] {
+		const others = membership.members().filter(member => member.id !== id && member.id !== via);
+		const own = others.filter(member => member.availabilityZone === membership.self().availabilityZone);
+		const pool = own.length > 0 ? own : others;
+		const told = via === undefined ? undefined : membership.find(via);
+		const picked = Array.from({length: OTHER_PEERS}).flatMap(() => pool[Math.floor(random() * pool.length)] ?? []);
+		return told ? [told, ...picked] : picked;
+	}
+
+	/** Asks peers one after the other, then the store, until the wanted version is here. */
+	async function runCatchUpRound(via: string | undefined): Promise<void> {
+		await choosePeers(via).reduce<Promise<void>>(async (previous, peer) => {
+			await previous;
+			if (isBehind()) {
+				await fetchFrom(peer);
+			}
+		}, Promise.resolve());
+		if (isBehind()) {
+			await refresh();
+		}
+	}
+
+	async function runCatchUpRounds(via: string | undefined, roundsLeft: number): Promise<void> {
+		if (roundsLeft === 0 || !isBehind()) {
+			return;
+		}
+
+		await runCatchUpRound(via);
+		if (isBehind()) {
+			await loop.sleep(CATCH_UP_WAIT_MS * (0.5 + random()));
+		}
+
+		await runCatchUpRounds(undefined, roundsLeft - 1);
+	}
+
+	async function catchUp(via: string | undefined, rounds: number): Promise<void> {
+		if (isCatchingUp) {
+			return;
+		}
+
+		isCatchingUp = true;
+		await runCatchUpRounds(via, rounds);
+		isCatchingUp = false;
+	}
+
+	function hear(version: number, via: string | undefined): void {
+		wantedVersion = Math.max(wantedVersion, version);
+		if (isBehind()) {
+			void catchUp(via, CATCH_UP_ROUNDS);
+		}
+	}
+
+	function isWatcher(): boolean {
+		const self = membership.self();
+		const zone = membership.members().filter(member => member.availabilityZone === self.availabilityZone && member.state === 'alive');
+		return rankByRendezvous(`configuration/${self.availabilityZone}`, zone, member => member.id)
+			.slice(0, WATCHERS_PER_ZONE)
+			.some(member => member.id === id);
+	}
+
+	async function watch(): Promise<void> {
+		const watches = isWatcher();
+		if (!watches) {
+			watching?.dispose();
+			watching = undefined;
+			hear(wantedVersion, undefined);
+			return;
+		}
+
+		watching ??= store.watch('config', object => {
+			if (object.name === configurationId.name) {
+				take(object.version, object.value);
+			}
+		});
+		await refresh();
+	}
+
+	disposables.add(membership.onDidHear(rumor => {
+		if (rumor.topic === CONFIGURATION_TOPIC) {
+			hear(rumor.version, rumor.via);
+		}
+	}));
+	disposables.add(loop.every({
+		name: 'watch configuration', periodMs: WATCH_MS, jitterShare: 0.2, run: watch,
+	}));
+	audit.addSource(() => holder.current().changes);
+
+	const propose = createProposals({
+		writer: `${id}@${incarnation}`, holder, store, audit, clock: options.clock, refresh, adopt: take,
+	});
+
+	return {
+		current: () => ({version: holder.current().version, lists: holder.current().lists}),
+		onDidChange: changed.event,
+		authenticate: holder.authenticate,
+		grant: holder.grant,
+		propose,
+		async recover() {
+			const snapshot = parseSnapshot(snapshots.read(SNAPSHOT_NAME) ?? '');
+			if (snapshot) {
+				take(snapshot.version, snapshot.value);
+			}
+
+			await refresh();
+			membership.rumors(CONFIGURATION_TOPIC).forEach(rumor => {
+				wantedVersion = Math.max(wantedVersion, rumor.version);
+			});
+			await catchUp(undefined, RECOVERY_ROUNDS);
+		},
+		async serve(wanted, own) {
+			if (holder.current().version < wanted) {
+				await Promise.race([
+					loop.sleep(SERVE_WAIT_MS),
+					new Promise<void>(resolve => {
+						const waiting = holder.onDidChange(configuration => {
+							if (configuration.version >= wanted) {
+								waiting.dispose();
+								resolve();
+							}
+						});
+					}),
+				]);
+			}
+
+			const {version, value} = holder.current();
+			return {version, value: version > own ? value : ''};
+		},
+		dispose() {
+			watching?.dispose();
+			disposables.dispose();
+		},
+	};
+}
--- a/src/plans/common/lists.ts
+++ b/src/plans/common/lists.ts
@@ -6,7 +6,7 @@
 
 const name = z.string().regex(/^[a-z][a-z\d-]{0,62}$/, 'a name of lower-case letters, digits and hyphens');
 
-const plan = z.strictObject({
+const planFields = {
 	name,
 	customer: name,
 	/** Share of capacity relative to other plans when there is not enough for all. */
@@ -15,9 +15,9 @@
 	keyHashes: z.array(z.string().regex(/^[\da-f]{64}$/, 'a SHA-256 digest in lower-case hexadecimal')).readonly().default([]),
 	/** Trainers that may act under the plan. */
 	trainers: z.array(name).readonly().default([]),
-});
+};
 
-const grant = z.strictObject({
+const grantFields = {
 	plan: name,
 	pool: name,
 	/** Requests per second over the whole fleet. */
@@ -26,7 +26,10 @@
 	tokensPerSecond: z.number().min(0).max(1_000_000_000).optional(),
 	/** Seconds of the rate that may be used in one burst. */
 	burstSeconds: z.number().min(0.1).max(60).default(1),
-});
+};
+
+const plan = z.strictObject(planFields);
+const grant = z.strictObject(grantFields);
 
 /** The two lists. Each plan is named once, each pair of plan and pool is granted once, and every grant names a plan. */
 export const listsSchema = z.strictObject({
@@ -34,6 +37,12 @@
 	grants: z.array(grant).readonly(),
 }).readonly();
 
+/** The lists as stored: fields that a newer version has added are passed over, so that daemons of two versions run side by side. */
+export const storedListsSchema = z.object({
+	plans: z.array(z.object(planFields)).readonly(),
+	grants: z.array(z.object(grantFields)).readonly(),
+}).readonly();
+
 /** A customer's plan. */
 export type Plan = z.output<typeof plan>;
 
--- /dev/null
+++ b/src/plans/common/proposals.ts
@@ -0,0 +1,126 @@
+/** Writes operators' changes to the store and tells honestly how each ended. */
+import {err, ok, type Result} from 'neverthrow';
+import type {Audit, AuditEntry} from '../../audit/common/audit.js';
+import type {Clock} from '../../base/common/clock.js';
+import {
+	createNotRun, createOutcomeUnknown, wrapFailure, type Failure,
+} from '../../base/common/failure.js';
+import {writeSettled} from '../../platform/common/settled-write.js';
+import type {Store} from '../../platform/common/store.js';
+import {checkLists} from './check-lists.js';
+import type {Proposal} from './configuration.js';
+import type {ConfigurationHolder} from './configuration-holder.js';
+import type {Lists, VersionedLists} from './lists.js';
+import {configurationId, renderConfiguration} from './stored-configuration.js';
+
+/** What proposals run on. */
+export type ProposalOptions = {
+	readonly writer: string;
+	readonly holder: ConfigurationHolder;
+	readonly store: Store;
+	readonly audit: Audit;
+	readonly clock: Clock;
+	/** Reads the stored object and offers it to the holder. */
+	readonly refresh: () => Promise<Result<void, Failure>>;
+	/** Takes over a version that this daemon has written. */
+	readonly adopt: (version: number, value: string) => void;
+};
+
+/** Changes that the object keeps; older ones are copied to the audit trail's own objects first. */
+const MAXIMUM_CHANGES = 64;
+
+/** Changes that are left after older ones were copied. */
+const KEPT_CHANGES = 32;
+
+const origin = {step: 'change configuration', peer: 'store'};
+
+/** Creates the function that proposes a change. */
+export function createProposals(options: ProposalOptions): (proposal: Proposal) => Promise<Result<VersionedLists, Failure>> {
+	const {holder, store, audit, clock} = options;
+	let lastChange = 0;
+
+	function createChange(proposal: Proposal): AuditEntry {
+		lastChange += 1;
+		return {
+			id: `${options.writer}.change.${lastChange}`,
+			at: clock.wall(),
+			actor: proposal.operator,
+			action: 'change-configuration',
+			subject: 'lists',
+			fromVersion: proposal.ifVersion,
+			toVersion: undefined,
+			fencing: undefined,
+			detail: `${proposal.lists.plans.length} plans, ${proposal.lists.grants.length} grants`,
+		};
+	}
+
+	function createConflict(proposal: Proposal): Failure {
+		return createNotRun('conflict', origin, `version ${holder.current().version} is in force, not ${proposal.ifVersion}`);
+	}
+
+	/** Drops the oldest changes once they are safe elsewhere. */
+	async function trimChanges(changes: readonly AuditEntry[]): Promise<readonly AuditEntry[]> {
+		if (changes.length < MAXIMUM_CHANGES) {
+			return changes;
+		}
+
+		audit.copy(changes.slice(0, -KEPT_CHANGES));
+		const flushed = await audit.flush();
+		return flushed.isOk() ? changes.slice(-KEPT_CHANGES) : changes;
+	}
+
+	/** Finds out, after a conflict, whether the change was accepted and replaced since. */
+	async function resolveConflict(proposal: Proposal, change: AuditEntry, lists: Lists, isCertain: boolean): Promise<Result<VersionedLists, Failure>> {
+		const refreshed = await options.refresh();
+		const {changes} = holder.current();
+		const accepted = changes.find(candidate => candidate.id === change.id);
+		if (accepted?.toVersion !== undefined) {
+			return ok({version: accepted.toVersion, lists});
+		}
+
+		const hasWinner = changes.some(candidate => candidate.fromVersion === proposal.ifVersion);
+		if (isCertain || (refreshed.isOk() && hasWinner)) {
+			return err(createConflict(proposal));
+		}
+
+		return err(createOutcomeUnknown('conflict', origin, 'another change followed, and whether this one came before it is not known'));
+	}
+
+	async function writeChange(proposal: Proposal, lists: Lists): Promise<Result<VersionedLists, Failure>> {
+		const previous = holder.current();
+		const change = createChange({...proposal, lists});
+		const kept = await trimChanges(previous.changes);
+		const value = renderConfiguration(previous, lists, [...kept, change]);
+		const written = await writeSettled(store, {
+			...configurationId, value, ifVersion: proposal.ifVersion, writeId: {writer: options.writer, sequence: change.id},
+		});
+		if (written.isOk()) {
+			options.adopt(written.value.version, value);
+			audit.copy([{...change, toVersion: written.value.version}]);
+			return ok({version: written.value.version, lists});
+		}
+
+		const isCertain = written.error.step !== 'settle write';
+		return written.error.code === 'conflict'
+			? resolveConflict(proposal, change, lists, isCertain)
+			: err(wrapFailure(written.error, origin));
+	}
+
+	return async proposal => {
+		const checked = checkLists(proposal.lists);
+		if (checked.isErr()) {
+			return err(checked.error);
+		}
+
+		if (proposal.ifVersion > holder.current().version) {
+			const refreshed = await options.refresh();
+			if (refreshed.isErr()) {
+				return err(createNotRun(refreshed.error.code, origin, refreshed.error.message, refreshed.error.retryAfterMs));
+			}
+		}
+
+		return proposal.ifVersion === holder.current().version
+			? writeChange(proposal, checked.value)
+			: err(createConflict(proposal));
+	};
+}
--- /dev/null
+++ b/src/plans/common/stored-configuration.ts
@@ -0,0 +1,57 @@
+/**
+ * The stored form of the configuration: the lists and the latest accepted changes in one object. A change and its audit
+ * entry are one conditional write, so an accepted change is in the trail even if its daemon dies at once.
+ */
+import {z} from 'zod';
+import type {AuditEntry} from '../../audit/common/audit.js';
+import {storedEntrySchema} from '../../audit/common/audit-service.js';
+import type {ObjectId} from '../../platform/common/store.js';
+import {emptyLists, storedListsSchema, type Lists} from './lists.js';
+
+const storedValue = z.looseObject({
+	lists: storedListsSchema,
+	changes: z.array(storedEntrySchema).readonly(),
+});
+
+/** The name of the configuration object. */
+export const configurationId: ObjectId = {kind: 'config', name: 'lists'};
+
+/** The configuration with what a later writer needs of it. */
+export type StoredConfiguration = {
+	/** Version of the object; 0 before the first write. */
+	readonly version: number;
+	/** The object's value, byte for byte. */
+	readonly value: string;
+	readonly lists: Lists;
+	/** The latest accepted changes, oldest first; the last one made this version. */
+	readonly changes: readonly AuditEntry[];
+	/** Fields that a newer version has added. */
+	readonly unknown: Readonly<Record<string, unknown>>;
+};
+
+/** The configuration before the first write. */
+export const noConfiguration: StoredConfiguration = {
+	version: 0, value: '', lists: emptyLists, changes: [], unknown: {},
+};
+
+/** Reads a stored value; undefined when it cannot be understood. */
+export function parseConfiguration(version: number, value: string): StoredConfiguration | undefined {
+	try {
+		const {lists, changes, ...unknown} = storedValue.parse(JSON.parse(value));
+		const last = changes.length - 1;
+		return {
+			version,
+			value,
+			lists,
+			changes: changes.map((change, index) => (index === last ? {...change, toVersion: version} : change)),
+			unknown,
+		};
+	} catch {
+		return undefined;
+	}
+}
+
+/** Renders the value of the next version. */
+export function renderConfiguration(previous: StoredConfiguration, lists: Lists, changes: readonly AuditEntry[]): string {
+	return JSON.stringify({...previous.unknown, lists, changes});
+}
--- /dev/null
+++ b/src/plans/node/connect-configuration-link.ts
@@ -0,0 +1,30 @@
+/** Bodies of the configuration over Connect. */
+import {ConfigurationService as ConfigurationRpc} from '../../peers/common/gen/rosemaryshore/plans/v1/configuration_pb.js';
+import {callPeer} from '../../peers/common/peer-call.js';
+import type {PeerAddress, Peers} from '../../peers/common/peers.js';
+import {ConfigurationLink} from '../common/configuration-link.js';
+import type {ConfigurationService} from '../common/configuration-service.js';
+
+/** Time for one fetch, the peer's own wait included. */
+const FETCH_TIMEOUT_MS = 2000;
+
+/** Creates the sending side. */
+export function createConnectConfigurationLink(peers: Peers): ConfigurationLink {
+	return new (class extends ConfigurationLink {
+		override async fetch(peer: PeerAddress, wantedVersion: number, ownVersion: number) {
+			const answer = await callPeer('fetch configuration', peer, async () =>
+				peers.client(ConfigurationRpc, peer, FETCH_TIMEOUT_MS).fetch({wantedVersion: BigInt(wantedVersion), ownVersion: BigInt(ownVersion)}));
+			return answer.map(body => ({version: Number(body.version), value: body.value}));
+		}
+	})();
+}
+
+/** Offers the receiving side to peers. */
+export function serveConfiguration(peers: Peers, service: ConfigurationService): void {
+	peers.serve(ConfigurationRpc, {
+		async fetch(request) {
+			const body = await service.serve(Number(request.wantedVersion), Number(request.ownVersion));
+			return {version: BigInt(body.version), value: body.value};
+		},
+	});
+}
--- /dev/null
+++ b/src/plans/plans.contribution.ts
@@ -0,0 +1,38 @@
+/** Provides the configuration of the fleet. */
+import {auditKey} from '../audit/common/audit.js';
+import {registerContribution} from '../kernel/common/registry.js';
+import {membershipKey} from '../membership/common/membership.js';
+import {peersKey} from '../peers/common/peers.js';
+import {snapshotsKey} from '../persistence/common/snapshots.js';
+import {storeKey} from '../platform/common/store.js';
+import {configurationKey} from './common/configuration.js';
+import {createConfigurationService} from './common/configuration-service.js';
+import {createConnectConfigurationLink, serveConfiguration} from './node/connect-configuration-link.js';
+
+registerContribution({
+	id: 'plans',
+	requires: ['platform', 'persistence', 'audit', 'membership'],
+	async start(context) {
+		const peers = context.use(peersKey);
+		const service = createConfigurationService({
+			membership: context.use(membershipKey),
+			store: context.use(storeKey),
+			link: createConnectConfigurationLink(peers),
+			audit: context.use(auditKey),
+			snapshots: context.use(snapshotsKey),
+			loop: context.loop,
+			clock: context.clock,
+			random: context.random,
+			log: context.log,
+		});
+		serveConfiguration(peers, service);
+		context.provide(configurationKey, service);
+		await service.recover();
+		context.log.info('configuration in force', {version: service.current().version});
+		return {
+			dispose() {
+				service.dispose();
+			},
+		};
+	},
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -5,6 +5,7 @@
 	'base',
 	'kernel',
 	'settings',
+	'persistence',
 	'platform',
 	'peers',
 	'audit',
