--- a/src/code/node/contributions.ts
+++ b/src/code/node/contributions.ts
@@ -1,6 +1,11 @@
 /** All features of the daemon. Importing a `contribution` module registers it with the kernel. */
 import '../../platform/platform.contribution.js';
 import '../../peers/peers.contribution.js';
+import '../../persistence/persistence.contribution.js';
+import '../../audit/audit.contribution.js';
+import '../../membership/membership.contribution.js';
+import '../../leases/leases.contribution.js';
+import '../../plans/plans.contribution.js';
 import type {Contribution} from '../../kernel/common/contribution.js';
 import {listContributions} from '../../kernel/common/registry.js';
 
--- a/src/leases/leases.contribution.ts
+++ b/src/leases/leases.contribution.ts
@@ -14,7 +14,7 @@
 
 registerContribution({
 	id: 'leases',
-	requires: ['platform', 'membership'],
+	requires: ['platform', 'peers', 'membership'],
 	start(context) {
 		const settings = context.use(settingsKey);
 		const membership = context.use(membershipKey);
--- a/src/membership/common/gossip.ts
+++ b/src/membership/common/gossip.ts
@@ -273,6 +273,10 @@
 				});
 		},
 		leave() {
+			if (self().state === 'leaving') {
+				return noChanges;
+			}
+
 			const leaving: MemberRecord = {...self(), incarnation: self().incarnation + 1, state: 'leaving'};
 			store(leaving, 0);
 			return {members: [leaving], rumors: []};
--- a/src/membership/common/membership-service.ts
+++ b/src/membership/common/membership-service.ts
@@ -36,8 +36,10 @@
 /** Membership with its receiving side. */
 export type MembershipService = Membership & Disposable & {
 	readonly receiver: GossipReceiver;
-	/** Learns the whole fleet from the first candidate that answers; false when none does. */
-	readonly joinFleet: () => Promise<boolean>;
+	/** Learns the whole fleet from candidates, without telling of this daemon yet; false when none answers. */
+	readonly learnFleet: () => Promise<boolean>;
+	/** Starts the rounds, once this daemon listens. */
+	readonly open: () => void;
 };
 
 /** Helpers asked to contact a member that did not answer. */
@@ -56,8 +58,8 @@
 const EXTRA_ROUNDS = 2;
 const EXTRA_ROUND_INTERVAL_MS = 2000;
 
-/** Candidates asked at once on joining. */
-const JOIN_CANDIDATES = 3;
+/** Candidates asked at once by a starting daemon. */
+const FIRST_CANDIDATES = 3;
 
 /** Creates the membership of one daemon and starts its rounds. */
 export function createMembershipService(options: MembershipOptions): MembershipService {
@@ -71,6 +73,7 @@
 	let lastPullAt = 0;
 	let pauses = 0;
 	let extraRounds = EXTRA_ROUNDS;
+	let tasks: Disposable | undefined;
 
 	function members(): readonly Member[] {
 		return gossip.records().filter(record => record.state !== 'dead');
@@ -91,7 +94,7 @@
 
 	/** Passes new rumors on at once, a bounded number of times. */
 	function runExtraRound(): void {
-		if (extraRounds > 0) {
+		if (tasks && extraRounds > 0) {
 			extraRounds -= 1;
 			runExchanges();
 		}
@@ -170,38 +173,36 @@
 		}
 	}
 
-	async function joinThrough(peer: PeerAddress): Promise<boolean> {
-		if (!await exchangeWith(peer)) {
-			return false;
-		}
-
+	async function learnFrom(peer: PeerAddress): Promise<boolean> {
 		const buckets = Array.from({length: BUCKET_COUNT}, (_, bucket) => bucket);
 		return buckets.reduce(async (previous, bucket) => await previous && pullBucket(peer, bucket, 0), Promise.resolve(true));
 	}
 
-	const tasks = joinDisposables([
-		loop.every({
-			name: 'gossip',
-			periodMs: options.periodMs,
-			jitterShare: 0.1,
-			run(now) {
-				noteRound(now);
-				report(gossip.expire(now));
-				runExchanges();
-				pullStaleBucket(now);
-			},
-		}),
-		loop.every({
-			name: 'contact candidates', periodMs: CONTACT_INTERVAL_MS, jitterShare: 0.3, run: contactCandidate,
-		}),
-		loop.every({
-			name: 'allow extra rounds',
-			periodMs: EXTRA_ROUND_INTERVAL_MS,
-			run() {
-				extraRounds = Math.min(EXTRA_ROUNDS, extraRounds + 1);
-			},
-		}),
-	]);
+	function startTasks(): Disposable {
+		return joinDisposables([
+			loop.every({
+				name: 'gossip',
+				periodMs: options.periodMs,
+				jitterShare: 0.1,
+				run(now) {
+					noteRound(now);
+					report(gossip.expire(now));
+					runExchanges();
+					pullStaleBucket(now);
+				},
+			}),
+			loop.every({
+				name: 'contact candidates', periodMs: CONTACT_INTERVAL_MS, jitterShare: 0.3, run: contactCandidate,
+			}),
+			loop.every({
+				name: 'allow extra rounds',
+				periodMs: EXTRA_ROUND_INTERVAL_MS,
+				run() {
+					extraRounds = Math.min(EXTRA_ROUNDS, extraRounds + 1);
+				},
+			}),
+		]);
+	}
 
 	return {
 		self: () => gossip.self(),
@@ -235,12 +236,20 @@
 			},
 			pull: (bucket, page) => gossip.page(bucket, page),
 		},
-		async joinFleet() {
-			const attempts = await Promise.all(openCandidates().slice(0, JOIN_CANDIDATES).map(async candidate => joinThrough(candidate)));
+		async learnFleet() {
+			const attempts = await Promise.all(openCandidates().slice(0, FIRST_CANDIDATES).map(async candidate => learnFrom(candidate)));
 			return attempts.some(Boolean);
 		},
+		open() {
+			lastRoundAt = clock.monotonic();
+			tasks ??= startTasks();
+			openCandidates().slice(0, FIRST_CANDIDATES).forEach(candidate => {
+				void exchangeWith(candidate);
+			});
+			runExchanges();
+		},
 		dispose() {
-			tasks.dispose();
+			tasks?.dispose();
 		},
 	};
 }
--- a/src/membership/membership.contribution.ts
+++ b/src/membership/membership.contribution.ts
@@ -1,5 +1,6 @@
 /** Starts the daemon's membership, seeded by settings and by the VM list. */
 import type {Context} from '../kernel/common/contribution.js';
+import {lifecycleKey} from '../kernel/common/lifecycle.js';
 import {registerContribution} from '../kernel/common/registry.js';
 import {peersKey, type PeerAddress} from '../peers/common/peers.js';
 import {vmListKey, type VmList} from '../platform/common/vm-list.js';
@@ -37,7 +38,7 @@
 
 registerContribution({
 	id: 'membership',
-	requires: ['platform'],
+	requires: ['platform', 'peers'],
 	async start(context) {
 		const settings = context.use(settingsKey);
 		const peers = context.use(peersKey);
@@ -67,13 +68,20 @@
 		});
 		context.provide(membershipKey, service);
 		await refreshEntryVms();
-		const joined = await service.joinFleet();
-		context.log.info('membership started', {joined, members: service.members().length});
+		const learned = await service.learnFleet();
+		context.log.info('membership started', {learned, members: service.members().length});
+		context.onDidStart(() => {
+			service.open();
+		});
+		const leaving = context.use(lifecycleKey).onDidRequestStop(() => {
+			service.leave(context.clock.monotonic());
+		});
 		return {
 			async drain() {
 				service.leave(context.clock.monotonic());
 			},
 			dispose() {
+				leaving.dispose();
 				polling.dispose();
 				service.dispose();
 			},
--- a/src/plans/common/configuration-service.ts
+++ b/src/plans/common/configuration-service.ts
@@ -2,7 +2,7 @@
  * Keeps the configuration of one daemon at the newest version: versions spread by rumor, bodies are fetched from peers,
  * and a few daemons of each availability zone read the store.
  */
-import type {Result} from 'neverthrow';
+import {ok, type Result} from 'neverthrow';
 import type {Audit} from '../../audit/common/audit.js';
 import type {Clock} from '../../base/common/clock.js';
 import {createDisposableStore, type Disposable} from '../../base/common/disposable.js';
@@ -108,10 +108,12 @@
 
 	async function refresh(): Promise<Result<void, Failure>> {
 		const found = await store.read(configurationId);
-		return found.andTee(object => {
+		return found.andThen((object): Result<void, Failure> => {
 			if (object) {
 				take(object.version, object.value);
 			}
+
+			return ok();
 		});
 	}
 
--- a/src/plans/plans.contribution.ts
+++ b/src/plans/plans.contribution.ts
@@ -11,7 +11,7 @@
 
 registerContribution({
 	id: 'plans',
-	requires: ['platform', 'persistence', 'audit', 'membership'],
+	requires: ['platform', 'peers', 'persistence', 'audit', 'membership'],
 	async start(context) {
 		const peers = context.use(peersKey);
 		const service = createConfigurationService({
--- /dev/null
+++ b/test/fakes/daemon-fleet.ts
@@ -0,0 +1,268 @@
+/** Daemons of one fleet over virtual time, with an in-memory message fabric and a memory store. */
+import {
+	err, ok, type Result,
+} from 'neverthrow';
+import {createAuditService} from '../../src/audit/common/audit-service.js';
+import type {Clock} from '../../src/base/common/clock.js';
+import {createNotRun, createOutcomeUnknown, type Failure} from '../../src/base/common/failure.js';
+import {silentLog} from '../../src/kernel/common/log.js';
+import type {Loop} from '../../src/kernel/common/loop.js';
+import {LeaseLink} from '../../src/leases/common/lease-link.js';
+import {createShardsService, type ShardsOptions} from '../../src/leases/common/shards-service.js';
+import type {GossipMessage} from '../../src/membership/common/gossip.js';
+import {GossipLink} from '../../src/membership/common/gossip-link.js';
+import type {Member} from '../../src/membership/common/membership.js';
+import {createMembershipService, type MembershipOptions} from '../../src/membership/common/membership-service.js';
+import type {PeerAddress} from '../../src/peers/common/peers.js';
+import {noSnapshots, type Snapshots} from '../../src/persistence/common/snapshots.js';
+import {
+	createMemoryStore, type MemoryStore, type StoreCall, type StoreFault,
+} from '../../src/platform/common/memory-store.js';
+import {Store} from '../../src/platform/common/store.js';
+import {ConfigurationLink} from '../../src/plans/common/configuration-link.js';
+import {createConfigurationService, type ConfigurationOptions} from '../../src/plans/common/configuration-service.js';
+import {createSeededRandom, createVirtualTime, type VirtualTime} from './virtual-loop.js';
+
+/** What differs from one daemon or test to the next. */
+export type DaemonProfile = {
+	readonly id: string;
+	/** Begins with the name of its region and a hyphen. */
+	readonly zone: string;
+	/** Seconds of the daemon's own clock per second of true time. */
+	readonly rate?: number;
+	readonly snapshots?: Snapshots;
+	/** Replaces dependencies, to switch a mechanism off. */
+	readonly membership?: Partial<MembershipOptions>;
+	readonly shards?: Partial<ShardsOptions>;
+	readonly configuration?: Partial<ConfigurationOptions>;
+};
+
+/** Faults that a test sets while the fleet runs. */
+export type Faults = {
+	isCut: (from: string, to: string) => boolean;
+	store: (daemonId: string, call: StoreCall) => StoreFault;
+};
+
+type DaemonProcess = ReturnType<typeof createProcess>;
+
+/** One-way latencies in milliseconds. */
+const ZONE_MS = 0.5;
+const REGION_MS = 12;
+const STORE_MS = 3;
+
+/** A loop of one process: its delays follow its own clock, and everything waits while it is frozen. */
+function createProcess(time: VirtualTime, rate: number) {
+	const started = time.clock.monotonic();
+	const waiting: Array<() => void> = [];
+	let state: 'running' | 'frozen' | 'killed' = 'running';
+	const clock: Clock = {monotonic: () => (time.clock.monotonic() - started) * rate, wall: time.clock.wall};
+
+	function run(action: () => void): void {
+		if (state === 'running') {
+			action();
+		} else if (state === 'frozen') {
+			waiting.push(action);
+		}
+	}
+
+	const after: Loop['after'] = (delayMs, action) => time.loop.after(delayMs / rate, () => {
+		run(() => {
+			action(clock.monotonic());
+		});
+	});
+	const loop: Loop = {
+		after,
+		async sleep(delayMs) {
+			return new Promise(resolve => {
+				after(delayMs, () => {
+					resolve();
+				});
+			});
+		},
+		every: task => time.loop.every({
+			...task, periodMs: task.periodMs / rate, run: async () => new Promise<void>(resolve => {
+				run(() => {
+					void Promise.resolve(task.run(clock.monotonic())).then(resolve);
+				});
+			}),
+		}),
+	};
+	return {
+		clock,
+		loop,
+		state: () => state,
+		freeze() {
+			state = 'frozen';
+		},
+		thaw() {
+			state = 'running';
+			waiting.splice(0).forEach(action => {
+				action();
+			});
+		},
+		kill() {
+			state = 'killed';
+		},
+	};
+}
+
+function createStoreView(memory: MemoryStore, daemon: DaemonProcess, decideFault: (call: StoreCall) => StoreFault): Store {
+	const inner = memory.open(decideFault);
+	async function travel<T>(call: () => Promise<T>): Promise<T> {
+		await daemon.loop.sleep(STORE_MS);
+		const answer = await call();
+		await daemon.loop.sleep(STORE_MS);
+		return answer;
+	}
+
+	return new (class extends Store {
+		override read: Store['read'] = async id => travel(async () => inner.read(id));
+		override write: Store['write'] = async write => travel(async () => inner.write(write));
+		override remove: Store['remove'] = async removal => travel(async () => inner.remove(removal));
+		override list: Store['list'] = async (kind, prefix) => travel(async () => inner.list(kind, prefix));
+		override watch: Store['watch'] = (kind, listener) => inner.watch(kind, object => {
+			daemon.loop.after(STORE_MS, () => {
+				listener(object);
+			});
+		});
+	})();
+}
+
+/** A running daemon of the fleet. */
+export type FleetDaemon = ReturnType<typeof startDaemon>;
+
+type Fabric = {
+	readonly time: VirtualTime;
+	readonly memory: MemoryStore;
+	readonly faults: Faults;
+	readonly daemons: Map<string, FleetDaemon>;
+	readonly random: () => number;
+	readonly onMessage?: (from: string, to: string, message: GossipMessage) => void;
+};
+
+function startDaemon(fabric: Fabric, profile: DaemonProfile, seeds: readonly PeerAddress[]) {
+	const {time, faults, daemons, random} = fabric;
+	const daemon = createProcess(time, profile.rate ?? 1);
+	const {clock, loop} = daemon;
+	const self: Member = {
+		id: profile.id, incarnation: clock.wall(), state: 'alive', address: profile.id, peerPort: 1, availabilityZone: profile.zone, protocol: 1,
+	};
+	const regionOf = (zone: string) => zone.split('-', 1)[0];
+
+	/** Calls another daemon; the answer is lost where the way back is cut. */
+	async function call<T>(peer: PeerAddress, timeoutMs: number, handle: (target: FleetDaemon) => Promise<T> | T): Promise<Result<T, Failure>> {
+		const origin = {step: 'call', peer: peer.address};
+		return new Promise(resolve => {
+			loop.after(timeoutMs, () => {
+				resolve(err(createOutcomeUnknown('deadlineExceeded', origin, 'no answer')));
+			});
+			const target = daemons.get(peer.address);
+			if (target === undefined || faults.isCut(profile.id, peer.address)) {
+				return;
+			}
+
+			const latencyMs = regionOf(profile.zone) === regionOf(target.zone) ? ZONE_MS : REGION_MS;
+			target.process.loop.after(latencyMs, () => {
+				void Promise.resolve(handle(target)).then(value => {
+					if (!faults.isCut(peer.address, profile.id)) {
+						loop.after(latencyMs, () => {
+							resolve(ok(value));
+						});
+					}
+				});
+			});
+		});
+	}
+
+	const store = createStoreView(fabric.memory, daemon, storeCall => faults.store(profile.id, storeCall));
+	const membership = createMembershipService({
+		self, periodMs: 500, fanout: 2, suspectAfterMs: 2000, deadAfterMs: 6000,
+		isNear: member => regionOf(member.availabilityZone) === regionOf(profile.zone),
+		candidates: () => seeds.filter(seed => seed.address !== profile.id),
+		link: new (class extends GossipLink {
+			override exchange: GossipLink['exchange'] = async (peer, message) => {
+				fabric.onMessage?.(profile.id, peer.address, message);
+				const answer = await call(peer, 1000, target => {
+					const received = target.membership.receiver.exchange(message);
+					received.andTee(reply => {
+						fabric.onMessage?.(peer.address, profile.id, reply);
+					});
+					return received;
+				});
+				return answer.andThen(inner => inner);
+			};
+
+			override probe: GossipLink['probe'] = async (helper, peer) => call(helper, 2000, async target => target.membership.receiver.probe(peer));
+			override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => target.membership.receiver.pull(bucket, page));
+		})(),
+		loop, clock, random, log: silentLog, ...profile.membership,
+	});
+	const shards = createShardsService({
+		self: {
+			daemonId: self.id, incarnation: self.incarnation, address: self.address, peerPort: 1,
+		},
+		count: 8, times: {
+			durationMs: 6000, renewMs: 2000, marginMs: 1000, standbyDelayMs: 1000,
+		}, store, membership, loop, clock, log: silentLog,
+		link: new (class extends LeaseLink {
+			override offer: LeaseLink['offer'] = async (peer, shard) => call(peer, 1000, async target => target.shards.takeOffer(shard));
+		})(), ...profile.shards,
+	});
+	const audit = createAuditService({
+		daemonId: self.id, store, loop, clock, log: silentLog,
+	});
+	const configuration = createConfigurationService({
+		membership, store, audit, snapshots: profile.snapshots ?? noSnapshots, loop, clock, random, log: silentLog,
+		link: new (class extends ConfigurationLink {
+			override fetch: ConfigurationLink['fetch'] = async (peer, wanted, own) => call(peer, 2000, async target => target.configuration.serve(wanted, own));
+		})(), ...profile.configuration,
+	});
+	const started = {
+		id: profile.id, zone: profile.zone, process: daemon, membership, shards, audit, configuration, store,
+		/** Recovers as the contributions do, then opens. */
+		ready: (async () => {
+			await membership.learnFleet();
+			await configuration.recover();
+			membership.open();
+		})(),
+	};
+	return started;
+}
+
+/** Creates an empty fleet. */
+export function createDaemonFleet(seed: number, onMessage?: Fabric['onMessage']) {
+	const random = createSeededRandom(seed);
+	const time = createVirtualTime(random);
+	const memory = createMemoryStore();
+	const daemons = new Map<string, FleetDaemon>();
+	const faults: Faults = {isCut: () => false, store: () => 'none'};
+	const fabric: Fabric = {
+		time, memory, faults, daemons, random, ...(onMessage && {onMessage}),
+	};
+	return {
+		time,
+		memory,
+		faults,
+		random,
+		all: () => [...daemons.values()],
+		get(id: string): FleetDaemon {
+			const found = daemons.get(id);
+			if (found === undefined) {
+				throw new Error(`no daemon ${id}`);
+			}
+
+			return found;
+		},
+		/** Starts a daemon, or starts it again with a later incarnation. */
+		start(profile: DaemonProfile, seeds: readonly string[]) {
+			daemons.get(profile.id)?.process.kill();
+			daemons.set(profile.id, startDaemon(fabric, profile, seeds.map(address => ({address, peerPort: 1}))));
+		},
+		kill(id: string) {
+			daemons.get(id)?.process.kill();
+		},
+	};
+}
+
+/** A failure for links that are switched off. */
+export const switchedOff: Failure = createNotRun('unavailable', {step: 'call', peer: 'none'}, 'switched off');
--- a/test/fakes/virtual-loop.ts
+++ b/test/fakes/virtual-loop.ts
@@ -8,7 +8,6 @@
 
 type Entry = {
 	readonly at: number;
-	readonly order: number;
 	readonly action: (now: number) => void;
 };
 
@@ -33,29 +32,47 @@
 	return () => uniformFloat64(generator);
 }
 
+/** Finds the place of a new entry among entries that are later or at the same time. */
+function findPlace(entries: readonly Entry[], at: number): number {
+	let low = 0;
+	let high = entries.length;
+	while (low < high) {
+		const middle = Math.floor((low + high) / 2);
+		if ((entries[middle]?.at ?? 0) > at) {
+			low = middle + 1;
+		} else {
+			high = middle;
+		}
+	}
+
+	return low;
+}
+
 /** Creates virtual time that starts at 0. Work awaits real promises only; no real timer is used. */
 export function createVirtualTime(random: Random = () => 0.5): VirtualTime {
 	let now = 0;
-	let order = 0;
-	const entries = new Set<Entry>();
+	// Kept in order of time, the earliest last.
+	const entries: Entry[] = [];
 	const clock: Clock = {monotonic: () => now, wall: () => 1_700_000_000_000 + now};
 
 	function after(delayMs: number, action: (now: number) => void): Disposable {
-		order += 1;
-		const entry: Entry = {at: now + Math.max(0, delayMs), order, action};
-		entries.add(entry);
+		const entry: Entry = {at: now + Math.max(0, delayMs), action};
+		entries.splice(findPlace(entries, entry.at), 0, entry);
 		return createDisposable(() => {
-			entries.delete(entry);
+			const index = entries.indexOf(entry);
+			if (index !== -1) {
+				entries.splice(index, 1);
+			}
 		});
 	}
 
 	async function runNext(until: number): Promise<boolean> {
-		const next = [...entries].filter(entry => entry.at <= until).toSorted((a, b) => a.at - b.at || a.order - b.order).at(0);
-		if (next === undefined) {
+		const next = entries.at(-1);
+		if (next === undefined || next.at > until) {
 			return false;
 		}
 
-		entries.delete(next);
+		entries.pop();
 		now = next.at;
 		next.action(now);
 		await settle();
