Tell features of a stop before the first of them drains

Cause: a signal drained features one after another, so membership learnt last that the daemon leaves. Change: a stop of the daemon requests the end from its lifecycle first, whatever asked for it. The lists file is checked for contradicting entries before it is sent. Shown by: npx tsx scripts/test.ts src/code (22 passed).

--- a/src/code/node/daemon.ts
+++ b/src/code/node/daemon.ts
@@ -6,7 +6,7 @@
 import {createSystemClock} from '../../base/node/system-clock.js';
 import type {Contribution, ServiceKey} from '../../kernel/common/contribution.js';
 import {createKernel, type Kernel, type Surroundings} from '../../kernel/common/kernel.js';
-import {createLifecycle, lifecycleKey} from '../../kernel/common/lifecycle.js';
+import {createLifecycle, lifecycleKey, type Lifecycle} from '../../kernel/common/lifecycle.js';
 import type {Log} from '../../kernel/common/log.js';
 import {silentMetrics, type Metrics} from '../../kernel/common/metrics.js';
 import {createJsonLog} from '../../kernel/node/json-log.js';
@@ -65,14 +65,17 @@
 	readonly drainMs: number;
 	/** Freed last. */
 	readonly owner: Disposable;
+	readonly lifecycle: Lifecycle;
 	readonly stopRequested: Promise<string>;
 };
 
-function createDaemon({kernel, log, drainMs, owner, stopRequested}: Parts): Daemon {
+function createDaemon({kernel, log, drainMs, owner, lifecycle, stopRequested}: Parts): Daemon {
 	let stopped: Promise<boolean> | undefined;
 
 	async function stopOnce(): Promise<boolean> {
 		log.info('daemon stopping', {drainMs});
+		// Features tell peers and balancers at once, before the first of them has drained.
+		lifecycle.requestStop('stop');
 		const drained = await kernel.stop(drainMs);
 		owner.dispose();
 		log.info('daemon stopped', {drained});
@@ -111,6 +114,6 @@
 	const {log} = surroundings;
 	log.info('daemon started', {...settings.daemon, features: contributions.map(contribution => contribution.id)});
 	return ok(createDaemon({
-		kernel, log, owner, stopRequested, drainMs: settings.requests.drainMs,
+		kernel, log, owner, lifecycle, stopRequested, drainMs: settings.requests.drainMs,
 	}));
 }
--- a/src/code/test/lists-diff.test.ts
+++ b/src/code/test/lists-diff.test.ts
@@ -35,4 +35,10 @@
 	assert.match(problems[0]?.message ?? '', /^unknown key "wait"; allowed: name, customer, weight/);
 });
 
+test('names entries that contradict one another', () => {
+	const problems = checkListsDocument({plans: [], grants: [{plan: 'gone', pool: 'portal', requestsPerSecond: 1}]})._unsafeUnwrapErr();
+	assert.is(problems[0]?.path, '$');
+	assert.match(problems[0]?.message ?? '', /unknown plan "gone"; allowed: /);
+});
+
 test.run();
