--- /dev/null
+++ b/src/limits/common/drain-rate.ts
@@ -0,0 +1,33 @@
+/** Measures how fast a pool works off requests: the work completed per second and the time that one request takes. */
+
+/** The measured speed of a pool. */
+export type DrainRate = {
+	readonly completed: (cost: number, runMs: number) => void;
+	/** Expected time that a request of the given cost runs, in milliseconds. */
+	readonly runMs: (cost: number) => number;
+	/** Expected time until `costAhead` is worked off by `concurrency` requests at once, in milliseconds. */
+	readonly waitMs: (costAhead: number, concurrency: number) => number;
+};
+
+/** Weight of the newest request in the running means. */
+const GAIN = 0.05;
+/** Requests after which the running means are trusted fully; before, plain averages are taken. */
+const WARM_UP = 1 / GAIN;
+
+/** Creates a measure that assumes `initialRunMs` per request until requests have completed. */
+export function createDrainRate(initialRunMs: number): DrainRate {
+	let meanRunMs = initialRunMs;
+	let meanCost = 1;
+	let count = 0;
+
+	return {
+		completed(cost, runMs) {
+			count += 1;
+			const gain = Math.max(GAIN, 1 / Math.min(count, WARM_UP));
+			meanRunMs += gain * (runMs - meanRunMs);
+			meanCost += gain * (cost - meanCost);
+		},
+		runMs: cost => count === 0 ? initialRunMs : meanRunMs * cost / meanCost,
+		waitMs: (costAhead, concurrency) => (count === 0 ? initialRunMs * Math.sign(costAhead) : meanRunMs * costAhead / meanCost) / Math.max(1, concurrency),
+	};
+}
--- /dev/null
+++ b/src/routing/common/dispatcher.ts
@@ -0,0 +1,146 @@
+/**
+ * Chooses backend servers. Two random servers of the own region, one of another region, and the holder of the prompt
+ * prefix compete by expected cost, so that many daemons with the same lagging reports do not all pick the same server.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {createNotRun, type Failure} from '../../base/common/failure.js';
+import {jitter, type Random} from '../../base/common/random.js';
+import type {LoadEstimate} from './load-estimate.js';
+import type {PrefixIndex} from './prefix-index.js';
+import type {BackendServer, Dispatch, RouteRequest} from './router.js';
+import {costOf, type CostWeights} from './server-cost.js';
+import type {ServerTable} from './server-table.js';
+
+/** What the choice rests on. */
+export type DispatcherParts = {
+	readonly table: ServerTable;
+	readonly loads: LoadEstimate;
+	readonly prefixes: PrefixIndex;
+	readonly weights: CostWeights;
+	readonly ownRegion: string;
+	readonly random: Random;
+	/** Servers that other daemons have reserved. */
+	readonly reservedElsewhere: (serverId: string) => boolean;
+};
+
+/** The choice of backend servers on one daemon. */
+export type Dispatcher = {
+	readonly dispatch: (request: RouteRequest, now: number) => Result<Dispatch, Failure>;
+	/** Servers that this daemon reserves for one request each. */
+	readonly reserved: () => readonly string[];
+	/** Expected bytes of all dispatches to other regions so far. */
+	readonly crossRegionBytes: () => number;
+};
+
+/** Spread of costs, so that equal servers are not always chosen in the same order. */
+const COST_JITTER = 0.1;
+const RETRY_AFTER_MS = 1000;
+const INITIAL_REQUEST_MS = 1000;
+/** Weight of the newest request in the running mean. */
+const MEAN_GAIN = 0.05;
+
+function pick<T>(candidates: readonly T[], random: Random): readonly T[] {
+	const index = Math.floor(random() * candidates.length);
+	return candidates.slice(index, index + 1);
+}
+
+function pickTwo<T>(candidates: readonly T[], random: Random): readonly T[] {
+	const first = pick(candidates, random);
+	return [...first, ...pick(candidates.filter(candidate => !first.includes(candidate)), random)];
+}
+
+/** Creates a dispatcher. */
+export function createDispatcher(parts: DispatcherParts): Dispatcher {
+	const {
+		table, loads, prefixes, weights, ownRegion, random, reservedElsewhere,
+	} = parts;
+	const reserved = new Set<string>();
+	const meanRequestMs = new Map<string, number>();
+	let crossRegionBytes = 0;
+
+	function listEligible(request: RouteRequest, now: number): readonly BackendServer[] {
+		return table.list(request.pool)
+			.filter(server => table.usable(server.id, now))
+			.filter(server => !request.excluded.includes(server.id))
+			.filter(server => request.allowed === undefined || request.allowed.includes(server.id))
+			.filter(server => !reserved.has(server.id) && !reservedElsewhere(server.id))
+			.filter(server => !request.alone || loads.read(server.id).requests === 0);
+	}
+
+	function listCandidates(request: RouteRequest, eligible: readonly BackendServer[]): readonly BackendServer[] {
+		const near = eligible.filter(server => server.region === ownRegion);
+		const far = eligible.filter(server => server.region !== ownRegion);
+		const holderId = request.prefixKey === undefined ? undefined : prefixes.find(request.prefixKey);
+		const holder = eligible.filter(server => server.id === holderId);
+		return near.length === 0 ? [...holder, ...pickTwo(far, random)] : [...holder, ...pickTwo(near, random), ...pick(far, random)];
+	}
+
+	function rate(server: BackendServer, request: RouteRequest): number {
+		const prospect = {
+			load: loads.read(server.id),
+			holdsPrefix: request.prefixKey !== undefined && prefixes.find(request.prefixKey) === server.id,
+			ownRegion: server.region === ownRegion,
+			meanRequestMs: meanRequestMs.get(server.pool) ?? INITIAL_REQUEST_MS,
+		};
+		return jitter(costOf(prospect, request, weights), COST_JITTER, random);
+	}
+
+	function noteEnd(server: BackendServer, outcome: Parameters<Dispatch['end']>[1], startedAt: number, now: number): void {
+		if (outcome === 'refused') {
+			table.refused(server.id, now);
+		}
+
+		if (outcome === 'died') {
+			table.died(server.id, now);
+			prefixes.forgetServer(server.id);
+		}
+
+		if (outcome === 'done') {
+			const mean = meanRequestMs.get(server.pool) ?? (now - startedAt);
+			meanRequestMs.set(server.pool, mean + (MEAN_GAIN * (now - startedAt - mean)));
+			table.succeeded(server.id);
+		}
+	}
+
+	function begin(server: BackendServer, request: RouteRequest, startedAt: number): Dispatch {
+		const endLoad = loads.begin(server.id, startedAt);
+		let open = true;
+		if (request.alone) {
+			reserved.add(server.id);
+		}
+
+		if (request.prefixKey !== undefined) {
+			prefixes.remember(request.prefixKey, server.id);
+		}
+
+		crossRegionBytes += server.region === ownRegion ? 0 : request.expectedBytes;
+		return {
+			server,
+			end(now, outcome) {
+				if (!open) {
+					return;
+				}
+
+				open = false;
+				endLoad(now);
+				if (request.alone) {
+					reserved.delete(server.id);
+				}
+
+				noteEnd(server, outcome, startedAt, now);
+			},
+		};
+	}
+
+	return {
+		dispatch(request, now) {
+			const rated = listCandidates(request, listEligible(request, now)).map(server => ({server, cost: rate(server, request)}));
+			const best = rated.toSorted((a, b) => a.cost - b.cost).at(0);
+			return best === undefined
+				? err(createNotRun('unavailable', {step: 'choose backend server', peer: request.pool}, 'no backend server may take the request now', RETRY_AFTER_MS))
+				: ok(begin(best.server, request, now));
+		},
+		reserved: () => [...reserved],
+		crossRegionBytes: () => crossRegionBytes,
+	};
+}
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -5,6 +5,7 @@
 import {createServiceKey} from '../../kernel/common/contribution.js';
 import type {Engine, Endpoint} from '../../platform/common/engine.js';
 import type {Service} from '../../platform/common/service.js';
+import type {EstimatedLoad} from './load-estimate.js';
 
 /** A backend server of a pool, as this daemon knows it. */
 export type BackendServer = Endpoint & {
@@ -53,6 +54,8 @@
 	readonly onDidChangeServers: Event<readonly BackendServer[]>;
 	/** Dispatches that this daemon has under way on a server. */
 	readonly inFlight: (serverId: string) => number;
+	/** The estimated load of a server: its last report, corrected by this daemon's own dispatches since. */
+	readonly load: (serverId: string) => EstimatedLoad;
 };
 
 /** The daemon's router. */
