--- /dev/null
+++ b/src/requests/common/stream-progress.ts
@@ -0,0 +1,40 @@
+/** What the caller of a stream has been given so far, so that the stream can go on from there at another engine. */
+import type {
+	Chunk, Generation, Progress, VersionRange,
+} from '../../platform/common/engine.js';
+
+/** The progress of one generation over all its attempts. */
+export type StreamProgress = {
+	readonly append: (chunk: Chunk) => void;
+	readonly tokens: () => number;
+	/** What an engine can resume from; undefined at the start, or when an engine could not name its version. */
+	readonly resumable: () => Progress | undefined;
+	/** Whether a whole generation is exactly what the chunks have said. */
+	readonly agreesWith: (generation: Generation) => boolean;
+};
+
+function extend(ranges: readonly VersionRange[], version: number, tokens: number): readonly VersionRange[] {
+	const last = ranges.at(-1);
+	const from = last?.to ?? 0;
+	return last?.version === version
+		? [...ranges.slice(0, -1), {...last, to: from + tokens}]
+		: [...ranges, {version, from, to: from + tokens}];
+}
+
+/** Creates the progress of a generation that has not begun. */
+export function createStreamProgress(): StreamProgress {
+	let text = '';
+	let tokens = 0;
+	let ranges: readonly VersionRange[] | undefined = [];
+
+	return {
+		append(chunk) {
+			text += chunk.text;
+			tokens += chunk.tokens;
+			ranges = ranges && chunk.version !== undefined ? extend(ranges, chunk.version, chunk.tokens) : undefined;
+		},
+		tokens: () => tokens,
+		resumable: () => tokens > 0 && ranges ? {text, tokens, ranges} : undefined,
+		agreesWith: generation => generation.text === text && generation.tokens === tokens,
+	};
+}
--- /dev/null
+++ b/src/requests/common/suspect-guard.ts
@@ -0,0 +1,24 @@
+/** What the running of requests needs to know of suspects: requests under which backend servers died. */
+import {ok, type Result} from 'neverthrow';
+import type {Failure} from '../../base/common/failure.js';
+import type {BackendServer} from '../../routing/common/router.js';
+
+/** How a request may run: as any other, or on a server that runs nothing else. */
+export type Isolation = 'shared' | 'alone';
+
+/** Guards backend servers against requests that crash them. */
+export type SuspectGuard = {
+	/** Says how the request may run; `suspect` when it is refused for good. */
+	readonly check: (fingerprint: string, now: number) => Result<Isolation, Failure>;
+	/** Tells that a connection broke under the request; resolves when the request's owner knows, within bounded time. */
+	readonly broke: (fingerprint: string, server: BackendServer, now: number) => Promise<void>;
+	/** Tells that the request was answered in whole. */
+	readonly survived: (fingerprint: string, now: number) => void;
+};
+
+/** A guard that suspects nothing. */
+export const trustingGuard: SuspectGuard = {
+	check: () => ok('shared'),
+	broke: async () => undefined,
+	survived: () => undefined,
+};
--- /dev/null
+++ b/src/requests/node/attempt-runner.ts
@@ -0,0 +1,199 @@
+/** Runs one request: attempts at backend servers, one after the other, until an answer is whole or must be given up. */
+import {err, ok, type Result} from 'neverthrow';
+import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import type {Clock} from '../../base/common/clock.js';
+import type {Loop} from '../../kernel/common/loop.js';
+import type {Metrics} from '../../kernel/common/metrics.js';
+import type {
+	BackendServer, Dispatch, Router, RouteRequest,
+} from '../../routing/common/router.js';
+import {createAttempt, joinFailures, type Attempt} from '../common/attempt.js';
+import {createRetryBudget, type RetryBudget} from '../common/retry-budget.js';
+import {decideRetry} from '../common/retry-policy.js';
+import type {SuspectGuard} from '../common/suspect-guard.js';
+
+/** A request to run. */
+export type RunRequest = {
+	readonly requestId: string;
+	readonly route: Omit<RouteRequest, 'excluded' | 'alone'>;
+	/** Identifies the content of the request, whoever sends it. */
+	readonly fingerprint: string;
+	/** Whether running the request again now does no harm and can still complete the answer. */
+	readonly repeatable: () => boolean;
+	readonly deadline: number;
+	readonly signal: AbortSignal;
+};
+
+/** One attempt as the caller of the runner carries it out. */
+export type AttemptContext = {
+	/** Unique per attempt; the answer must bear it. */
+	readonly attemptId: string;
+	readonly server: BackendServer;
+	readonly attempt: Attempt;
+	readonly signal: AbortSignal;
+};
+
+/** Runs requests. */
+export type AttemptRunner = {
+	readonly run: <T>(request: RunRequest, call: (context: AttemptContext) => Promise<Result<T, Failure>>) => Promise<Result<T, Failure>>;
+};
+
+/** What the runner rests on. */
+export type AttemptRunnerParts = {
+	readonly router: Router;
+	readonly suspects: SuspectGuard;
+	readonly maximumAttempts: number;
+	readonly retryShare: number;
+	readonly clock: Clock;
+	readonly loop: Loop;
+	readonly metrics: Metrics;
+};
+
+type Progress = {
+	readonly failures: readonly Failure[];
+	readonly excluded: readonly string[];
+};
+
+type Ended<T> = {
+	readonly result: Result<T, Failure>;
+	readonly outcome: Parameters<Dispatch['end']>[1];
+};
+
+const INITIAL_RUN_MS = 50;
+const MEAN_GAIN = 0.1;
+
+function remember<T>(known: Map<string, T>, key: string, create: () => T): T {
+	const found = known.get(key) ?? create();
+	known.set(key, found);
+	return found;
+}
+
+/** Creates a runner with full retry budgets. */
+export function createAttemptRunner(parts: AttemptRunnerParts): AttemptRunner {
+	const {
+		router, suspects, clock, loop, metrics,
+	} = parts;
+	const budgets = new Map<string, RetryBudget>();
+	const runMs = new Map<string, number>();
+
+	function budgetOf(pool: string): RetryBudget {
+		return remember(budgets, pool, () => createRetryBudget(parts.retryShare));
+	}
+
+	function noteRun(pool: string, durationMs: number): void {
+		const mean = runMs.get(pool) ?? durationMs;
+		runMs.set(pool, mean + (MEAN_GAIN * (durationMs - mean)));
+	}
+
+	/** Settles at once when the deadline passes or the caller goes away; the late answer of the call is dropped. */
+	async function callBounded<T>(request: RunRequest, context: Omit<AttemptContext, 'signal'>, call: (context: AttemptContext) => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
+		const controller = new AbortController();
+		const origin = {step: 'run request', peer: context.server.id};
+		return new Promise(resolve => {
+			function giveUp(code: 'aborted' | 'deadlineExceeded', message: string): void {
+				const state = context.attempt.state();
+				resolve(err(state === 'notSent' ? createNotRun(code, origin, message) : createOutcomeUnknown(code, origin, message)));
+				controller.abort();
+			}
+
+			const abort = () => {
+				giveUp('aborted', 'the caller went away');
+			};
+
+			const timer = loop.after(request.deadline - clock.monotonic(), () => {
+				giveUp('deadlineExceeded', 'no whole answer within the deadline');
+			});
+			request.signal.addEventListener('abort', abort, {once: true});
+			void call({...context, signal: controller.signal}).then(resolve, (error: unknown) => {
+				resolve(err(createOutcomeUnknown('unavailable', origin, String(error))));
+			}).finally(() => {
+				timer.dispose();
+				request.signal.removeEventListener('abort', abort);
+			});
+		});
+	}
+
+	async function classify<T>(request: RunRequest, context: Omit<AttemptContext, 'signal'>, failure: Failure): Promise<Ended<T>> {
+		const settled = context.attempt.failed(failure);
+		const result = err(settled);
+		if (settled.code === 'aborted' || settled.code === 'deadlineExceeded' || settled.code === 'invalid') {
+			return {result, outcome: 'cancelled'};
+		}
+
+		if (settled.code === 'overloaded') {
+			return {result, outcome: 'refused'};
+		}
+
+		if (settled.effect === 'outcomeUnknown') {
+			await suspects.broke(request.fingerprint, context.server, clock.monotonic());
+		}
+
+		return {result, outcome: 'died'};
+	}
+
+	async function runOnce<T>(request: RunRequest, dispatch: Dispatch, attemptId: string, call: (context: AttemptContext) => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
+		const startedAt = clock.monotonic();
+		const context = {attemptId, server: dispatch.server, attempt: createAttempt()};
+		const result = await callBounded(request, context, call);
+		if (result.isOk()) {
+			context.attempt.whole();
+			noteRun(request.route.pool, clock.monotonic() - startedAt);
+			suspects.survived(request.fingerprint, clock.monotonic());
+			dispatch.end(clock.monotonic(), 'done');
+			return result;
+		}
+
+		const ended = await classify<T>(request, context, result.error);
+		dispatch.end(clock.monotonic(), ended.outcome);
+		return ended.result;
+	}
+
+	function dispatch(request: RunRequest, progress: Progress): Result<Dispatch, Failure> {
+		const now = clock.monotonic();
+		return suspects.check(request.fingerprint, now).andThen(verdict => router.dispatch({
+			...request.route, excluded: progress.excluded, alone: verdict === 'alone',
+		}, now));
+	}
+
+	function fail(progress: Progress, last: Failure): Failure {
+		return joinFailures(progress.failures, last);
+	}
+
+	async function runFrom<T>(request: RunRequest, progress: Progress, call: (context: AttemptContext) => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
+		if (request.signal.aborted) {
+			return err(fail(progress, createNotRun('aborted', {step: 'run request', peer: request.route.pool}, 'the caller went away')));
+		}
+
+		const dispatched = dispatch(request, progress);
+		if (dispatched.isErr()) {
+			return err(fail(progress, dispatched.error));
+		}
+
+		const number = progress.failures.length + 1;
+		const result = await runOnce(request, dispatched.value, `${request.requestId}-${number}`, call);
+		if (result.isOk()) {
+			return result;
+		}
+
+		const next = {failures: [...progress.failures, result.error], excluded: [...progress.excluded, dispatched.value.server.id]};
+		const {pool} = request.route;
+		const again = decideRetry({
+			failure: result.error,
+			repeatable: request.repeatable(),
+			attempts: number,
+			maximumAttempts: parts.maximumAttempts,
+			now: clock.monotonic(),
+			deadline: request.deadline,
+			expectedRunMs: runMs.get(pool) ?? INITIAL_RUN_MS,
+		}, budgetOf(pool));
+		metrics.count('requests.attempt_failed', 1, {pool, code: result.error.code, again: String(again)});
+		return again ? runFrom(request, next, call) : err(fail(next, result.error));
+	}
+
+	return {
+		async run(request, call) {
+			budgetOf(request.route.pool).earn();
+			return runFrom(request, {failures: [], excluded: []}, call);
+		},
+	};
+}
--- /dev/null
+++ b/src/requests/node/read-body.ts
@@ -0,0 +1,59 @@
+/** Reads the body of a caller's request, bounded in size and time. */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {createNotRun, type Failure} from '../../base/common/failure.js';
+import type {Loop} from '../../kernel/common/loop.js';
+
+/** Bounds of a body. */
+export type BodyBounds = {
+	readonly maximumBytes: number;
+	readonly timeoutMs: number;
+};
+
+const origin = {step: 'read body', peer: 'caller'};
+
+/** Resolves with the whole body. On a failure the rest is not read, so the connection must be closed. */
+export async function readBody(message: IncomingMessage, bounds: BodyBounds, loop: Loop): Promise<Result<Uint8Array, Failure>> {
+	const tooLarge = err(createNotRun('invalid', origin, `the body is larger than ${bounds.maximumBytes} bytes`));
+	if (Number(message.headers['content-length'] ?? 0) > bounds.maximumBytes) {
+		return tooLarge;
+	}
+
+	return new Promise(resolve => {
+		const pieces: Uint8Array[] = [];
+		let length = 0;
+
+		function settle(result: Result<Uint8Array, Failure>): void {
+			timer.dispose();
+			message.off('data', take);
+			if (result.isErr()) {
+				message.pause();
+			}
+
+			resolve(result);
+		}
+
+		function take(piece: Uint8Array): void {
+			length += piece.length;
+			pieces.push(piece);
+			if (length > bounds.maximumBytes) {
+				settle(tooLarge);
+			}
+		}
+
+		const timer = loop.after(bounds.timeoutMs, () => {
+			settle(err(createNotRun('deadlineExceeded', origin, `the body did not arrive within ${bounds.timeoutMs} ms`)));
+		});
+		message.on('data', take);
+		message.once('end', () => {
+			settle(ok(Buffer.concat(pieces)));
+		});
+		message.once('close', () => {
+			settle(err(createNotRun('aborted', origin, 'the caller went away')));
+		});
+		message.once('error', () => {
+			settle(err(createNotRun('aborted', origin, 'the caller went away')));
+		});
+	});
+}
--- /dev/null
+++ b/src/requests/node/respond.ts
@@ -0,0 +1,38 @@
+/** Writes whole answers to callers. */
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import type {Failure} from '../../base/common/failure.js';
+import {createProblem, retryAfterSeconds} from '../common/problem.js';
+
+/** Sends a whole answer. Does nothing when an answer has begun or the caller has gone. */
+export function sendWhole(response: ServerResponse, status: number, contentType: string | undefined, body: Uint8Array): void {
+	if (response.headersSent || response.destroyed) {
+		return;
+	}
+
+	response.writeHead(status, {
+		...(contentType !== undefined && {'content-type': contentType}),
+		'content-length': body.length,
+	});
+	response.end(body);
+}
+
+/** Sends a JSON answer. */
+export function sendJson(response: ServerResponse, status: number, value: unknown): void {
+	sendWhole(response, status, 'application/json', Buffer.from(JSON.stringify(value)));
+}
+
+/** Sends a failure as a problem detail, with `Retry-After` where a later try may succeed. */
+export function sendProblem(response: ServerResponse, failure: Failure, requestId: string): void {
+	if (response.headersSent || response.destroyed) {
+		return;
+	}
+
+	const problem = createProblem(failure, requestId);
+	const seconds = retryAfterSeconds(failure);
+	if (seconds !== undefined) {
+		response.setHeader('retry-after', seconds);
+	}
+
+	sendWhole(response, problem.status, 'application/problem+json', Buffer.from(JSON.stringify(problem)));
+}
--- /dev/null
+++ b/src/requests/node/services.ts
@@ -0,0 +1,190 @@
+/** Calls of plain services for callers. Those that may not be repeated run under a claim. */
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import type {ServerResponse} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import type {Clock} from '../../base/common/clock.js';
+import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import {hashToHex} from '../../base/common/hash.js';
+import type {Admission} from '../../limits/common/admission.js';
+import type {ServiceAnswer} from '../../platform/common/service.js';
+import type {Router} from '../../routing/common/router.js';
+import type {Pool, ServicePool} from '../../settings/common/settings.js';
+import {keyOf} from '../common/claims.js';
+import type {FrontRequest, Route} from '../common/front.js';
+import type {AttemptContext, AttemptRunner} from './attempt-runner.js';
+import type {ClaimedRuns, Reply} from './claimed-runs.js';
+import {sendProblem, sendWhole} from './respond.js';
+
+/** What service calls rest on. */
+export type ServiceParts = {
+	readonly pools: readonly Pool[];
+	readonly admission: Admission;
+	readonly router: Router;
+	readonly runner: AttemptRunner;
+	readonly claimedRuns: ClaimedRuns;
+	readonly clock: Clock;
+};
+
+type Call = {
+	readonly pool: ServicePool;
+	readonly plan: string;
+	readonly method: string;
+	/** Path with query, from the root of the service. */
+	readonly path: string;
+	readonly contentType: string | undefined;
+	readonly body: Uint8Array;
+	/** Undefined for idempotent operations. */
+	readonly idempotencyKey: string | undefined;
+	readonly request: FrontRequest;
+};
+
+const EXPECTED_ANSWER_BYTES = 4096;
+/** A claimed run goes on when its caller leaves, so that a repetition can be given its outcome. */
+const neverAborted = new AbortController().signal;
+
+function isIdempotent(pool: ServicePool, method: string, path: string): boolean {
+	return pool.operations.some(operation => operation.idempotent && operation.method === method && operation.path === path);
+}
+
+function readCall(request: FrontRequest, pools: readonly Pool[]): Result<Call, Failure> {
+	const origin = {step: 'read service call', peer: 'caller'};
+	const {raw, parameters, principal} = request;
+	const pool = pools.find(candidate => candidate.kind === 'service' && candidate.name === parameters.pool);
+	if (pool?.kind !== 'service') {
+		return err(createNotRun('notFound', origin, `no service pool ${parameters.pool ?? ''}`));
+	}
+
+	if (principal.kind !== 'customer') {
+		return err(createNotRun('unauthorized', origin, 'only customers call services'));
+	}
+
+	const method = raw.method ?? 'GET';
+	const path = `/${parameters.path ?? ''}`;
+	const key = raw.headers['idempotency-key'];
+	const idempotent = isIdempotent(pool, method, path);
+	if (!idempotent && (typeof key !== 'string' || !/^[!-~]{1,128}$/.test(key))) {
+		return err(createNotRun('invalid', origin, 'the operation needs an Idempotency-Key header of 1 to 128 visible ASCII characters'));
+	}
+
+	const {search} = new URL(raw.url ?? '/', 'http://self');
+	return ok({
+		pool,
+		plan: principal.plan.name,
+		method,
+		path: `${path}${search}`,
+		contentType: raw.headers['content-type'],
+		body: request.body,
+		idempotencyKey: !idempotent && typeof key === 'string' ? key : undefined,
+		request,
+	});
+}
+
+/** Creates the route of service calls. */
+export function createServiceRoute(parts: ServiceParts): Route {
+	const {admission, router, runner, claimedRuns, clock} = parts;
+
+	async function attempt(call: Call, context: AttemptContext, mayStart: () => boolean): Promise<Result<ServiceAnswer, Failure>> {
+		const origin = {step: 'call service', peer: context.server.id};
+		const late = err(createNotRun('deadlineExceeded', origin, 'the claim ended before the first byte was sent'));
+		if (!mayStart()) {
+			return late;
+		}
+
+		const controller = new AbortController();
+		let calledOff = false;
+		const answered = await router.service(context.server).call({
+			requestId: context.attemptId, method: call.method, path: call.path, contentType: call.contentType, body: call.body,
+		}, () => {
+			if (mayStart()) {
+				context.attempt.sent();
+				return;
+			}
+
+			calledOff = true;
+			controller.abort();
+		}, AbortSignal.any([controller.signal, context.signal]));
+		if (calledOff) {
+			return late;
+		}
+
+		return answered.andThen(answer => answer.requestId === context.attemptId
+			? ok(answer)
+			: err(createOutcomeUnknown('incomplete', origin, 'the answer is that of another request')));
+	}
+
+	async function run(call: Call, signal: AbortSignal, mayStart: () => boolean): Promise<Result<ServiceAnswer, Failure>> {
+		const bodyDigest = hashToHex(Buffer.from(call.body).toString('base64'));
+		return runner.run({
+			requestId: call.request.requestId,
+			fingerprint: hashToHex(JSON.stringify([call.pool.name, call.method, call.path, bodyDigest])),
+			repeatable: () => call.idempotencyKey === undefined,
+			deadline: call.request.deadline,
+			signal,
+			route: {
+				pool: call.pool.name,
+				prefixKey: undefined,
+				prefixTokens: 0,
+				expectedTokens: 0,
+				expectedBytes: call.body.length + EXPECTED_ANSWER_BYTES,
+				allowed: undefined,
+			},
+		}, async context => attempt(call, context, mayStart));
+	}
+
+	async function runUnclaimed(call: Call): Promise<Result<Reply, Failure>> {
+		const result = await run(call, call.request.signal, () => true);
+		return result.map(answer => ({...answer, replayed: false}));
+	}
+
+	async function runClaimed(call: Call, idempotencyKey: string): Promise<Result<Reply, Failure>> {
+		return claimedRuns.run({
+			key: keyOf({
+				plan: call.plan, pool: call.pool.name, method: call.method, path: call.path, idempotencyKey,
+			}),
+			bodyDigest: hashToHex(Buffer.from(call.body).toString('base64')),
+			claimId: randomUUID(),
+			deadline: call.request.deadline,
+			signal: call.request.signal,
+		}, async mayStart => run(call, neverAborted, mayStart));
+	}
+
+	async function answerCall(call: Call): Promise<Result<Reply, Failure>> {
+		const {request, idempotencyKey} = call;
+		const admitted = await admission.admit({
+			plan: call.plan, pool: call.pool.name, tokens: 0, deadline: request.deadline,
+		}, clock.monotonic(), request.signal);
+		if (admitted.isErr()) {
+			return err(admitted.error);
+		}
+
+		const result = idempotencyKey === undefined
+			? await runUnclaimed(call)
+			: await runClaimed(call, idempotencyKey);
+		admitted.value.release(clock.monotonic(), 0);
+		return result;
+	}
+
+	function respond(response: ServerResponse, result: Result<Reply, Failure>, requestId: string): void {
+		result.match(reply => {
+			if (reply.replayed && !response.headersSent) {
+				response.setHeader('idempotency-replayed', 'true');
+			}
+
+			sendWhole(response, reply.status, reply.contentType, reply.body);
+		}, failure => {
+			sendProblem(response, failure, requestId);
+		});
+	}
+
+	return {
+		method: 'ANY',
+		path: '/v1/services/:pool/*path',
+		access: 'customer',
+		async handle(request, response) {
+			const call = readCall(request, parts.pools);
+			const result = call.isErr() ? err(call.error) : await answerCall(call.value);
+			respond(response, result, request.requestId);
+		},
+	};
+}
