Prove the shard leases under faults, and prepare a transfer before the release

Ruled out: wrong end of the lease (the old holder stopped at 36.5 s, before the takeover at 36.7 s). Change: before a release the holder asks the successor whether it reaches the store (Prepare); no answer, no transfer.

--- a/src/leases/common/shards-service.ts
+++ b/src/leases/common/shards-service.ts
@@ -5,7 +5,7 @@
 import {formatFailure} from '../../base/common/failure.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
-import type {Membership} from '../../membership/common/membership.js';
+import type {Member, Membership} from '../../membership/common/membership.js';
 import {writeSettled} from '../../platform/common/settled-write.js';
 import type {Store, StoredObject} from '../../platform/common/store.js';
 import {
@@ -34,6 +34,8 @@
 
 /** Shards with the controls of their daemon. */
 export type ShardsService = Shards & Disposable & {
+	/** Tells whether this daemon reaches the store and would take a lease from its holder. */
+	readonly prepare: (shard: number) => Promise<boolean>;
 	/** Looks at a lease that was just released in favour of this daemon. */
 	readonly takeOffer: (shard: number) => Promise<void>;
 	/** Gives up all leases; resolves when they are released or the wait is over. */
@@ -69,6 +71,8 @@
 	const requestedReads = new Set<number>();
 	let sequence = 0;
 	let leaving = false;
+	const transferring = new Set<number>();
+	let transfers = 0;
 	let lastTransferAt = Number.NEGATIVE_INFINITY;
 
 	function reportChange(shard: number, now: number): void {
@@ -94,13 +98,15 @@
 		reportChange(shard, now);
 	}
 
-	async function readOne(shard: number): Promise<void> {
+	/** Reads one lease; false when the store did not answer. */
+	async function readOne(shard: number): Promise<boolean> {
 		const found = await store.read({kind: 'lease', name: leaseNameOf(shard)});
 		found.match(object => {
 			takeObject(shard, object);
 		}, failure => {
 			log.debug('lease not read', {failure: formatFailure(failure)});
 		});
+		return found.isOk();
 	}
 
 	async function readMany(shards: readonly number[]): Promise<void> {
@@ -150,26 +156,48 @@
 		}
 	}
 
-	/** Whether a lease goes to a daemon that has become the preferred one. */
-	function isTransferDue(shard: number, now: number): boolean {
+	/** Hands a lease to the daemon that has become the preferred one, if that one says that it can take it. */
+	async function transfer(shard: number, successor: Member): Promise<void> {
+		const prepared = await options.link.prepare(successor, shard);
+		if (prepared.unwrapOr(false)) {
+			transferring.add(shard);
+		}
+	}
+
+	function findSuccessor(shard: number, now: number): Member | undefined {
 		const preferred = placement.stablePreferred(shard, now, STABLE_MS);
 		const isHeld = deciders[shard]?.held(now) !== undefined;
-		return isHeld && preferred !== undefined && preferred.id !== self.daemonId && now - lastTransferAt >= TRANSFER_INTERVAL_MS;
+		return isHeld && preferred?.id !== self.daemonId ? preferred : undefined;
 	}
 
-	function roleIn(shard: number, now: number): LeaseRole {
-		const transfers = isTransferDue(shard, now);
-		if (transfers) {
+	function startTransfer(now: number): void {
+		if (leaving || now - lastTransferAt < TRANSFER_INTERVAL_MS) {
+			return;
+		}
+
+		const misplaced = deciders.flatMap((_, shard) => {
+			const successor = findSuccessor(shard, now);
+			return successor ? [{shard, successor}] : [];
+		});
+		const chosen = misplaced[transfers % misplaced.length];
+		if (chosen) {
 			lastTransferAt = now;
+			transfers += 1;
+			void transfer(chosen.shard, chosen.successor);
 		}
+	}
 
-		return {rank: leaving ? undefined : placement.rank(shard, self.daemonId), yields: leaving || transfers};
+	function roleIn(shard: number): LeaseRole {
+		return {
+			rank: leaving ? undefined : placement.rank(shard, self.daemonId),
+			yields: leaving || transferring.delete(shard),
+		};
 	}
 
 	/** Runs one decider; true when it wants a read. */
 	function runDecider(decider: LeaseDecider, shard: number, now: number): boolean {
 		sequence += 1;
-		const action = decider.decide(roleIn(shard, now), String(sequence), now);
+		const action = decider.decide(roleIn(shard), String(sequence), now);
 		reportChange(shard, now);
 		if (action.kind === 'write') {
 			void runWrite(shard, action.write);
@@ -181,6 +209,7 @@
 	function tick(): void {
 		const now = clock.monotonic();
 		placement.update(membership.members(), now);
+		startTransfer(now);
 		const wanted = deciders.flatMap((decider, shard) => (runDecider(decider, shard, now) ? [shard] : []));
 		const reads = new Set([...wanted, ...requestedReads]);
 		requestedReads.clear();
@@ -231,6 +260,10 @@
 				requestedReads.add(shard);
 			}
 		},
+		async prepare(shard) {
+			const mayTake = !leaving && placement.rank(shard, self.daemonId) !== undefined;
+			return mayTake ? readOne(shard) : false;
+		},
 		async takeOffer(shard) {
 			await readOne(shard);
 			const decider = deciders[shard];
--- a/src/leases/leases.contribution.ts
+++ b/src/leases/leases.contribution.ts
@@ -34,6 +34,9 @@
 			log: context.log,
 		});
 		peers.serve(LeaseService, {
+			async prepare(request) {
+				return {ready: await service.prepare(request.shard)};
+			},
 			async offer(request) {
 				await service.takeOffer(request.shard);
 				return {};
--- /dev/null
+++ b/src/membership/test/connect-gossip.test.ts
@@ -0,0 +1,91 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
+import {GossipSchema} from '../../peers/common/gen/rosemaryshore/membership/v1/gossip_pb.js';
+import {createConnectPeers} from '../../peers/node/connect-peers.js';
+import {findFreePorts} from '../../code/node/free-ports.js';
+import {createGossip, type Gossip} from '../common/gossip.js';
+import {decodeGossip, encodeGossip} from '../common/gossip-wire.js';
+import type {Member} from '../common/membership.js';
+import {createConnectGossipLink, serveGossip} from '../node/connect-gossip-link.js';
+import {OLDEST_PROTOCOL_VERSION} from '../common/member-record.js';
+import {createMembershipService} from '../common/membership-service.js';
+import {createVirtualTime} from '../../../test/fakes/virtual-loop.js';
+import {silentLog} from '../../kernel/common/log.js';
+
+const test = suite('gossip over connect');
+
+function createMember(id: string, peerPort: number): Member {
+	return {
+		id, incarnation: 1_700_000_000_000, state: 'alive', address: '127.0.0.1', peerPort, availabilityZone: 'konya-a', protocol: 1,
+	};
+}
+
+function createTestGossip(self: Member): Gossip {
+	return createGossip({
+		self, suspicionMs: 4000, isNear: () => true, random: () => 0.5,
+	});
+}
+
+async function serve(port: number, self: Member) {
+	const peers = createConnectPeers();
+	const time = createVirtualTime();
+	const service = createMembershipService({
+		self,
+		periodMs: 500,
+		fanout: 2,
+		suspectAfterMs: 2000,
+		deadAfterMs: 6000,
+		isNear: () => true,
+		candidates: () => [],
+		link: createConnectGossipLink(peers, 1000),
+		loop: time.loop,
+		clock: time.clock,
+		random: () => 0.5,
+		log: silentLog,
+	});
+	serveGossip(peers, service.receiver);
+	await peers.listen({address: '127.0.0.1', peerPort: port});
+	return {peers, service};
+}
+
+test('exchanges, pulls and probes over HTTP, and refuses a protocol that is too old', async () => {
+	const ports = await findFreePorts('127.0.0.1', 2);
+	const [portA = 0, portB = 0] = ports;
+	const a = await serve(portA, createMember('entry-1', portA));
+	const b = await serve(portB, createMember('entry-2', portB));
+	const link = createConnectGossipLink(a.peers, 1000);
+	const toB = {address: '127.0.0.1', peerPort: portB};
+	const own = createTestGossip(createMember('entry-1', portA));
+
+	const answer = await link.exchange(toB, own.compose());
+	assert.is(answer._unsafeUnwrap().sender.id, 'entry-2');
+	assert.ok(b.service.find('entry-1'));
+	const page = await link.pull(toB, 0, 0);
+	assert.is(page._unsafeUnwrap().more, false);
+	const probed = await link.probe(toB, {address: '127.0.0.1', peerPort: portA});
+	assert.is(probed._unsafeUnwrap(), true);
+
+	const old = createTestGossip({...createMember('entry-0', 1), protocol: OLDEST_PROTOCOL_VERSION - 1});
+	const refused = await link.exchange(toB, old.compose());
+	assert.is(refused._unsafeUnwrapErr().code, 'unsupported');
+	assert.match(refused._unsafeUnwrapErr().message, /protocol 0 is older than 1/);
+	assert.is(b.service.find('entry-0'), undefined);
+	[a, b].forEach(({peers, service}) => {
+		service.dispose();
+		peers.dispose();
+	});
+});
+
+test('forwards fields that it does not know', () => {
+	const later = create(GossipSchema, encodeGossip(createTestGossip(createMember('entry-2', 2)).compose()));
+	later.sender!.$unknown = [{no: 99, wireType: 0, data: new Uint8Array([7])}];
+	const heard = decodeGossip(fromBinary(GossipSchema, toBinary(GossipSchema, later)))!;
+	const own = createTestGossip(createMember('entry-1', 1));
+	own.receive(heard, 0);
+	const forwarded = fromBinary(GossipSchema, toBinary(GossipSchema, encodeGossip(own.compose())));
+	const update = forwarded.members.find(member => member.id === 'entry-2');
+	assert.equal(update?.$unknown?.map(field => [field.no, [...field.data]]), [[99, [7]]]);
+});
+
+test.run();
--- a/test/fakes/daemon-fleet.ts
+++ b/test/fakes/daemon-fleet.ts
@@ -4,7 +4,7 @@
 } from 'neverthrow';
 import {createAuditService} from '../../src/audit/common/audit-service.js';
 import type {Clock} from '../../src/base/common/clock.js';
-import {createNotRun, createOutcomeUnknown, type Failure} from '../../src/base/common/failure.js';
+import {createOutcomeUnknown, type Failure} from '../../src/base/common/failure.js';
 import {silentLog} from '../../src/kernel/common/log.js';
 import type {Loop} from '../../src/kernel/common/loop.js';
 import {LeaseLink} from '../../src/leases/common/lease-link.js';
@@ -31,6 +31,7 @@
 	/** Seconds of the daemon's own clock per second of true time. */
 	readonly rate?: number;
 	readonly snapshots?: Snapshots;
+	readonly wrapStore?: (store: Store) => Store;
 	/** Replaces dependencies, to switch a mechanism off. */
 	readonly membership?: Partial<MembershipOptions>;
 	readonly shards?: Partial<ShardsOptions>;
@@ -41,6 +42,8 @@
 export type Faults = {
 	isCut: (from: string, to: string) => boolean;
 	store: (daemonId: string, call: StoreCall) => StoreFault;
+	/** Whether reads are answered with the first version that the daemon has ever read. */
+	isStale: (daemonId: string) => boolean;
 };
 
 type DaemonProcess = ReturnType<typeof createProcess>;
@@ -106,8 +109,9 @@
 	};
 }
 
-function createStoreView(memory: MemoryStore, daemon: DaemonProcess, decideFault: (call: StoreCall) => StoreFault): Store {
-	const inner = memory.open(decideFault);
+function createStoreView(memory: MemoryStore, daemon: DaemonProcess, faults: Faults, daemonId: string): Store {
+	const inner = memory.open(call => faults.store(daemonId, call));
+	const firstRead = new Map<string, Awaited<ReturnType<Store['read']>>>();
 	async function travel<T>(call: () => Promise<T>): Promise<T> {
 		await daemon.loop.sleep(STORE_MS);
 		const answer = await call();
@@ -116,7 +120,16 @@
 	}
 
 	return new (class extends Store {
-		override read: Store['read'] = async id => travel(async () => inner.read(id));
+		override read: Store['read'] = async id => travel(async () => {
+			const key = `${id.kind}/${id.name}`;
+			const found = await inner.read(id);
+			if (found.isOk() && found.value && !firstRead.has(key)) {
+				firstRead.set(key, found);
+			}
+
+			return found.isOk() && faults.isStale(daemonId) ? firstRead.get(key) ?? found : found;
+		});
+
 		override write: Store['write'] = async write => travel(async () => inner.write(write));
 		override remove: Store['remove'] = async removal => travel(async () => inner.remove(removal));
 		override list: Store['list'] = async (kind, prefix) => travel(async () => inner.list(kind, prefix));
@@ -174,7 +187,8 @@
 		});
 	}
 
-	const store = createStoreView(fabric.memory, daemon, storeCall => faults.store(profile.id, storeCall));
+	const view = createStoreView(fabric.memory, daemon, faults, profile.id);
+	const store = profile.wrapStore?.(view) ?? view;
 	const membership = createMembershipService({
 		self, periodMs: 500, fanout: 2, suspectAfterMs: 2000, deadAfterMs: 6000,
 		isNear: member => regionOf(member.availabilityZone) === regionOf(profile.zone),
@@ -205,6 +219,7 @@
 			durationMs: 6000, renewMs: 2000, marginMs: 1000, standbyDelayMs: 1000,
 		}, store, membership, loop, clock, log: silentLog,
 		link: new (class extends LeaseLink {
+			override prepare: LeaseLink['prepare'] = async (peer, shard) => call(peer, 1000, async target => target.shards.prepare(shard));
 			override offer: LeaseLink['offer'] = async (peer, shard) => call(peer, 1000, async target => target.shards.takeOffer(shard));
 		})(), ...profile.shards,
 	});
@@ -235,7 +250,7 @@
 	const time = createVirtualTime(random);
 	const memory = createMemoryStore();
 	const daemons = new Map<string, FleetDaemon>();
-	const faults: Faults = {isCut: () => false, store: () => 'none'};
+	const faults: Faults = {isCut: () => false, store: () => 'none', isStale: () => false};
 	const fabric: Fabric = {
 		time, memory, faults, daemons, random, ...(onMessage && {onMessage}),
 	};
@@ -263,6 +278,3 @@
 		},
 	};
 }
-
-/** A failure for links that are switched off. */
-export const switchedOff: Failure = createNotRun('unavailable', {step: 'call', peer: 'none'}, 'switched off');
