Take a trainer's step end to end, and keep engines on the newest weights

Cause: nothing generated, delivered or labelled samples, and nobody ordered engines to load weights. Ruled out: a store object per step (a late repetition of a removed step could open it anew and deliver its samples twice); sending a batch before it is in the ledger; labels from what was ordered instead of from what the engine reports. Change: steps, ledger, hand-over, schedule of streams (resume, hedge, longest first), scoring retries, waves of weight loads, versions followed by other daemons, trainer routes and the calls between daemons.

--- /dev/null
+++ b/src/rollouts/common/generation-runner.ts
@@ -0,0 +1,134 @@
+/** Runs one stream for a sample: admission under the trainer's plan, choice of an engine, generation. */
+import {err, type Result} from 'neverthrow';
+import {createNotRun, type Failure} from '../../base/common/failure.js';
+import {hashToUint32} from '../../base/common/hash.js';
+import type {Admission, Ticket} from '../../limits/common/admission.js';
+import type {Chunk, Generation} from '../../platform/common/engine.js';
+import type {Dispatch, Router} from '../../routing/common/router.js';
+import type {AttemptFailure, StartAction} from './step-schedule.js';
+
+/** A stream to run. */
+export type StreamJob = {
+	readonly start: StartAction;
+	readonly sampleId: string;
+	readonly prefixKey: string;
+	readonly maximumTokens: number;
+	/** Engines on a version that the step may use. */
+	readonly allowed: readonly string[];
+};
+
+/** What the stream shows. */
+export type StreamEvents = {
+	readonly onDispatched: (serverId: string) => void;
+	readonly onChunk: (chunk: Chunk) => void;
+};
+
+/** Runs streams. */
+export type GenerationRunner = {
+	readonly run: (job: StreamJob, events: StreamEvents, signal: AbortSignal) => Promise<Result<Generation, AttemptFailure>>;
+};
+
+/** What a runner needs. */
+export type RunnerOptions = {
+	readonly admission: Pick<Admission, 'admit'>;
+	readonly router: Pick<Router, 'dispatch' | 'engine'>;
+	readonly monotonic: () => number;
+	readonly pool: string;
+	readonly model: string;
+	/** The plan that the trainer belongs to now; undefined when it belongs to none. */
+	readonly plan: () => string | undefined;
+	/** Time within which an admitted stream may start. */
+	readonly deadlineMs: number;
+	readonly onFailure: (failure: Failure) => void;
+};
+
+/** Characters per token, for estimates of prompt lengths and bytes. */
+const CHARACTERS_PER_TOKEN = 4;
+const UNROUTED_RETRY_MS = 250;
+
+function refuse(retryAfterMs: number | undefined): Result<Generation, AttemptFailure> {
+	return err({kind: 'refused', retryAfterMs});
+}
+
+function outcomeOf(failure: Failure, signal: AbortSignal): Parameters<Dispatch['end']>[1] {
+	if (signal.aborted) {
+		return 'cancelled';
+	}
+
+	return failure.effect === 'notRun' ? 'refused' : 'died';
+}
+
+/** Creates a runner for one trainer. */
+export function createGenerationRunner(options: RunnerOptions): GenerationRunner {
+	async function generate(job: StreamJob, dispatch: Dispatch, events: StreamEvents, signal: AbortSignal): Promise<Result<Generation, AttemptFailure>> {
+		const {start} = job;
+		events.onDispatched(dispatch.server.id);
+		const generated = await options.router.engine(dispatch.server).generate({
+			requestId: start.attemptId,
+			model: options.model,
+			prompt: start.prompt,
+			maximumTokens: job.maximumTokens,
+			seed: hashToUint32(job.sampleId),
+			priority: 0,
+			...(start.resumeFrom !== undefined && {resumeFrom: start.resumeFrom}),
+		}, events.onChunk, signal);
+		if (generated.isOk()) {
+			dispatch.end(options.monotonic(), 'done');
+			return generated.mapErr(() => ({kind: 'broken', retryAfterMs: undefined}));
+		}
+
+		const outcome = outcomeOf(generated.error, signal);
+		dispatch.end(options.monotonic(), outcome);
+		options.onFailure(generated.error);
+		return err({kind: outcome === 'died' ? 'died' : 'broken', retryAfterMs: generated.error.retryAfterMs});
+	}
+
+	function choose({start, allowed, prefixKey}: StreamJob): Result<Dispatch, Failure> {
+		// An engine to be avoided is better than none.
+		const excluded = allowed.some(id => !start.excluded.includes(id)) ? start.excluded : [];
+		const expectedBytes = start.prompt.length + (start.expectedTokens * CHARACTERS_PER_TOKEN);
+		return options.router.dispatch({
+			pool: options.pool,
+			prefixKey,
+			prefixTokens: Math.ceil(start.prompt.length / CHARACTERS_PER_TOKEN),
+			expectedTokens: Math.ceil(start.expectedTokens),
+			expectedBytes: Math.ceil(expectedBytes),
+			excluded,
+			allowed,
+			alone: start.alone,
+		}, options.monotonic());
+	}
+
+	async function runAdmitted(job: StreamJob, ticket: Ticket, events: StreamEvents, signal: AbortSignal): Promise<Result<Generation, AttemptFailure>> {
+		const before = job.start.resumeFrom?.tokens ?? 0;
+		let tokens = 0;
+		const dispatch = choose(job);
+		const outcome = dispatch.isErr()
+			? refuse(dispatch.error.retryAfterMs ?? UNROUTED_RETRY_MS)
+			: await generate(job, dispatch.value, {
+				...events,
+				onChunk(chunk) {
+					tokens += chunk.tokens;
+					events.onChunk(chunk);
+				},
+			}, signal);
+		ticket.release(options.monotonic(), outcome.isOk() ? Math.max(tokens, outcome.value.tokens - before) : tokens);
+		return outcome;
+	}
+
+	return {
+		async run(job, events, signal) {
+			const plan = options.plan();
+			if (plan === undefined) {
+				options.onFailure(createNotRun('unauthorized', {step: 'generate sample', peer: options.pool}, 'the trainer belongs to no plan'));
+				return refuse(options.deadlineMs);
+			}
+
+			const now = options.monotonic();
+			const ticket = await options.admission.admit({
+				plan, pool: options.pool, tokens: Math.ceil(job.start.expectedTokens), deadline: now + options.deadlineMs,
+			}, now, signal);
+			return ticket.isErr() ? refuse(ticket.error.retryAfterMs) : runAdmitted(job, ticket.value, events, signal);
+		},
+	};
+}
--- /dev/null
+++ b/src/rollouts/common/length-forecast.ts
@@ -0,0 +1,46 @@
+/**
+ * Forecasts how many tokens a sample will have, from the finished samples of its group, from earlier steps with the same
+ * prompt, and from all samples of the trainer. Dispatching the longest first keeps long samples from ending a step alone.
+ */
+import {hashToUint32} from '../../base/common/hash.js';
+
+/** A forecast for one trainer. */
+export type LengthForecast = {
+	/** Notes the length of a finished sample of a prompt. */
+	readonly note: (prompt: string, tokens: number) => void;
+	/** Returns the expected length in tokens, at least one above `tokensSoFar` and at most `maximumTokens`. */
+	readonly expect: (prompt: string, tokensSoFar: number, maximumTokens: number) => number;
+};
+
+/** Weight of a new length in the moving mean of its prompt. */
+const PROMPT_WEIGHT = 0.4;
+const OVERALL_WEIGHT = 0.02;
+/** Prompts remembered; the least recently noted ones are forgotten first. */
+const MAXIMUM_PROMPTS = 20_000;
+/** A sample that has passed its forecast is expected to go on for this share of what it has. */
+const OVERRUN_SHARE = 0.5;
+
+/** Creates a forecast that knows nothing. */
+export function createLengthForecast(): LengthForecast {
+	const means = new Map<number, number>();
+	let overall: number | undefined;
+
+	return {
+		note(prompt, tokens) {
+			const key = hashToUint32(prompt);
+			const known = means.get(key);
+			means.delete(key);
+			means.set(key, known === undefined ? tokens : known + (PROMPT_WEIGHT * (tokens - known)));
+			overall = overall === undefined ? tokens : overall + (OVERALL_WEIGHT * (tokens - overall));
+			if (means.size > MAXIMUM_PROMPTS) {
+				const [oldest] = means.keys();
+				means.delete(oldest ?? key);
+			}
+		},
+		expect(prompt, tokensSoFar, maximumTokens) {
+			const mean = means.get(hashToUint32(prompt)) ?? overall ?? maximumTokens / 2;
+			const expected = mean > tokensSoFar ? mean : tokensSoFar * (1 + OVERRUN_SHARE);
+			return Math.min(maximumTokens, Math.max(expected, tokensSoFar + 1));
+		},
+	};
+}
--- /dev/null
+++ b/src/rollouts/common/step-schedule.ts
@@ -0,0 +1,357 @@
+/**
+ * Decides, for one step, which streams to start, to go on with elsewhere, to double and to cancel. It counts whole
+ * groups, keeps partial work while the staleness bound allows it, and starts the samples that are expected to be longest
+ * first, because a long sample that starts late ends the step alone.
+ */
+import type {Generation, Progress} from '../../platform/common/engine.js';
+import {
+	addChunk, labelGeneration, noProgress, type LabelledProgress, type LabelledText,
+} from './labels.js';
+import type {LengthForecast} from './length-forecast.js';
+import {createSampleTable, type SampleRecord, type SampleTable} from './sample-table.js';
+import {createStalenessRule, type StalenessRule} from './staleness.js';
+import type {StepRequest} from './step.js';
+import {createStragglerPolicy, type Attempt, type StragglerOptions} from './straggler-policy.js';
+
+/** What a step may use now. */
+export type Budget = {
+	/** Streams that may run at once. */
+	readonly slots: number;
+	/** The newest weight version that the trainer has shown. */
+	readonly weightVersion: number;
+};
+
+/** Starts a stream. */
+export type StartAction = {
+	readonly kind: 'start';
+	readonly attemptId: string;
+	readonly sample: number;
+	readonly group: number;
+	readonly prompt: string;
+	readonly resumeFrom: Progress | undefined;
+	readonly expectedTokens: number;
+	readonly excluded: readonly string[];
+	/** Requires an engine that runs nothing else, because engines have died under this sample. */
+	readonly alone: boolean;
+};
+
+/** Cancels a stream. */
+export type CancelAction = {
+	readonly kind: 'cancel';
+	readonly attemptId: string;
+};
+
+/** What to do now. */
+export type ScheduleAction = StartAction | CancelAction;
+
+/** How a stream ended without a whole text. */
+export type AttemptFailure = {
+	/** `refused` before it began; `broken` while it ran; `died` when its engine broke off. */
+	readonly kind: 'refused' | 'broken' | 'died';
+	readonly retryAfterMs: number | undefined;
+};
+
+/** A text that waits for its score. */
+export type WholeText = {
+	readonly sample: number;
+	readonly prompt: string;
+	readonly text: LabelledText;
+};
+
+/** The work that a step still needs. */
+export type StepDemand = {
+	readonly samples: number;
+	readonly tokens: number;
+};
+
+/** The schedule of one step. */
+export type StepSchedule = {
+	readonly table: SampleTable;
+	readonly decide: (now: number, budget: Budget) => readonly ScheduleAction[];
+	readonly noteDispatched: (attemptId: string, serverId: string) => void;
+	readonly noteChunk: (attemptId: string, chunk: Parameters<typeof addChunk>[1], now: number) => void;
+	/** Takes a whole generation; returns the text to score, or undefined when it is a loser's or can't be labelled. */
+	readonly noteWhole: (attemptId: string, generation: Generation, now: number) => WholeText | undefined;
+	readonly noteFailed: (attemptId: string, failure: AttemptFailure, now: number) => void;
+	/** Takes the score of a text; ignored when the sample has been generated anew since. */
+	readonly noteScored: (whole: WholeText, score: number | undefined) => void;
+	/** Sets the groups that are fixed in batches, and of these the ones that the trainer still needs. */
+	readonly setFixed: (fixed: readonly number[], needed: readonly number[]) => void;
+	/** Sends samples of a group that are too old for the version back to generation; returns whether the group is whole and fresh. */
+	readonly refresh: (group: number, weightVersion: number, now: number) => boolean;
+	/** Whole groups that are in no batch yet, in the order in which they can be handed over. */
+	readonly wholeGroups: () => readonly number[];
+	readonly demand: () => StepDemand;
+	/** Whether too many groups can never become whole. */
+	readonly isHopeless: () => boolean;
+};
+
+/** Options of a schedule. */
+export type ScheduleOptions = StragglerOptions & {
+	readonly request: StepRequest;
+	readonly stalenessBound: number;
+	/** Whole groups that end the step. */
+	readonly required: number;
+	readonly forecast: LengthForecast;
+	/** Distinguishes the attempts of this owner from those of another. */
+	readonly attemptPrefix: string;
+	/** Whether partial work is carried over to another engine. */
+	readonly canResume: boolean;
+	/** Whether the samples expected to be longest start first; otherwise in order of their groups. */
+	readonly longestFirst: boolean;
+	/** The rules for labels and staleness; tests pass broken ones. */
+	readonly label?: typeof labelGeneration;
+	readonly rule?: StalenessRule;
+};
+
+const FIRST_BACKOFF_MS = 100;
+const LAST_BACKOFF_MS = 5000;
+/** Deaths of servers after which a sample is tried alone. */
+const DEATHS_BEFORE_ALONE = 2;
+
+/** Creates the schedule of one step. */
+export function createStepSchedule(options: ScheduleOptions): StepSchedule {
+	const {request, forecast} = options;
+	const label = options.label ?? labelGeneration;
+	const table = createSampleTable(request.prompts.length, request.samplesPerGroup);
+	const policy = createStragglerPolicy(options);
+	const rule = options.rule ?? createStalenessRule(options.stalenessBound);
+	const attempts = new Map<string, Attempt>();
+	/** Streams under way per sample. */
+	const streams = new Map<number, number>();
+	let fixed: ReadonlySet<number> = new Set();
+	let needed: ReadonlySet<number> = new Set();
+	let lastAttempt = 0;
+
+	const promptOf = (record: SampleRecord) => request.prompts[record.group] ?? '';
+	const streamsOf = (sample: number) => streams.get(sample) ?? 0;
+	const groups = () => request.prompts.map((_, group) => group);
+	const wholeGroups = () => groups().filter(group => !fixed.has(group) && table.isWhole(group));
+
+	function isEnough(): boolean {
+		return fixed.size + wholeGroups().length >= options.required;
+	}
+
+	/** Whether a group's samples are worth generating now. */
+	function createWantedTest(): (group: number) => boolean {
+		const enough = isEnough();
+		return group => needed.has(group) || (!enough && !fixed.has(group) && !table.isSuspect(group));
+	}
+
+	function expectTokens(record: SampleRecord, tokens: number): number {
+		return forecast.expect(promptOf(record), tokens, request.maximumTokens);
+	}
+
+	function keepable(progress: LabelledProgress, weightVersion: number): LabelledProgress {
+		const isKept = options.canResume && progress.isLabelled && progress.tokens > 0 && rule.isFresh(progress.ranges, weightVersion);
+		return isKept ? progress : noProgress;
+	}
+
+	function isTooOld(progress: LabelledProgress, weightVersion: number): boolean {
+		return progress.ranges.length > 0 && !rule.isFresh(progress.ranges, weightVersion);
+	}
+
+	function add(attempt: Attempt): void {
+		attempts.set(attempt.id, attempt);
+		streams.set(attempt.sample, streamsOf(attempt.sample) + 1);
+	}
+
+	function remove(attempt: Attempt): void {
+		attempts.delete(attempt.id);
+		streams.set(attempt.sample, streamsOf(attempt.sample) - 1);
+	}
+
+	/** Ends an attempt; its sample keeps the longest progress and waits again when no other attempt runs. */
+	function endAttempt(attempt: Attempt, change: Partial<SampleRecord>): void {
+		remove(attempt);
+		const record = table.get(attempt.sample);
+		if (record.state !== 'running') {
+			return;
+		}
+
+		const carried = [record.carried, attempt.progress].filter(progress => progress.isLabelled).toSorted((a, b) => b.tokens - a.tokens).at(0) ?? noProgress;
+		const state = streamsOf(attempt.sample) > 0 ? 'running' : 'pending';
+		table.update(attempt.sample, {...change, carried, state});
+	}
+
+	function cancel(attempt: Attempt, change: Partial<SampleRecord>): CancelAction {
+		endAttempt(attempt, change);
+		return {kind: 'cancel', attemptId: attempt.id};
+	}
+
+	function cancelUnwanted(isWanted: (group: number) => boolean): readonly CancelAction[] {
+		return [...attempts.values()]
+			.filter(attempt => {
+				const record = table.get(attempt.sample);
+				return record.state !== 'running' || !isWanted(record.group);
+			})
+			.map(attempt => cancel(attempt, {}));
+	}
+
+	function cancelOld(weightVersion: number): readonly CancelAction[] {
+		return [...attempts.values()].filter(attempt => isTooOld(attempt.progress, weightVersion)).map(attempt => cancel(attempt, {}));
+	}
+
+	function cancelStalled(now: number): readonly CancelAction[] {
+		return [...attempts.values()].filter(attempt => policy.isStalled(attempt, now)).map(attempt => {
+			const {avoided} = table.get(attempt.sample);
+			return cancel(attempt, attempt.serverId === undefined ? {} : {avoided: [...avoided, attempt.serverId].slice(-2)});
+		});
+	}
+
+	function start(record: SampleRecord, progress: LabelledProgress, details: {readonly now: number; readonly isHedge: boolean; readonly excluded: readonly string[]}): StartAction {
+		lastAttempt += 1;
+		const attemptId = `${options.attemptPrefix}.${record.index}.${lastAttempt}`;
+		const alone = record.deaths.length >= DEATHS_BEFORE_ALONE;
+		add({
+			id: attemptId,
+			sample: record.index,
+			serverId: undefined,
+			startedAt: details.now,
+			firstTokenAt: undefined,
+			lastTokenAt: undefined,
+			resumedTokens: progress.tokens,
+			progress,
+			isHedge: details.isHedge,
+			isAlone: alone,
+		});
+		table.update(record.index, {state: 'running'});
+		return {
+			kind: 'start',
+			attemptId,
+			sample: record.index,
+			group: record.group,
+			prompt: promptOf(record),
+			resumeFrom: progress.tokens > 0 ? {text: progress.text, tokens: progress.tokens, ranges: progress.ranges} : undefined,
+			expectedTokens: expectTokens(record, progress.tokens) - progress.tokens,
+			excluded: details.excluded,
+			alone,
+		};
+	}
+
+	function choosePending(now: number, isWanted: (group: number) => boolean): readonly SampleRecord[] {
+		const wanted = table.all().filter(record => record.state === 'pending' && record.notBefore <= now && isWanted(record.group));
+		if (!options.longestFirst) {
+			return wanted;
+		}
+
+		const remaining = new Map(wanted.map(record => [record.index, expectTokens(record, record.carried.tokens) - record.carried.tokens]));
+		return wanted.toSorted((a, b) =>
+			Number(needed.has(b.group)) - Number(needed.has(a.group))
+			|| (remaining.get(b.index) ?? 0) - (remaining.get(a.index) ?? 0)
+			|| a.index - b.index);
+	}
+
+	function startPending(now: number, budget: Budget, isWanted: (group: number) => boolean): readonly StartAction[] {
+		const room = Math.max(0, budget.slots - attempts.size);
+		return choosePending(now, isWanted).slice(0, room).map(record =>
+			start(record, keepable(record.carried, budget.weightVersion), {now, isHedge: false, excluded: record.avoided}));
+	}
+
+	function startHedges(now: number, budget: Budget): readonly StartAction[] {
+		const room = Math.max(0, budget.slots - attempts.size);
+		return room === 0
+			? []
+			: [...attempts.values()]
+				.filter(attempt => !attempt.isHedge && !attempt.isAlone && attempt.serverId !== undefined && streamsOf(attempt.sample) === 1)
+				.map(attempt => ({attempt, savedMs: policy.savedByHedge(attempt, expectTokens(table.get(attempt.sample), attempt.progress.tokens), now)}))
+				.filter(({savedMs}) => savedMs > 0)
+				.toSorted((a, b) => b.savedMs - a.savedMs)
+				.slice(0, room)
+				.map(({attempt}) => start(table.get(attempt.sample), keepable(attempt.progress, budget.weightVersion), {
+					now, isHedge: true, excluded: attempt.serverId === undefined ? [] : [attempt.serverId],
+				}));
+	}
+
+	return {
+		table,
+		wholeGroups,
+		decide(now, budget) {
+			const isWanted = createWantedTest();
+			return [
+				...cancelUnwanted(isWanted),
+				...cancelOld(budget.weightVersion),
+				...cancelStalled(now),
+				...startPending(now, budget, isWanted),
+				...startHedges(now, budget),
+			];
+		},
+		noteDispatched(attemptId, serverId) {
+			const attempt = attempts.get(attemptId);
+			if (attempt !== undefined) {
+				attempts.set(attemptId, {...attempt, serverId});
+			}
+		},
+		noteChunk(attemptId, chunk, now) {
+			const attempt = attempts.get(attemptId);
+			if (attempt !== undefined) {
+				attempts.set(attemptId, {
+					...attempt, progress: addChunk(attempt.progress, chunk), firstTokenAt: attempt.firstTokenAt ?? now, lastTokenAt: now,
+				});
+			}
+		},
+		noteWhole(attemptId, generation, now) {
+			const attempt = attempts.get(attemptId);
+			if (attempt === undefined) {
+				return undefined;
+			}
+
+			const record = table.get(attempt.sample);
+			const text = label(generation, attempt.progress);
+			if (text === undefined) {
+				endAttempt({...attempt, progress: noProgress}, {carried: noProgress, notBefore: now + FIRST_BACKOFF_MS});
+				return undefined;
+			}
+
+			policy.noteEnd(attempt, now);
+			forecast.note(promptOf(record), text.tokens);
+			remove(attempt);
+			table.update(record.index, {state: 'whole', text, carried: noProgress});
+			return {sample: record.index, prompt: promptOf(record), text};
+		},
+		noteFailed(attemptId, failure, now) {
+			const attempt = attempts.get(attemptId);
+			if (attempt === undefined) {
+				return;
+			}
+
+			const record = table.get(attempt.sample);
+			const backoffMs = Math.min(LAST_BACKOFF_MS, FIRST_BACKOFF_MS * (2 ** record.failures));
+			const died = failure.kind === 'died' && attempt.serverId !== undefined ? [attempt.serverId] : [];
+			endAttempt(attempt, {
+				notBefore: now + (failure.retryAfterMs ?? backoffMs),
+				failures: record.failures + 1,
+				avoided: [...record.avoided, ...died].slice(-2),
+				deaths: [...new Set([...record.deaths, ...died])],
+				isSuspect: record.isSuspect || (attempt.isAlone && died.length > 0),
+			});
+		},
+		noteScored(whole, score) {
+			const record = table.get(whole.sample);
+			if (record.state === 'whole' && record.text === whole.text) {
+				table.update(whole.sample, {state: 'ready', score});
+			}
+		},
+		setFixed(fixedGroups, neededGroups) {
+			fixed = new Set(fixedGroups);
+			needed = new Set(neededGroups);
+		},
+		refresh(group, weightVersion, now) {
+			table.ofGroup(group)
+				.filter(record => record.text !== undefined && !rule.isFresh(record.text.ranges, weightVersion))
+				.forEach(record => {
+					table.reset(record.index, now);
+				});
+			return table.isWhole(group);
+		},
+		demand() {
+			const isWanted = createWantedTest();
+			const open = table.all().filter(record => ['pending', 'running'].includes(record.state) && isWanted(record.group));
+			return {
+				samples: open.length,
+				tokens: open.reduce((sum, record) => sum + expectTokens(record, record.carried.tokens) - record.carried.tokens, 0),
+			};
+		},
+		isHopeless: () => groups().filter(group => fixed.has(group) || !table.isSuspect(group)).length < options.required,
+	};
+}
--- /dev/null
+++ b/src/rollouts/node/rollouts.contribution.ts
@@ -0,0 +1,197 @@
+/** Plug-in: opens steps for trainers, generates their samples on the engines, and hands them over. */
+import {joinDisposables} from '../../base/common/disposable.js';
+import {formatFailure, type Failure} from '../../base/common/failure.js';
+import type {Context} from '../../kernel/common/contribution.js';
+import {registerContribution} from '../../kernel/common/registry.js';
+import {shardOf, shardsKey} from '../../leases/common/shards.js';
+import {admissionKey} from '../../limits/common/admission.js';
+import {membershipKey} from '../../membership/common/membership.js';
+import {peersKey} from '../../peers/common/peers.js';
+import {configurationKey} from '../../plans/common/configuration.js';
+import {adaptersKey} from '../../platform/common/adapters.js';
+import {storeKey} from '../../platform/common/store.js';
+import {weightStoreKey} from '../../platform/common/weight-store.js';
+import {frontKey} from '../../requests/common/front.js';
+import {routerKey} from '../../routing/common/router.js';
+import {settingsKey, type TrainerProfile} from '../../settings/common/settings.js';
+import {engineVersionsKey} from '../../weights/common/engine-versions.js';
+import {createDemandBoard} from '../common/demand-board.js';
+import {chooseEngines} from '../common/engine-choice.js';
+import {createGenerationRunner} from '../common/generation-runner.js';
+import {createLedgerKeeper} from '../common/ledger-keeper.js';
+import {createLengthForecast} from '../common/length-forecast.js';
+import {createScoreRetries} from '../common/score-retries.js';
+import {createSlotDivision} from '../common/slot-division.js';
+import {createStalenessRule} from '../common/staleness.js';
+import type {StepRequest} from '../common/step.js';
+import {createStepRun, type StepRun} from '../common/step-run.js';
+import {createStepSchedule} from '../common/step-schedule.js';
+import {createTrainerDesk, createTrainerOwners} from '../common/trainer-desk.js';
+import {createTrainerOwner, type TrainerOwner} from '../common/trainer-owner.js';
+import {createRolloutClient, serveRollouts} from './rollouts-rpc.js';
+import {registerTrainerRoutes} from './trainer-routes.js';
+
+const DECIDE_PERIOD_MS = 200;
+const SPREAD_PERIOD_MS = 500;
+
+function start(context: Context) {
+	const settings = context.use(settingsKey);
+	const shards = context.use(shardsKey);
+	const router = context.use(routerKey);
+	const versions = context.use(engineVersionsKey);
+	const findVersions = versions.find;
+	const admission = context.use(admissionKey);
+	const configuration = context.use(configurationKey);
+	const membership = context.use(membershipKey);
+	const peers = context.use(peersKey);
+	const adapters = context.use(adaptersKey);
+	const store = context.use(storeKey);
+	const {monotonic} = context.clock;
+	const {id: daemonId, incarnation} = membership.self();
+	const writer = `${daemonId}-${incarnation}`;
+	const board = createDemandBoard(membership, monotonic);
+	const division = createSlotDivision(settings.rollouts.measure);
+
+	function warn(message: string): (failure: Failure) => void {
+		return failure => {
+			context.metrics.count('rollouts.failures', 1, {code: failure.code});
+			context.log.debug(message, {failure: formatFailure(failure)});
+		};
+	}
+
+	function findTrainer(name: string): TrainerProfile | undefined {
+		return settings.trainers.find(trainer => trainer.name === name);
+	}
+
+	function slotsOf(trainer: TrainerProfile, now: number): number {
+		const pool = settings.pools.find(candidate => candidate.name === trainer.pool);
+		const {engines} = findVersions(trainer.pool, trainer.model);
+		const usable = engines.filter(engine => engine.usable).length;
+		const neighbours = new Set(settings.trainers.filter(other => other.pool === trainer.pool).map(other => other.name));
+		const demands = board.demands(now).filter(demand => neighbours.has(demand.trainer));
+		return division.divide(usable * (pool?.slots ?? 0), demands).get(trainer.name) ?? 0;
+	}
+
+	function chooseAllowed(trainer: TrainerProfile, request: StepRequest, weightVersion: number): readonly string[] {
+		const rule = createStalenessRule(request.stalenessBound ?? trainer.stalenessBound);
+		const known = findVersions(trainer.pool, trainer.model);
+		return chooseEngines(known, rule.oldestAllowed(weightVersion));
+	}
+
+	function createRun(trainer: TrainerProfile, forecast: ReturnType<typeof createLengthForecast>, request: StepRequest, required: number): StepRun {
+		const scoring = settings.scoring.find(candidate => candidate.name === trainer.scoring);
+		const schedule = createStepSchedule({
+			request,
+			required,
+			forecast,
+			stalenessBound: request.stalenessBound ?? trainer.stalenessBound,
+			attemptPrefix: `${writer}.${request.trainer}.${request.step}`,
+			stallMs: settings.rollouts.stallMs,
+			canHedge: true,
+			canResume: true,
+			longestFirst: true,
+		});
+		const runner = createGenerationRunner({
+			admission,
+			router,
+			monotonic,
+			pool: trainer.pool,
+			model: trainer.model,
+			plan: () => configuration.current().lists.plans.find(plan => plan.trainers.includes(trainer.name))?.name,
+			deadlineMs: request.deadlineMs ?? settings.rollouts.stepDeadlineMs,
+			onFailure: warn('sample not generated'),
+		});
+		const scores = scoring && createScoreRetries(adapters.scorers.get(scoring.kind)(scoring), context.loop, warn('sample not scored'));
+		return createStepRun({
+			request, schedule, runner, scores, monotonic,
+		});
+	}
+
+	function createOwner(name: string): TrainerOwner {
+		const trainer = findTrainer(name);
+		if (trainer === undefined) {
+			throw new Error(`settings do not name trainer ${name}`);
+		}
+
+		const forecast = createLengthForecast();
+		const shard = shardOf('trainer', name, shards.count);
+		return createTrainerOwner({
+			trainer: name,
+			keeper: createLedgerKeeper(store, name, writer),
+			loop: context.loop,
+			monotonic,
+			holding: now => shards.holding(shard, now),
+			slots: now => slotsOf(trainer, now),
+			allowed: (request, weightVersion) => chooseAllowed(trainer, request, weightVersion),
+			createRun: (request, required) => createRun(trainer, forecast, request, required),
+			maximumBatch: settings.rollouts.maximumBatch,
+		});
+	}
+
+	const owners = createTrainerOwners(createOwner);
+	const desk = createTrainerDesk({
+		daemonId,
+		shards,
+		loop: context.loop,
+		monotonic,
+		local: name => owners.get(name),
+		remote: owner => createRolloutClient(peers, owner),
+	});
+
+	/** Drops trainers that another daemon owns by now; without a known owner their generation goes on. */
+	function dropLost(now: number): void {
+		[...owners.all().keys()].forEach(name => {
+			const shard = shardOf('trainer', name, shards.count);
+			const owner = shards.owner(shard, now);
+			if (shards.holding(shard, now) === undefined && owner !== undefined && owner.daemonId !== daemonId) {
+				owners.drop(name);
+			}
+		});
+	}
+
+	serveRollouts(peers, {
+		postStep: async request => owners.get(request.trainer).postStep(request),
+		pull: async request => owners.get(request.trainer).pull(request),
+	});
+	registerTrainerRoutes(context.use(frontKey), {
+		trainers: settings.trainers,
+		desk,
+		versions,
+		weightStore: settings.weightStore === undefined ? undefined : context.use(weightStoreKey),
+	});
+
+	return joinDisposables([
+		board,
+		context.loop.every({
+			name: 'rollout steps',
+			periodMs: DECIDE_PERIOD_MS,
+			run(now) {
+				dropLost(now);
+				[...owners.all().values()].forEach(owner => {
+					owner.run(now);
+				});
+			},
+		}),
+		context.loop.every({
+			name: 'rollout demands',
+			periodMs: SPREAD_PERIOD_MS,
+			jitterShare: 0.2,
+			run(now) {
+				board.spread([...owners.all().values()].map(owner => owner.demand(now)), now, context.clock.wall());
+			},
+		}),
+		{
+			dispose() {
+				[...owners.all().keys()].forEach(name => {
+					owners.drop(name);
+				});
+			},
+		},
+	]);
+}
+
+registerContribution({
+	id: 'rollouts',
+	requires: ['platform', 'peers', 'membership', 'leases', 'plans', 'limits', 'routing', 'requests', 'weights'],
+	start,
+});
--- /dev/null
+++ b/src/rollouts/test/rollout-world.ts
@@ -0,0 +1,310 @@
+/** Daemons that own a trainer, engines, a store and a trainer, all in one process under virtual time. */
+import {ok} from 'neverthrow';
+import {createEngineModel, createLengths, type EngineModel} from '../../../bench/engine-model.js';
+import {createSeededRandom, createVirtualTime} from '../../../test/fakes/virtual-loop.js';
+import type {Holding} from '../../leases/common/shards.js';
+import {createMemoryStore, type StoreFault} from '../../platform/common/memory-store.js';
+import {writeSettled} from '../../platform/common/settled-write.js';
+import type {BackendServer} from '../../routing/common/router.js';
+import {createGenerationRunner, type RunnerOptions} from '../common/generation-runner.js';
+import {createLedgerKeeper, type LedgerKeeper, type LedgerWriter} from '../common/ledger-keeper.js';
+import {createLengthForecast} from '../common/length-forecast.js';
+import {createStalenessRule} from '../common/staleness.js';
+import type {StepRequest} from '../common/step.js';
+import {createStepRun} from '../common/step-run.js';
+import {createStepSchedule, type ScheduleOptions} from '../common/step-schedule.js';
+import {createTrainerOwner, type TrainerOwner} from '../common/trainer-owner.js';
+import type {SeenAnswer} from './delivery-checker.js';
+
+/** Mechanisms replaced by broken ones. */
+export type BrokenMechanisms = {
+	readonly write?: LedgerWriter;
+	readonly createKeeper?: () => LedgerKeeper;
+	/** Ignores that a holding has lapsed. */
+	readonly isEverHeld?: boolean;
+	readonly schedule?: Partial<ScheduleOptions>;
+};
+
+export type WorldOptions = {
+	readonly seed: number;
+	readonly engines?: number;
+	readonly groups?: number;
+	readonly samplesPerGroup?: number;
+	readonly enough?: number;
+	readonly stalenessBound?: number;
+	readonly maximumBatch?: number;
+	readonly steps?: number;
+	readonly broken?: BrokenMechanisms;
+};
+
+type Daemon = {
+	readonly owner: TrainerOwner;
+	holding: Holding | undefined;
+	isPaused: boolean;
+	isDead: boolean;
+	fault: () => StoreFault;
+	/** Resolves when the daemon is not frozen. */
+	thawed: () => Promise<void>;
+	resume: () => void;
+};
+
+const SLOTS = 8;
+const PULL_TIMEOUT_MS = 1200;
+const trainer = 'trainer-a';
+
+/** A call that nobody answers. */
+async function never<T>(): Promise<T> {
+	return new Promise(() => {
+		// Stays open.
+	});
+}
+
+export type RolloutWorld = ReturnType<typeof createRolloutWorld>;
+
+export function createRolloutWorld(options: WorldOptions) {
+	const broken = options.broken ?? {};
+	const random = createSeededRandom(options.seed);
+	const time = createVirtualTime(random);
+	const memory = createMemoryStore();
+	const answers: SeenAnswer[] = [];
+	const failures: string[] = [];
+	const bound = options.stalenessBound ?? 1;
+	let fencing = 0;
+	let weightVersion = 1;
+	let lost = 0;
+
+	const engines: readonly EngineModel[] = Array.from({length: options.engines ?? 3}, (_, index) => createEngineModel({
+		id: `engine-${index}`, loop: time.loop, models: ['m'], slots: SLOTS, tokensPerSecond: 400, streamTokensPerSecond: 80, prefillTokensPerSecond: 4000, loadMs: 1500, fencing: 'checked', lengthOf: createLengths(80, 400), startVersion: 1,
+	}));
+	const inFlight = new Map<string, number>();
+
+	const router: RunnerOptions['router'] = {
+		engine: server => engines.find(model => model.id === server.id)!.engine,
+		dispatch(request) {
+			const choice = engines.filter(model => (request.allowed ?? []).includes(model.id) && !request.excluded.includes(model.id))
+				.toSorted((a, b) => (inFlight.get(a.id) ?? 0) - (inFlight.get(b.id) ?? 0)).at(0);
+			const id = choice?.id ?? 'engine-0';
+			const server: BackendServer = {
+				id, address: '127.0.0.1', port: 1, pool: 'p', availabilityZone: 'z', region: 'r', state: 'live',
+			};
+			inFlight.set(id, (inFlight.get(id) ?? 0) + 1);
+			return ok({
+				server,
+				end() {
+					inFlight.set(id, (inFlight.get(id) ?? 0) - 1);
+				},
+			});
+		},
+	};
+
+	function createDaemon(index: number): Daemon {
+		const thaws: Array<() => void> = [];
+		const state: Omit<Daemon, 'owner'> = {
+			holding: undefined,
+			isPaused: false,
+			isDead: false,
+			fault: () => 'none',
+			thawed: async () => state.isPaused
+				? new Promise(resolve => {
+					thaws.push(resolve);
+				})
+				: undefined,
+			resume() {
+				state.isPaused = false;
+				thaws.splice(0).forEach(thaw => {
+					thaw();
+				});
+			},
+		};
+		const view = memory.open(() => state.fault());
+		const write: LedgerWriter = async (store, written) => {
+			await state.thawed();
+			return state.isDead ? never() : (broken.write ?? writeSettled)(store, written);
+		};
+
+		const forecast = createLengthForecast();
+		const runner = createGenerationRunner({
+			admission: {admit: async () => ok({release: () => undefined})},
+			router,
+			monotonic: time.clock.monotonic,
+			pool: 'p',
+			model: 'm',
+			plan: () => 'plan',
+			deadlineMs: 60_000,
+			onFailure: () => undefined,
+		});
+		let lastHeld: Holding | undefined;
+		const owner = createTrainerOwner({
+			trainer,
+			keeper: broken.createKeeper?.() ?? createLedgerKeeper(view, trainer, `daemon-${index}-${lost}`, write),
+			loop: time.loop,
+			monotonic: time.clock.monotonic,
+			holding() {
+				lastHeld = state.holding ?? lastHeld;
+				return broken.isEverHeld === true ? lastHeld : state.holding;
+			},
+			slots: () => engines.length * SLOTS,
+			allowed: (_request, version) => engines.filter(model => model.version('m') >= createStalenessRule(bound).oldestAllowed(version)).map(model => model.id),
+			createRun: (request, required) => createStepRun({
+				request,
+				runner,
+				scores: undefined,
+				monotonic: time.clock.monotonic,
+				schedule: createStepSchedule({
+					request, required, forecast, stalenessBound: bound, attemptPrefix: `d${index}.${lost}.${request.step}`, stallMs: 2000, canHedge: true, canResume: true, longestFirst: true, ...broken.schedule,
+				}),
+			}),
+			maximumBatch: options.maximumBatch ?? 8,
+		});
+		time.loop.every({
+			name: 'run',
+			periodMs: 200,
+			run(now) {
+				if (!state.isPaused && !state.isDead) {
+					owner.run(now);
+				}
+			},
+		});
+		return Object.assign(state, {owner});
+	}
+
+	const daemons = [createDaemon(0), createDaemon(1)];
+
+	function give(index: number): void {
+		fencing += 1;
+		daemons[index]!.holding = {shard: 0, fencing, validUntil: Number.POSITIVE_INFINITY};
+	}
+
+	function ownerIndex(): number {
+		return daemons.findIndex(daemon => daemon.holding?.fencing === fencing);
+	}
+
+	const createRequest = (step: number): StepRequest => ({
+		trainer,
+		step,
+		weightVersion,
+		prompts: Array.from({length: options.groups ?? 6}, (_, group) => `prompt ${step} ${group}`),
+		samplesPerGroup: options.samplesPerGroup ?? 2,
+		stalenessBound: bound,
+		enough: options.enough,
+		maximumTokens: 400,
+		deadlineMs: undefined,
+	});
+
+	/** Calls the present owner as a trainer would through any daemon, and gives up on one that does not answer. */
+	async function callOwner<T>(call: (owner: TrainerOwner) => Promise<T>, onLate: (answer: T) => void): Promise<T | undefined> {
+		const daemon = daemons[ownerIndex()];
+		let isLate = false;
+		const answer = daemon === undefined || daemon.isDead ? never<T>() : call(daemon.owner).then(async value => daemon.thawed().then(() => value));
+		void answer.then(value => {
+			if (isLate) {
+				onLate(value);
+			}
+		});
+		const winner = await Promise.race([answer.then(value => ({value})), time.loop.sleep(PULL_TIMEOUT_MS).then(() => undefined)]);
+		isLate = winner === undefined;
+		return winner?.value;
+	}
+
+	async function pullAll(request: StepRequest, cursor: number): Promise<void> {
+		const version = weightVersion;
+		const note = (pulled: Awaited<ReturnType<TrainerOwner['pull']>>) => {
+			pulled.match(batch => answers.push({weightVersion: version, batch}), failure => failures.push(failure.code));
+		};
+
+		const pulled = await callOwner(async owner => owner.pull({
+			trainer, step: request.step, cursor, weightVersion: version, waitMs: 500,
+		}), note);
+		if (pulled !== undefined) {
+			note(pulled);
+		}
+
+		if (pulled?.isOk() && pulled.value.done) {
+			return;
+		}
+
+		if (pulled === undefined || pulled.isErr()) {
+			await time.loop.sleep(200);
+			await callOwner(async owner => owner.postStep(request), () => undefined);
+		}
+
+		// A trainer that restarts goes on from its last checkpoint, here half of what it had.
+		const reached = pulled?.isOk() ? pulled.value.batch : cursor;
+		const isRestarted = random() < 0.05;
+		await pullAll(request, isRestarted ? Math.floor(reached / 2) : reached);
+	}
+
+	async function runTrainer(step = 1): Promise<void> {
+		const request = createRequest(step);
+		await callOwner(async owner => owner.postStep(request), () => undefined);
+		await pullAll(request, 0);
+		if (step < (options.steps ?? 1)) {
+			await runTrainer(step + 1);
+		}
+	}
+
+	give(0);
+	return {
+		time, random, engines, answers, failures, daemons, memory,
+		finished: false,
+		start() {
+			void runTrainer().then(() => {
+				this.finished = true;
+			});
+		},
+		ownerIndex,
+		/** The owner freezes where it is; the other daemon takes over once the lease has lapsed. */
+		pauseOwner(frozenMs = 3000) {
+			const old = daemons[ownerIndex()];
+			if (old !== undefined) {
+				old.isPaused = true;
+			}
+
+			time.loop.after(1000, () => {
+				const next = daemons.findIndex(daemon => daemon !== old);
+				if (old !== undefined) {
+					old.holding = undefined;
+				}
+
+				give(next);
+			});
+			time.loop.after(frozenMs, () => {
+				old?.resume();
+			});
+		},
+		/** The owner dies with all it had in memory; the other daemon takes over and the dead one is replaced. */
+		killOwner() {
+			const index = ownerIndex();
+			const old = daemons[index];
+			if (old === undefined) {
+				return;
+			}
+
+			old.isDead = true;
+			old.owner.dispose();
+			lost += 1;
+			time.loop.after(1000, () => {
+				give(1 - index);
+				daemons[index] = createDaemon(index);
+			});
+		},
+		/** The trainer moves on to a newer version in mid-step, and engines swap one after another. */
+		publish() {
+			weightVersion += 1;
+			const version = weightVersion;
+			engines.forEach((model, index) => {
+				time.loop.after(index * 1700, () => {
+					void model.engine.order({
+						orderId: `o-${version}-${index}`, fencing: version, kind: 'load-version', model: 'm', version,
+					});
+				});
+			});
+		},
+		expectation: () => ({
+			stalenessBound: bound,
+			samplesPerGroup: options.samplesPerGroup ?? 2,
+			requiredGroups: Math.ceil((options.groups ?? 6) * (options.enough ?? 1)),
+			steps: Array.from({length: options.steps ?? 1}, (_, index) => index + 1),
+		}),
+	};
+}
