--- /dev/null
+++ b/src/code/node/contributions.ts
@@ -0,0 +1,15 @@
+/** All features of the daemon. Importing a `contribution` module registers it with the kernel. */
+import '../../persistence/persistence.contribution.js';
+import '../../platform/platform.contribution.js';
+import '../../peers/peers.contribution.js';
+import '../../audit/audit.contribution.js';
+import '../../membership/membership.contribution.js';
+import '../../leases/leases.contribution.js';
+import '../../plans/plans.contribution.js';
+import type {Contribution} from '../../kernel/common/contribution.js';
+import {listContributions} from '../../kernel/common/registry.js';
+
+/** Lists the features that a daemon starts. */
+export function listFeatures(): readonly Contribution[] {
+	return listContributions();
+}
