--- a/src/requests/operators.contribution.ts
+++ b/src/requests/operators.contribution.ts
@@ -76,8 +76,8 @@
 	];
 }
 
-function readNumber(text: string | undefined, initial: number, maximum: number): number | undefined {
-	const value = text === null ? initial : Number(text);
+function readNumber(text: string, maximum: number): number | undefined {
+	const value = Number(text);
 	return Number.isSafeInteger(value) && value >= 0 && value <= maximum ? value : undefined;
 }
 
@@ -87,8 +87,8 @@
 		path: '/v1/audit',
 		access: 'operator',
 		async handle(request, response) {
-			const since = readNumber(request.query.get('since'), 0, Number.MAX_SAFE_INTEGER);
-			const limit = readNumber(request.query.get('limit'), DEFAULT_AUDIT_LIMIT, MAXIMUM_AUDIT_LIMIT);
+			const since = readNumber(request.query.get('since') ?? '0', Number.MAX_SAFE_INTEGER);
+			const limit = readNumber(request.query.get('limit') ?? String(DEFAULT_AUDIT_LIMIT), MAXIMUM_AUDIT_LIMIT);
 			if (since === undefined || limit === undefined) {
 				const origin = {step: 'read audit', peer: 'caller'};
 				sendProblem(response, createNotRun('invalid', origin, `since and limit must be whole numbers, limit up to ${MAXIMUM_AUDIT_LIMIT}`), request.requestId);
