--- a/src/code/node/contributions.ts
+++ b/src/code/node/contributions.ts
@@ -6,6 +6,11 @@
 import '../../membership/membership.contribution.js';
 import '../../leases/leases.contribution.js';
 import '../../plans/plans.contribution.js';
+import '../../limits/limits.contribution.js';
+import '../../routing/routing.contribution.js';
+import '../../requests/requests.contribution.js';
+import '../../weights/node/weights.contribution.js';
+import '../../rollouts/node/rollouts.contribution.js';
 import type {Contribution} from '../../kernel/common/contribution.js';
 import {listContributions} from '../../kernel/common/registry.js';
 
--- a/src/rollouts/node/trainer-routes.ts
+++ b/src/rollouts/node/trainer-routes.ts
@@ -7,11 +7,11 @@
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import type {WeightStore} from '../../platform/common/weight-store.js';
 import type {Front, FrontRequest} from '../../requests/common/front.js';
+import {sendJson, sendProblem} from '../../requests/node/respond.js';
 import type {TrainerProfile} from '../../settings/common/settings.js';
 import type {EngineVersions} from '../../weights/common/engine-versions.js';
 import {parsePullBody, parseStepBody, parseWeightsBody} from '../common/trainer-messages.js';
 import type {TrainerDesk} from '../common/trainer-desk.js';
-import {sendFailure, sendJson} from './http-answers.js';
 
 /** What the routes need. */
 export type TrainerRoutesOptions = {
@@ -96,7 +96,7 @@
 		answered.match(({status, body}) => {
 			sendJson(response, status, body);
 		}, failure => {
-			sendFailure(response, failure, request.requestId);
+			sendProblem(response, failure, request.requestId);
 		});
 	}
 
--- a/src/weights/node/weights-rpc.ts
+++ b/src/weights/node/weights-rpc.ts
@@ -1,7 +1,8 @@
 /** The weight service between daemons: its served side and its client. */
-import {err, ok, type Result} from 'neverthrow';
-import {createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import type {Result} from 'neverthrow';
+import type {Failure} from '../../base/common/failure.js';
 import type {ShardOwner} from '../../leases/common/shards.js';
+import {callPeer} from '../../peers/common/peer-call.js';
 import type {Peers} from '../../peers/common/peers.js';
 import {WeightService} from '../../peers/common/gen/rosemaryshore/weights/v1/weights_pb.js';
 import type {BookChanges} from '../common/version-book.js';
@@ -40,20 +41,12 @@
 	});
 }
 
-async function guard<T>(step: string, owner: ShardOwner, call: () => Promise<T>): Promise<Result<T, Failure>> {
-	try {
-		return ok(await call());
-	} catch (error) {
-		return err(createOutcomeUnknown('unavailable', {step, peer: owner.daemonId}, String(error)));
-	}
-}
-
 /** Creates the client side. */
 export function createWeightsClient(peers: Peers): WeightsClient {
 	const clientOf = (owner: ShardOwner) => peers.client(WeightService, owner, CALL_TIMEOUT_MS);
 	return {
 		async readChanges(owner, pool, position) {
-			return guard('read engine versions', owner, async () => {
+			return callPeer('read engine versions', owner, async () => {
 				const answer = await clientOf(owner).readVersions({pool, book: position.book, since: BigInt(position.revision)});
 				return answer.owned
 					? {
@@ -63,7 +56,7 @@
 			});
 		},
 		async announce(owner, pool, target) {
-			return guard('announce weight version', owner, async () => {
+			return callPeer('announce weight version', owner, async () => {
 				await clientOf(owner).announceTarget({pool, ...target});
 			});
 		},
