--- a/test/fakes/daemon-fleet.ts
+++ b/test/fakes/daemon-fleet.ts
@@ -2,6 +2,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
+import type {Audit} from '../../src/audit/common/audit.js';
 import {createAuditService} from '../../src/audit/common/audit-service.js';
 import type {Clock} from '../../src/base/common/clock.js';
 import {createOutcomeUnknown, type Failure} from '../../src/base/common/failure.js';
@@ -11,7 +12,7 @@
 import {createShardsService, type ShardsOptions} from '../../src/leases/common/shards-service.js';
 import type {GossipMessage} from '../../src/membership/common/gossip.js';
 import {GossipLink} from '../../src/membership/common/gossip-link.js';
-import type {Member} from '../../src/membership/common/membership.js';
+import type {Member, Membership} from '../../src/membership/common/membership.js';
 import {createMembershipService, type MembershipOptions} from '../../src/membership/common/membership-service.js';
 import type {PeerAddress} from '../../src/peers/common/peers.js';
 import {noSnapshots, type Snapshots} from '../../src/persistence/common/snapshots.js';
@@ -32,6 +33,9 @@
 	readonly rate?: number;
 	readonly snapshots?: Snapshots;
 	readonly wrapStore?: (store: Store) => Store;
+	readonly wrapAudit?: (audit: Audit) => Audit;
+	/** Replaces the membership that the configuration sees. */
+	readonly wrapMembership?: (membership: Membership) => Membership;
 	/** Replaces dependencies, to switch a mechanism off. */
 	readonly membership?: Partial<MembershipOptions>;
 	readonly shards?: Partial<ShardsOptions>;
@@ -44,6 +48,8 @@
 	store: (daemonId: string, call: StoreCall) => StoreFault;
 	/** Whether reads are answered with the first version that the daemon has ever read. */
 	isStale: (daemonId: string) => boolean;
+	/** Whether watches report a change. */
+	isWatching: () => boolean;
 };
 
 type DaemonProcess = ReturnType<typeof createProcess>;
@@ -134,9 +140,11 @@
 		override remove: Store['remove'] = async removal => travel(async () => inner.remove(removal));
 		override list: Store['list'] = async (kind, prefix) => travel(async () => inner.list(kind, prefix));
 		override watch: Store['watch'] = (kind, listener) => inner.watch(kind, object => {
-			daemon.loop.after(STORE_MS, () => {
-				listener(object);
-			});
+			if (faults.isWatching()) {
+				daemon.loop.after(STORE_MS, () => {
+					listener(object);
+				});
+			}
 		});
 	})();
 }
@@ -227,7 +235,10 @@
 		daemonId: self.id, store, loop, clock, log: silentLog,
 	});
 	const configuration = createConfigurationService({
-		membership, store, audit, snapshots: profile.snapshots ?? noSnapshots, loop, clock, random, log: silentLog,
+		membership: profile.wrapMembership?.(membership) ?? membership,
+		store,
+		audit: profile.wrapAudit?.(audit) ?? audit,
+		snapshots: profile.snapshots ?? noSnapshots, loop, clock, random, log: silentLog,
 		link: new (class extends ConfigurationLink {
 			override fetch: ConfigurationLink['fetch'] = async (peer, wanted, own) => call(peer, 2000, async target => target.configuration.serve(wanted, own));
 		})(), ...profile.configuration,
@@ -250,7 +261,9 @@
 	const time = createVirtualTime(random);
 	const memory = createMemoryStore();
 	const daemons = new Map<string, FleetDaemon>();
-	const faults: Faults = {isCut: () => false, store: () => 'none', isStale: () => false};
+	const faults: Faults = {
+		isCut: () => false, store: () => 'none', isStale: () => false, isWatching: () => true,
+	};
 	const fabric: Fabric = {
 		time, memory, faults, daemons, random, ...(onMessage && {onMessage}),
 	};
