Serve a daemon's status and its drain to operators, and start the operators' routes

Cause: the command line called /v1/status and /v1/drain, which no feature served; and the routes over the configuration were not among the features that a daemon starts, so that 'plans set' found no route (seen in a trial run of three daemons). Change: an 'operations' feature with both routes; a drain is audited and asked of the lifecycle, like SIGTERM. Shown by: npx tsx scripts/test.ts src/code (23 passed).

--- /dev/null
+++ b/src/code/common/status.ts
@@ -0,0 +1,55 @@
+/** A daemon's view of the fleet, as `rosemaryshore status` prints it. */
+import type {ModelVersions} from '../../weights/common/engine-versions.js';
+import type {Shards} from '../../leases/common/shards.js';
+import type {Membership} from '../../membership/common/membership.js';
+import type {Configuration} from '../../plans/common/configuration.js';
+import type {Router} from '../../routing/common/router.js';
+import type {Settings} from '../../settings/common/settings.js';
+
+/** What the view is taken from. */
+export type StatusSources = {
+	readonly settings: Settings;
+	readonly membership: Membership;
+	readonly shards: Shards;
+	readonly configuration: Configuration;
+	readonly router: Router;
+	readonly findVersions: (pool: string, model: string) => ModelVersions;
+	readonly peerTraffic: () => {readonly sent: number; readonly received: number};
+};
+
+/** The view; plain JSON. */
+export type Status = ReturnType<typeof createStatus>;
+
+function describeShards(shards: Shards, now: number) {
+	const numbers = Array.from({length: shards.count}, (_, shard) => shard);
+	return {
+		count: shards.count,
+		held: numbers.flatMap(shard => shards.holding(shard, now) ?? []).map(({shard, fencing}) => ({shard, fencing})),
+		withoutKnownOwner: numbers.filter(shard => shards.owner(shard, now) === undefined),
+	};
+}
+
+function describePools({settings, router, findVersions}: StatusSources) {
+	return settings.pools.map(pool => ({
+		name: pool.name,
+		servers: router.servers(pool.name).map(server => ({
+			id: server.id, state: server.state, availabilityZone: server.availabilityZone, inFlight: router.inFlight(server.id),
+		})),
+		...(pool.kind === 'engine' && {models: pool.models.map(model => findVersions(pool.name, model))}),
+	}));
+}
+
+/** Takes the view at monotonic time `now`. */
+export function createStatus(sources: StatusSources, now: number) {
+	const {settings, membership, shards, configuration} = sources;
+	return {
+		daemon: settings.daemon.id,
+		configurationVersion: configuration.current().version,
+		members: membership.members().map(({id, state, availabilityZone, incarnation}) => ({
+			id, state, availabilityZone, incarnation,
+		})),
+		shards: describeShards(shards, now),
+		pools: describePools(sources),
+		peerTraffic: sources.peerTraffic(),
+	};
+}
--- a/src/code/node/contributions.ts
+++ b/src/code/node/contributions.ts
@@ -9,8 +9,10 @@
 import '../../limits/limits.contribution.js';
 import '../../routing/routing.contribution.js';
 import '../../requests/requests.contribution.js';
+import '../../requests/operators.contribution.js';
 import '../../weights/node/weights.contribution.js';
 import '../../rollouts/node/rollouts.contribution.js';
+import '../operations.contribution.js';
 import type {Contribution} from '../../kernel/common/contribution.js';
 import {listContributions} from '../../kernel/common/registry.js';
 
