Run keyed requests at most once by durable claims

Cause: a non-idempotent call sent again could have run twice. Change: the owner of the key's shard writes a claim before the first byte leaves, many in one conditional write; a new owner rewrites the open object first, so that an earlier one can no longer grant. Claims that start too late are not sent. Adds the settings requests.claimRetentionMs, claimWindowMs and claimGenerationBytes. Ruled out: overlapping writes, which conflict. Now only the runner frees a claim, durably, once it has given it up.

--- /dev/null
+++ b/src/requests/common/claim-book.ts
@@ -0,0 +1,169 @@
+/**
+ * The claims of one shard as its owner knows them, and the next object to write. Pure: writing is up to the caller, who
+ * reports back which write took effect.
+ */
+import type {StoredObject} from '../../platform/common/store.js';
+import {
+	generationIndex, generationName, parseGeneration, type ClaimGeneration, type ClaimRecord,
+} from './claim-record.js';
+import type {ClaimRequest, Outcome} from './claims.js';
+
+/** Bounds of the claims that are kept. */
+export type ClaimBounds = {
+	/** Time for which a key is remembered. */
+	readonly retentionMs: number;
+	/** Size at which a generation is sealed. */
+	readonly generationBytes: number;
+	/** Time within which a granted run must start. */
+	readonly windowMs: number;
+};
+
+/** What is known of a key. */
+export type KeyState
+	/** Never claimed, or freed. */
+	= | {readonly kind: 'free'}
+	/** Claimed by this very request before. */
+		| {readonly kind: 'own'}
+		| {readonly kind: 'settled'; readonly outcome: Outcome}
+		| {readonly kind: 'running'}
+		| {readonly kind: 'mismatch'};
+
+/** The next object to write. */
+export type ClaimWrite = {
+	readonly name: string;
+	readonly ifVersion: number;
+	readonly value: ClaimGeneration;
+	/** The records that the write adds. */
+	readonly added: readonly ClaimRecord[];
+};
+
+/** The claims of a shard. */
+export type ClaimBook = {
+	/** Replaces everything by what the store holds. */
+	readonly load: (objects: readonly StoredObject[]) => void;
+	readonly state: (request: ClaimRequest, wallNow: number) => KeyState;
+	readonly find: (key: string) => ClaimRecord | undefined;
+	/** Prepares a write of the records. When the open generation is full it only seals it: write that, then prepare again. */
+	readonly prepare: (records: readonly ClaimRecord[]) => ClaimWrite;
+	/** Takes over a write that took effect. */
+	readonly written: (write: ClaimWrite, version: number) => void;
+	/** Sealed generations whose claims are all past retention. */
+	readonly expired: (wallNow: number) => ReadonlyArray<{readonly name: string; readonly version: number}>;
+	readonly removed: (name: string) => void;
+	readonly size: () => number;
+};
+
+type Generation = ClaimGeneration & {
+	readonly index: number;
+	readonly name: string;
+	readonly version: number;
+	readonly bytes: number;
+};
+
+const OVERHEAD_BYTES = 32;
+
+function measure(records: readonly ClaimRecord[]): number {
+	return records.reduce((sum, record) => sum + JSON.stringify(record).length + 1, 0);
+}
+
+/** Creates a book without claims. */
+export function createClaimBook(shard: number, bounds: ClaimBounds): ClaimBook {
+	let generations: readonly Generation[] = [];
+	const latest = new Map<string, ClaimRecord>();
+
+	/** Later records of a key replace earlier ones. */
+	function index(records: readonly ClaimRecord[]): void {
+		records.forEach(record => {
+			latest.set(record.key, record);
+		});
+	}
+
+	function openGeneration(): Generation {
+		const last = generations.at(-1);
+		if (last && !last.sealed) {
+			return last;
+		}
+
+		const next = (last?.index ?? -1) + 1;
+		return {
+			index: next, name: generationName(shard, next), version: 0, sealed: false, records: [], bytes: OVERHEAD_BYTES,
+		};
+	}
+
+	function isPast(record: ClaimRecord, wallNow: number): boolean {
+		return record.claimedAt + bounds.retentionMs < wallNow;
+	}
+
+	function forgetRecords(records: readonly ClaimRecord[]): void {
+		records.filter(record => latest.get(record.key) === record).forEach(record => {
+			latest.delete(record.key);
+		});
+	}
+
+	return {
+		load(objects) {
+			latest.clear();
+			generations = objects
+				.toSorted((a, b) => generationIndex(a.name) - generationIndex(b.name))
+				.map(object => ({
+					...parseGeneration(object.value), index: generationIndex(object.name), name: object.name, version: object.version, bytes: object.value.length,
+				}));
+			generations.forEach(generation => {
+				index(generation.records);
+			});
+		},
+		state(request, wallNow) {
+			const record = latest.get(request.key);
+			if (record === undefined || record.freed) {
+				return {kind: 'free'};
+			}
+
+			if (record.claimId === request.claimId && record.outcome === undefined) {
+				return {kind: 'own'};
+			}
+
+			if (record.bodyDigest !== request.bodyDigest) {
+				return {kind: 'mismatch'};
+			}
+
+			if (record.outcome) {
+				return {kind: 'settled', outcome: record.outcome};
+			}
+
+			const mayRunUntil = record.claimedAt + bounds.windowMs + record.runForMs;
+			return wallNow < mayRunUntil ? {kind: 'running'} : {kind: 'settled', outcome: {kind: 'unknown'}};
+		},
+		find: key => latest.get(key),
+		prepare(records) {
+			const open = openGeneration();
+			const bytes = open.bytes + measure(records);
+			if (open.records.length > 0 && bytes > bounds.generationBytes) {
+				return {
+					name: open.name, ifVersion: open.version, value: {sealed: true, records: open.records}, added: [],
+				};
+			}
+
+			return {
+				name: open.name, ifVersion: open.version, value: {sealed: false, records: [...open.records, ...records]}, added: records,
+			};
+		},
+		written(write, version) {
+			const {sealed, records} = write.value;
+			const generation = {
+				index: generationIndex(write.name), name: write.name, version, sealed, records, bytes: OVERHEAD_BYTES + measure(records),
+			};
+			generations = [...generations.filter(other => other.name !== write.name), generation];
+			index(write.added);
+		},
+		expired: wallNow => generations
+			.filter(generation => generation.sealed && generation.records.every(record => isPast(record, wallNow)))
+			.map(({name, version}) => ({name, version})),
+		removed(name) {
+			generations.filter(generation => generation.name === name).forEach(generation => {
+				forgetRecords(generation.records);
+			});
+			generations = generations.filter(generation => generation.name !== name);
+		},
+		size: () => latest.size,
+	};
+}
--- /dev/null
+++ b/src/requests/node/claim-owner.ts
@@ -0,0 +1,140 @@
+/** Answers claims for the keys of the shards that this daemon owns. */
+import {err, ok, type Result} from 'neverthrow';
+import type {Clock} from '../../base/common/clock.js';
+import {createNotRun, type Failure} from '../../base/common/failure.js';
+import type {Shards} from '../../leases/common/shards.js';
+import type {Store, WriteId} from '../../platform/common/store.js';
+import {createClaimBook, type ClaimBook, type ClaimBounds} from '../common/claim-book.js';
+import type {ClaimRecord} from '../common/claim-record.js';
+import type {ClaimRequest, Outcome} from '../common/claims.js';
+import {createClaimLog, type ClaimLog} from './claim-log.js';
+
+/** An owner's answer to a claim. */
+export type OwnerVerdict
+	= | {readonly kind: 'granted'; readonly windowMs: number}
+		| {readonly kind: 'settled'; readonly outcome: Outcome}
+		| {readonly kind: 'running'}
+		| {readonly kind: 'mismatch'};
+
+/** The owner's side of claims. */
+export type ClaimOwner = {
+	/** `notOwner` when this daemon does not own the shard. Effect `outcomeUnknown`: not granted, but maybe in the store. */
+	readonly claim: (shard: number, request: ClaimRequest) => Promise<Result<OwnerVerdict, Failure>>;
+	readonly settle: (shard: number, key: string, claimId: string, outcome: Outcome | undefined) => Promise<Result<void, Failure>>;
+	/** Reads the store again before the next write to the shard. */
+	readonly acquired: (shard: number) => void;
+	readonly removeExpired: () => Promise<void>;
+};
+
+/** What the owner rests on. */
+export type ClaimOwnerParts = {
+	readonly shards: Pick<Shards, 'holding'>;
+	readonly store: Store;
+	readonly clock: Clock;
+	readonly bounds: ClaimBounds;
+	readonly nextWriteId: () => WriteId;
+};
+
+type ShardClaims = {
+	readonly book: ClaimBook;
+	readonly log: ClaimLog;
+};
+
+/** Creates an owner that knows no claims yet. */
+export function createClaimOwner(parts: ClaimOwnerParts): ClaimOwner {
+	const {shards, store, clock, bounds, nextWriteId} = parts;
+	const claims = new Map<number, ShardClaims>();
+
+	function claimsOf(shard: number): ShardClaims {
+		const known = claims.get(shard);
+		if (known) {
+			return known;
+		}
+
+		const book = createClaimBook(shard, bounds);
+		const created = {
+			book, log: createClaimLog({
+				shard, store, book, nextWriteId,
+			}),
+		};
+		claims.set(shard, created);
+		return created;
+	}
+
+	function refuse(shard: number): Failure {
+		return createNotRun('notOwner', {step: 'claim key', peer: `shard ${shard}`}, 'this daemon does not own the shard');
+	}
+
+	function isHeld(shard: number): boolean {
+		return shards.holding(shard, clock.monotonic()) !== undefined;
+	}
+
+	/** What is known without the right to grant; settled outcomes never change, so they may be told at any time. */
+	function answerKnown(known: ShardClaims, request: ClaimRequest): OwnerVerdict | undefined {
+		const state = known.book.state(request, clock.wall());
+		if (state.kind === 'free') {
+			return undefined;
+		}
+
+		return state.kind === 'own' ? {kind: 'granted', windowMs: bounds.windowMs} : state;
+	}
+
+	async function grant(known: ShardClaims, request: ClaimRequest): Promise<Result<OwnerVerdict, Failure>> {
+		const record: ClaimRecord = {
+			key: request.key, bodyDigest: request.bodyDigest, claimId: request.claimId, claimedAt: clock.wall(), runForMs: request.runForMs,
+		};
+		const appended = await known.log.append(record);
+		if (appended.isOk()) {
+			return ok({kind: 'granted', windowMs: bounds.windowMs});
+		}
+
+		const other = appended.error.code === 'conflict' ? answerKnown(known, request) : undefined;
+		return other ? ok(other) : err(appended.error);
+	}
+
+	return {
+		async claim(shard, request) {
+			if (!isHeld(shard)) {
+				const loaded = claims.get(shard);
+				const known = loaded && answerKnown(loaded, request);
+				return known && known.kind !== 'granted' ? ok(known) : err(refuse(shard));
+			}
+
+			const known = claimsOf(shard);
+			const ready = await known.log.ready();
+			if (ready.isErr()) {
+				return err(createNotRun('unavailable', {step: 'read claims', peer: `shard ${shard}`}, ready.error.message, ready.error.retryAfterMs));
+			}
+
+			const answer = answerKnown(known, request);
+			return answer ? ok(answer) : grant(known, request);
+		},
+		async settle(shard, key, claimId, outcome) {
+			if (!isHeld(shard)) {
+				return err(refuse(shard));
+			}
+
+			const {book, log} = claimsOf(shard);
+			const ready = await log.ready();
+			const record = book.find(key);
+			if (ready.isErr()) {
+				return err(ready.error);
+			}
+
+			if (record?.claimId !== claimId) {
+				return ok();
+			}
+
+			const appended = await log.append({...record, ...(outcome ? {outcome} : {freed: true as const})});
+			return appended.isErr() && appended.error.code !== 'conflict' ? err(appended.error) : ok();
+		},
+		acquired(shard) {
+			claims.get(shard)?.log.reload();
+		},
+		async removeExpired() {
+			await Promise.all([...claims]
+				.filter(([shard]) => isHeld(shard))
+				.map(async ([, known]) => known.log.removeExpired(clock.wall())));
+		},
+	};
+}
--- /dev/null
+++ b/src/requests/node/claims-client.ts
@@ -0,0 +1,110 @@
+/** Claims keys at their owners, and reports outcomes until they are recorded. */
+import {err, type Result} from 'neverthrow';
+import {createNotRun, type Failure} from '../../base/common/failure.js';
+import type {Clock} from '../../base/common/clock.js';
+import {shardOf, type Shards, type ShardOwner} from '../../leases/common/shards.js';
+import type {Loop} from '../../kernel/common/loop.js';
+import type {ClaimLink} from '../common/claim-link.js';
+import type {
+	ClaimRequest, ClaimVerdict, Claims, Outcome,
+} from '../common/claims.js';
+
+/** What the client rests on. */
+export type ClaimsClientParts = {
+	readonly shards: Pick<Shards, 'count' | 'owner' | 'reportWrongOwner'>;
+	readonly link: ClaimLink;
+	readonly clock: Clock;
+	readonly loop: Loop;
+};
+
+const ATTEMPTS = 2;
+const RETRY_AFTER_MS = 2000;
+const SETTLE_ATTEMPTS = 60;
+const SETTLE_RETRY_MS = 1000;
+/** Outcomes that may wait for their owner at once; more are left unrecorded, so that repetitions hear `outcomeUnknown`. */
+const LARGEST_BACKLOG = 2000;
+
+/** Creates the client. */
+export function createClaimsClient(parts: ClaimsClientParts): Claims {
+	const {shards, link, clock, loop} = parts;
+	const lastOwners = new Map<number, ShardOwner>();
+	let unsettled = 0;
+
+	/** The believed owner, or the last known one: it can still tell outcomes when nobody holds the lease. */
+	function ownerOf(shard: number): ShardOwner | undefined {
+		const owner = shards.owner(shard, clock.monotonic());
+		if (owner) {
+			lastOwners.set(shard, owner);
+		}
+
+		return owner ?? lastOwners.get(shard);
+	}
+
+	function refuse(message: string, retryAfterMs = RETRY_AFTER_MS): Result<never, Failure> {
+		return err(createNotRun('unavailable', {step: 'claim key', peer: 'owner of the key'}, message, retryAfterMs));
+	}
+
+	function noteWrongOwner(owner: ShardOwner, failure: Failure): void {
+		if (failure.code === 'notOwner') {
+			lastOwners.delete(owner.shard);
+			shards.reportWrongOwner(owner.shard, owner.daemonId);
+		}
+	}
+
+	async function settleUntilRecorded(key: string, claimId: string, outcome: Outcome | undefined, attemptsLeft: number): Promise<void> {
+		const owner = ownerOf(shardOf('key', key, shards.count));
+		const settled = owner ? await link.settle(owner, key, claimId, outcome) : undefined;
+		if (settled?.isOk() === true || attemptsLeft <= 1) {
+			return;
+		}
+
+		if (owner && settled?.isErr()) {
+			noteWrongOwner(owner, settled.error);
+		}
+
+		await loop.sleep(SETTLE_RETRY_MS);
+		await settleUntilRecorded(key, claimId, outcome, attemptsLeft - 1);
+	}
+
+	function settle(key: string, claimId: string, outcome: Outcome | undefined): void {
+		if (unsettled >= LARGEST_BACKLOG) {
+			return;
+		}
+
+		unsettled += 1;
+		void settleUntilRecorded(key, claimId, outcome, SETTLE_ATTEMPTS).finally(() => {
+			unsettled -= 1;
+		});
+	}
+
+	async function claim(request: ClaimRequest, attemptsLeft: number, mayBeGranted: boolean): Promise<Result<ClaimVerdict, Failure>> {
+		const owner = ownerOf(shardOf('key', request.key, shards.count));
+		if (owner === undefined) {
+			return refuse('no daemon owns the key at present');
+		}
+
+		const verdict = await link.claim(owner, request, clock.monotonic());
+		if (verdict.isOk()) {
+			return verdict;
+		}
+
+		noteWrongOwner(owner, verdict.error);
+		const isDoubtful = mayBeGranted || verdict.error.effect === 'outcomeUnknown';
+		const mayRetry = verdict.error.effect === 'outcomeUnknown' || verdict.error.code === 'notOwner';
+		if (mayRetry && attemptsLeft > 1) {
+			return claim(request, attemptsLeft - 1, isDoubtful);
+		}
+
+		if (isDoubtful) {
+			// Nothing was sent under this claim and nothing will be, so it can be freed wherever it was granted.
+			settle(request.key, request.claimId, undefined);
+		}
+
+		return refuse(verdict.error.message, verdict.error.retryAfterMs);
+	}
+
+	return {
+		claim: async request => claim(request, ATTEMPTS, false),
+		settle,
+	};
+}
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -108,6 +108,12 @@
 	retryShare: share.default(0.1),
 	headerTimeoutMs: durationMs.default(10_000),
 	drainMs: durationMs.default(60_000),
+	/** How long the outcome of an idempotency key is remembered; a key sent again later runs again. */
+	claimRetentionMs: durationMs.default(86_400_000),
+	/** Time within which the first byte of a claimed request must leave. */
+	claimWindowMs: durationMs.default(5000),
+	/** Size of one claims object; each write of claims rewrites one. */
+	claimGenerationBytes: z.int().min(1024).max(900_000).default(65_536),
 });
 
 const weights = z.strictObject({
