--- a/src/code/node/contributions.ts
+++ b/src/code/node/contributions.ts
@@ -1,11 +1,16 @@
 /** All features of the daemon. Importing a `contribution` module registers it with the kernel. */
+import '../../persistence/persistence.contribution.js';
 import '../../platform/platform.contribution.js';
 import '../../peers/peers.contribution.js';
-import '../../persistence/persistence.contribution.js';
 import '../../audit/audit.contribution.js';
 import '../../membership/membership.contribution.js';
 import '../../leases/leases.contribution.js';
 import '../../plans/plans.contribution.js';
+import '../../limits/limits.contribution.js';
+import '../../routing/routing.contribution.js';
+import '../../requests/requests.contribution.js';
+import '../../weights/node/weights.contribution.js';
+import '../../rollouts/node/rollouts.contribution.js';
 import type {Contribution} from '../../kernel/common/contribution.js';
 import {listContributions} from '../../kernel/common/registry.js';
 
