--- a/src/requests/common/claim-wire.ts
+++ b/src/requests/common/claim-wire.ts
@@ -51,7 +51,10 @@
 	return {
 		verdict: {
 			case: 'refused', value: {
-				wrongOwner: failure.code === 'notOwner', doubtful: failure.effect === 'outcomeUnknown', ...(failure.retryAfterMs !== undefined && {retryAfterMs: failure.retryAfterMs}), detail: failure.message,
+				wrongOwner: failure.code === 'notOwner',
+				doubtful: failure.effect === 'outcomeUnknown',
+				detail: failure.message,
+				...(failure.retryAfterMs !== undefined && {retryAfterMs: failure.retryAfterMs}),
 			},
 		},
 	};
