--- a/src/code/operations.contribution.ts
+++ b/src/code/operations.contribution.ts
@@ -1,4 +1,5 @@
-/** The operators' routes over the daemon itself: its status, and its drain. */
+/** The operators' side of the daemon itself: its status, its gauges, and its drain. */
+import process from 'node:process';
 import {auditKey} from '../audit/common/audit.js';
 import {lifecycleKey} from '../kernel/common/lifecycle.js';
 import {registerContribution} from '../kernel/common/registry.js';
@@ -11,8 +12,12 @@
 import {routerKey} from '../routing/common/router.js';
 import {settingsKey} from '../settings/common/settings.js';
 import {engineVersionsKey} from '../weights/common/engine-versions.js';
+import {listGauges} from './common/gauges.js';
 import {createStatus, type StatusSources} from './common/status.js';
 
+/** Time between two reports of the gauges. */
+const GAUGE_MS = 10_000;
+
 function nameOf({principal}: FrontRequest): string {
 	return principal.kind === 'operator' ? principal.name : principal.kind;
 }
@@ -59,6 +64,19 @@
 				lifecycle.requestStop('drain route');
 			},
 		});
-		return {dispose: () => undefined};
+		let processor = process.cpuUsage();
+		return context.loop.every({
+			name: 'report gauges',
+			periodMs: GAUGE_MS,
+			run(now) {
+				listGauges(createStatus(sources, now)).forEach(({name, value, tags}) => {
+					context.metrics.gauge(name, value, tags);
+				});
+				const {user, system} = process.cpuUsage(processor);
+				processor = process.cpuUsage();
+				context.metrics.gauge('process.cpu_share', (user + system) / (GAUGE_MS * 1000));
+				context.metrics.gauge('process.memory_bytes', process.memoryUsage().rss);
+			},
+		});
 	},
 });
