--- a/src/membership/common/membership.ts
+++ b/src/membership/common/membership.ts
@@ -21,13 +21,19 @@
 /** A small value that a daemon spreads to all others; the highest version per topic and origin wins. */
 export type Rumor = {
 	readonly topic: string;
-	/** The daemon that the value is about, or an empty text for values of the whole fleet. */
+	/** What the value is about, such as a daemon or a shard; an empty text for values of the whole fleet. */
 	readonly origin: string;
 	readonly version: number;
 	/** At most a few hundred bytes of JSON. */
 	readonly value: string;
 };
 
+/** A rumor as it was heard. */
+export type HeardRumor = Rumor & {
+	/** The member that told it, when it came in a message. */
+	readonly via?: string;
+};
+
 /** The fleet as this daemon sees it. */
 export type Membership = {
 	readonly self: () => Member;
@@ -42,7 +48,7 @@
 	readonly spread: (rumor: Rumor) => void;
 	/** Lists the newest rumors of a topic. */
 	readonly rumors: (topic: string) => readonly Rumor[];
-	readonly onDidHear: Event<Rumor>;
+	readonly onDidHear: Event<HeardRumor>;
 };
 
 /** The daemon's membership. */
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -6,7 +6,7 @@
 import {createServiceKey} from '../../kernel/common/contribution.js';
 
 const name = z.string().regex(/^[a-z][a-z\d-]{0,62}$/, 'a name of lower-case letters, digits and hyphens');
-const ipAddress = z.union([z.ipv4(), z.ipv6()]);
+const ipAddress = z.union([z.ipv4(), z.ipv6()], {error: 'an IPv4 or IPv6 address'});
 const port = z.int().min(1).max(65_535);
 const durationMs = z.int().min(1).max(86_400_000);
 const share = z.number().min(0).max(1);
@@ -108,6 +108,12 @@
 	retryShare: share.default(0.1),
 	headerTimeoutMs: durationMs.default(10_000),
 	drainMs: durationMs.default(60_000),
+	/** How long the outcome of an idempotency key is remembered; a key sent again later runs again. */
+	claimRetentionMs: durationMs.default(86_400_000),
+	/** Time within which the first byte of a claimed request must leave. */
+	claimWindowMs: durationMs.default(5000),
+	/** Size of one claims object; each write of claims rewrites one. */
+	claimGenerationBytes: z.int().min(1024).max(900_000).default(65_536),
 });
 
 const weights = z.strictObject({
