--- a/src/plans/common/proposals.ts
+++ b/src/plans/common/proposals.ts
@@ -100,7 +100,7 @@
 			return ok({version: written.value.version, lists});
 		}
 
-		const isCertain = written.error.step !== 'settle write';
+		const isCertain = written.error.effect === 'notRun';
 		return written.error.code === 'conflict'
 			? resolveConflict(proposal, change, lists, isCertain)
 			: err(wrapFailure(written.error, origin));
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -89,7 +89,7 @@
 const membership = z.strictObject({
 	periodMs: durationMs.default(500),
 	/** Peers contacted per period, whatever the size of the fleet. */
-	fanout: z.int().min(1).max(16).default(3),
+	fanout: z.int().min(1).max(16).default(2),
 	suspectAfterMs: durationMs.default(2000),
 	deadAfterMs: durationMs.default(6000),
 });
--- a/test/fakes/daemon-fleet.ts
+++ b/test/fakes/daemon-fleet.ts
@@ -10,7 +10,7 @@
 import type {Loop} from '../../src/kernel/common/loop.js';
 import {LeaseLink} from '../../src/leases/common/lease-link.js';
 import {createShardsService, type ShardsOptions} from '../../src/leases/common/shards-service.js';
-import type {GossipMessage} from '../../src/membership/common/gossip.js';
+import type {BucketPage, GossipMessage} from '../../src/membership/common/gossip.js';
 import {GossipLink} from '../../src/membership/common/gossip-link.js';
 import type {Member, Membership} from '../../src/membership/common/membership.js';
 import {createMembershipService, type MembershipOptions} from '../../src/membership/common/membership-service.js';
@@ -158,7 +158,7 @@
 	readonly faults: Faults;
 	readonly daemons: Map<string, FleetDaemon>;
 	readonly random: () => number;
-	readonly onMessage?: (from: string, to: string, message: GossipMessage) => void;
+	readonly onMessage?: (from: string, to: string, message: GossipMessage | BucketPage) => void;
 };
 
 function startDaemon(fabric: Fabric, profile: DaemonProfile, seeds: readonly PeerAddress[]) {
@@ -215,7 +215,11 @@
 			};
 
 			override probe: GossipLink['probe'] = async (helper, peer) => call(helper, 2000, async target => target.membership.receiver.probe(peer));
-			override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => target.membership.receiver.pull(bucket, page));
+			override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => {
+				const pulled = target.membership.receiver.pull(bucket, page);
+				fabric.onMessage?.(peer.address, profile.id, pulled);
+				return pulled;
+			});
 		})(),
 		loop, clock, random, log: silentLog, ...profile.membership,
 	});
