--- a/bench/daemons.bench.ts
+++ b/bench/daemons.bench.ts
@@ -82,7 +82,7 @@
 }
 
 async function startFleet(size: number, onMessage: (from: string, to: string, message: GossipMessage | BucketPage) => void): Promise<Fleet> {
-	const fleet = createDaemonFleet(1, onMessage);
+	const fleet = createDaemonFleet(1, onMessage, onMessage);
 	const ids = Array.from({length: size}, (_, index) => `entry-${100 + index}`);
 	await ids.reduce(async (previous, id, index) => {
 		await previous;
--- a/test/fakes/daemon-fleet.ts
+++ b/test/fakes/daemon-fleet.ts
@@ -158,7 +158,8 @@
 	readonly faults: Faults;
 	readonly daemons: Map<string, FleetDaemon>;
 	readonly random: () => number;
-	readonly onMessage?: (from: string, to: string, message: GossipMessage | BucketPage) => void;
+	readonly onMessage?: (from: string, to: string, message: GossipMessage) => void;
+	readonly onPage?: (from: string, to: string, page: BucketPage) => void;
 };
 
 function startDaemon(fabric: Fabric, profile: DaemonProfile, seeds: readonly PeerAddress[]) {
@@ -217,7 +218,7 @@
 			override probe: GossipLink['probe'] = async (helper, peer) => call(helper, 2000, async target => target.membership.receiver.probe(peer));
 			override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => {
 				const pulled = target.membership.receiver.pull(bucket, page);
-				fabric.onMessage?.(peer.address, profile.id, pulled);
+				fabric.onPage?.(peer.address, profile.id, pulled);
 				return pulled;
 			});
 		})(),
@@ -260,7 +261,7 @@
 }
 
 /** Creates an empty fleet. */
-export function createDaemonFleet(seed: number, onMessage?: Fabric['onMessage']) {
+export function createDaemonFleet(seed: number, onMessage?: Fabric['onMessage'], onPage?: Fabric['onPage']) {
 	const random = createSeededRandom(seed);
 	const time = createVirtualTime(random);
 	const memory = createMemoryStore();
@@ -269,7 +270,7 @@
 		isCut: () => false, store: () => 'none', isStale: () => false, isWatching: () => true,
 	};
 	const fabric: Fabric = {
-		time, memory, faults, daemons, random, ...(onMessage && {onMessage}),
+		time, memory, faults, daemons, random, ...(onMessage && {onMessage}), ...(onPage && {onPage}),
 	};
 	return {
 		time,
