Pace the calls to the store, and send updates a bounded number of times

Each daemon's calls of the store are counted and paced (store.callsPerSecond); after an outage the budget starts at 5 calls a second and doubles.

--- a/src/leases/common/shard-placement.ts
+++ b/src/leases/common/shard-placement.ts
@@ -13,10 +13,19 @@
 };
 
 type Order = {
+	/** The first members in the order of preference. */
 	readonly ids: readonly string[];
 	readonly preferredSince: number;
 };
 
+type Candidate = {
+	readonly id: string;
+	readonly weights: Uint32Array;
+};
+
+/** Places that are told apart; every later place counts as the next one. */
+const PLACES = 4;
+
 function mayOwn(member: Member): boolean {
 	return member.state === 'alive' || member.state === 'suspect';
 }
@@ -39,8 +48,26 @@
 		return computed;
 	}
 
-	function computeOrder(shard: number, now: number): Order {
-		const ids = [...eligible.keys()].toSorted((a, b) => (weightsOf(b)[shard] ?? 0) - (weightsOf(a)[shard] ?? 0) || (a < b ? -1 : 1));
+	function isBefore(shard: number, a: Candidate, b: Candidate): boolean {
+		const difference = (a.weights[shard] ?? 0) - (b.weights[shard] ?? 0);
+		return difference > 0 || (difference === 0 && a.id < b.id);
+	}
+
+	/** Keeps the first places only, because sorting the whole fleet for each shard costs too much. */
+	function insert(shard: number, first: readonly Candidate[], candidate: Candidate): readonly Candidate[] {
+		const last = first[PLACES - 1];
+		if (last && isBefore(shard, last, candidate)) {
+			return first;
+		}
+
+		const place = first.findIndex(known => isBefore(shard, candidate, known));
+		const index = place === -1 ? first.length : place;
+		return [...first.slice(0, index), candidate, ...first.slice(index)].slice(0, PLACES);
+	}
+
+	function computeOrder(shard: number, candidates: readonly Candidate[], now: number): Order {
+		const first = candidates.reduce<readonly Candidate[]>((known, candidate) => insert(shard, known, candidate), []);
+		const ids = first.map(candidate => candidate.id);
 		const previous = orders[shard];
 		return {ids, preferredSince: previous && previous.ids[0] === ids[0] ? previous.preferredSince : now};
 	}
@@ -57,11 +84,13 @@
 			[...weights.keys()].filter(id => !next.has(id)).forEach(id => {
 				weights.delete(id);
 			});
-			orders = Array.from({length: count}, (_, shard) => computeOrder(shard, now));
+			const candidates = [...next.keys()].map(id => ({id, weights: weightsOf(id)}));
+			orders = Array.from({length: count}, (_, shard) => computeOrder(shard, candidates, now));
 		},
 		rank(shard, daemonId) {
 			const place = orders[shard]?.ids.indexOf(daemonId) ?? -1;
-			return place === -1 ? undefined : place;
+			const later = eligible.has(daemonId) ? PLACES : undefined;
+			return place === -1 ? later : place;
 		},
 		stablePreferred(shard, now, stableMs) {
 			const order = orders[shard];
--- a/src/membership/common/broadcast-queue.ts
+++ b/src/membership/common/broadcast-queue.ts
@@ -43,7 +43,11 @@
 	};
 }
 
-/** Returns how often an update is sent so that it reaches a whole fleet with high probability. */
+/** Transmissions of an update per decimal place of the fleet's size, and at least. */
+const TRANSMISSIONS_PER_PLACE = 4;
+const MINIMUM_TRANSMISSIONS = 10;
+
+/** Returns how often one daemon sends an update; digests find the few daemons that it does not reach. */
 export function transmissionsFor(fleetSize: number): number {
-	return Math.ceil(3 * Math.log2(fleetSize + 1)) + 1;
+	return Math.max(MINIMUM_TRANSMISSIONS, TRANSMISSIONS_PER_PLACE * Math.ceil(Math.log10(fleetSize + 1)));
 }
--- a/src/membership/common/membership-service.ts
+++ b/src/membership/common/membership-service.ts
@@ -70,7 +70,7 @@
 	const changed = createEmitter<readonly Member[]>();
 	const heard = createEmitter<HeardRumor>();
 	let lastRoundAt = clock.monotonic();
-	let lastPullAt = 0;
+	let lastPullAt = Number.NEGATIVE_INFINITY;
 	let pauses = 0;
 	let extraRounds = EXTRA_ROUNDS;
 	let tasks: Disposable | undefined;
@@ -114,6 +114,7 @@
 		}
 
 		report(gossip.receive(answer.value, clock.monotonic()), answer.value.sender.id);
+		pullStaleBucket(peer);
 		return true;
 	}
 
@@ -142,10 +143,11 @@
 		return pulled.value.more ? pullBucket(peer, bucket, page + 1) : true;
 	}
 
-	function pullStaleBucket(now: number): void {
-		const peer = gossip.peers(1, []).at(0);
-		const bucket = peer && now - lastPullAt >= PULL_INTERVAL_MS ? gossip.takeStaleBucket() : undefined;
-		if (peer && bucket !== undefined) {
+	/** Pulls a bucket that differs, from a peer that has just answered. */
+	function pullStaleBucket(peer: PeerAddress): void {
+		const now = clock.monotonic();
+		const bucket = now - lastPullAt >= PULL_INTERVAL_MS ? gossip.takeStaleBucket() : undefined;
+		if (bucket !== undefined) {
 			lastPullAt = now;
 			void pullBucket(peer, bucket, 0);
 		}
@@ -188,7 +190,6 @@
 					noteRound(now);
 					report(gossip.expire(now));
 					runExchanges();
-					pullStaleBucket(now);
 				},
 			}),
 			loop.every({
--- /dev/null
+++ b/src/platform/test/paced-store.test.ts
@@ -0,0 +1,70 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {silentMetrics} from '../../kernel/common/metrics.js';
+import {createSeededRandom, createVirtualTime} from '../../../test/fakes/virtual-loop.js';
+import {createMemoryStore} from '../common/memory-store.js';
+import {createPacedStore} from '../common/paced-store.js';
+
+const test = suite('paced store');
+
+const id = {kind: 'status', name: 'a'} as const;
+
+function createTestStore(callsPerSecond: number) {
+	const time = createVirtualTime();
+	const memory = createMemoryStore();
+	let isDown = false;
+	const store = createPacedStore(memory.open(() => (isDown ? 'down' : 'none')), {
+		callsPerSecond, clock: time.clock, loop: time.loop, random: createSeededRandom(1), metrics: silentMetrics,
+	});
+	const callMany = (count: number) => {
+		Array.from({length: count}).forEach(() => {
+			void store.read(id);
+		});
+	};
+
+	return {
+		time,
+		memory,
+		store,
+		callMany,
+		setDown(value: boolean) {
+			isDown = value;
+		},
+	};
+}
+
+test('passes a burst of one second, delays a little and refuses the rest as not run', async () => {
+	const {time, memory, store, callMany} = createTestStore(10);
+	callMany(30);
+	await time.advance(1);
+	assert.is(memory.calls(), 10);
+	const refused = await store.read(id);
+	assert.is(refused._unsafeUnwrapErr().effect, 'notRun');
+	assert.is(refused._unsafeUnwrapErr().retryAfterMs, 1000);
+	await time.advance(1000);
+	assert.is(memory.calls(), 20);
+});
+
+test('starts small after an outage and doubles', async () => {
+	const {time, memory, callMany, setDown} = createTestStore(100);
+	setDown(true);
+	callMany(10);
+	await time.advance(60_000);
+	setDown(false);
+	const perSecond: number[] = [];
+	await Array.from({length: 12}).reduce<Promise<void>>(async previous => {
+		await previous;
+		const before = memory.calls();
+		await Array.from({length: 10}).reduce<Promise<void>>(async step => {
+			await step;
+			callMany(40);
+			await time.advance(100);
+		}, Promise.resolve());
+		perSecond.push(memory.calls() - before);
+	}, Promise.resolve());
+	assert.ok(perSecond[0]! <= 15, `first second: ${perSecond[0]} calls`);
+	assert.ok(perSecond[2]! <= 60, `third second: ${perSecond[2]} calls`);
+	assert.ok(perSecond.at(-1)! >= 95, `last second: ${perSecond.at(-1)} calls`);
+});
+
+test.run();
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -156,7 +156,10 @@
 	availabilityZones: z.array(availabilityZone).min(1).readonly(),
 	/** Daemons contacted first. The VM list adds to them. */
 	seeds: z.array(seed).readonly().default([]),
-	store: remote,
+	store: remote.extend({
+		/** Calls per second that one daemon may make. */
+		callsPerSecond: z.number().min(1).max(10_000).default(200),
+	}),
 	vmList: remote.extend({pollMs: durationMs.default(1000)}),
 	weightStore: remote.optional(),
 	pools: z.array(z.discriminatedUnion('kind', [enginePool, servicePool])).readonly(),
