Divide grants into shares that are reserved before they are told

Cause: equal shares per daemon passed the grant whenever views of the fleet differed, and wasted it under uneven demand. Change: the owner of the plan's shard divides each grant by demand, writes the reservation to the grants object, and only then tells it; what a holder may still use stays reserved until it reports less, a later start of it shows, its VM is gone, or limits.shareMs (now 4 hours) is over, so an outage of the store freezes shares instead of ending them. Renewals carry sequence numbers, and the first report after a read never lowers a reservation. Ruled out: short leases of shares, which end in the first seconds of an outage; floors per daemon, which waste the grant.

--- a/src/limits/limits.contribution.ts
+++ b/src/limits/limits.contribution.ts
@@ -2,37 +2,130 @@
 import {joinDisposables} from '../base/common/disposable.js';
 import type {Context, Contribution} from '../kernel/common/contribution.js';
 import {registerContribution} from '../kernel/common/registry.js';
+import {shardsKey} from '../leases/common/shards.js';
 import {membershipKey} from '../membership/common/membership.js';
+import {peersKey} from '../peers/common/peers.js';
 import {configurationKey} from '../plans/common/configuration.js';
+import {storeKey} from '../platform/common/store.js';
+import {vmListKey} from '../platform/common/vm-list.js';
+import {settingsKey} from '../settings/common/settings.js';
 import {admissionKey} from './common/admission.js';
 import {capacityKey, createCapacity} from './common/capacity.js';
 import {limitConcurrency} from './common/concurrency.js';
 import {createGate} from './common/gate.js';
+import {createVanishedDaemons} from './common/vanished-daemons.js';
+import {createConnectShareLink, serveShares} from './node/connect-share-link.js';
+import {createShareClient, type ShareClient} from './node/share-client.js';
+import {createShareOwner, type ShareOwner} from './node/share-owner.js';
 
-const TICK_MS = 20;
+const ADMIT_MS = 20;
+const DIVIDE_MS = 200;
+const UNMET_MS = 200;
+const VM_LIST_MS = 5000;
+/** A release that the owner does not answer is given up: the shares stay reserved until the VM is gone. */
+const RELEASE_TIMEOUT_MS = 2000;
+
+function createSides(context: Context): {readonly owner: ShareOwner; readonly client: ShareClient} {
+	const {clock} = context;
+	const {daemon, limits} = context.use(settingsKey);
+	const shards = context.use(shardsKey);
+	const peers = context.use(peersKey);
+	const run = Math.round(clock.wall());
+	let sequence = 0;
+	const owner = createShareOwner({
+		shards,
+		store: context.use(storeKey),
+		clock,
+		endMs: limits.shareMs,
+		nextWriteId() {
+			sequence += 1;
+			return {writer: `${daemon.id}:${run}`, sequence: String(sequence)};
+		},
+	});
+	serveShares(peers, owner);
+	const client = createShareClient({
+		daemonId: daemon.id, run, shards, link: createConnectShareLink(daemon.id, peers, owner), clock, endMs: limits.shareMs,
+	});
+	return {owner, client};
+}
+
+/** Frees the shares of silent holders whose VM is gone. */
+function createCleanup(context: Context, owner: ShareOwner): () => Promise<void> {
+	const {clock} = context;
+	const membership = context.use(membershipKey);
+	const vmList = context.use(vmListKey);
+	const addresses = new Map<string, string>();
+	const vanished = createVanishedDaemons(daemonId => addresses.get(daemonId));
+
+	return async () => {
+		membership.members().forEach(member => {
+			addresses.set(member.id, `${member.address}:${member.peerPort}`);
+		});
+		const listed = await vmList.list();
+		if (listed.isErr()) {
+			return;
+		}
+
+		vanished.update(listed.value, clock.monotonic());
+		owner.silent().filter(daemonId => vanished.isGone(daemonId, clock.monotonic())).forEach(daemonId => {
+			context.log.info('frees the shares of a daemon whose VM is gone', {daemonId});
+			owner.forget(daemonId);
+		});
+	};
+}
 
 async function start(context: Context) {
+	const {clock, loop} = context;
 	const configuration = context.use(configurationKey);
 	const membership = context.use(membershipKey);
+	const shards = context.use(shardsKey);
 	const capacity = createCapacity();
+	const {owner, client} = createSides(context);
 	const countDaemons = () => Math.max(1, membership.members().filter(member => member.state === 'alive').length);
 	const gate = createGate({
 		grantOf: configuration.grant,
 		weightOf: plan => configuration.current().lists.plans.find(candidate => candidate.name === plan)?.weight ?? 1,
-		fractionOf: () => 1 / countDaemons(),
+		fractionOf: client.fractionOf,
 		concurrencyOf: (pool, running) => limitConcurrency({loads: capacity.loads(pool), running, daemons: countDaemons()}),
 		random: context.random,
 	});
 	context.provide(capacityKey, capacity);
 	context.provide(admissionKey, gate);
 
-	return joinDisposables([
-		context.loop.every({
-			name: 'admit requests', periodMs: TICK_MS, run: gate.tick,
+	const disposable = joinDisposables([
+		loop.every({
+			name: 'admit requests', periodMs: ADMIT_MS, run: gate.tick,
+		}),
+		loop.every({
+			name: 'divide grants', periodMs: DIVIDE_MS, jitterShare: 0.1, run: owner.tick,
+		}),
+		loop.every({
+			name: 'renew shares',
+			periodMs: context.use(settingsKey).limits.renewMs,
+			jitterShare: 0.1,
+			run: async now => client.renew(gate.demands(now)),
+		}),
+		loop.every({
+			name: 'renew unmet shares',
+			periodMs: UNMET_MS,
+			jitterShare: 0.1,
+			run: async now => client.renewUnmet(gate.demands(now)),
+		}),
+		loop.every({
+			name: 'free shares of vanished daemons', periodMs: VM_LIST_MS, jitterShare: 0.2, run: createCleanup(context, owner),
+		}),
+		shards.onDidLose(shard => {
+			owner.drop(shard);
 		}),
 	]);
+	return {
+		async drain() {
+			await Promise.race([client.release(), loop.sleep(RELEASE_TIMEOUT_MS)]);
+		},
+		dispose: disposable.dispose,
+	};
 }
 
-const contribution: Contribution = {id: 'limits', requires: ['membership', 'plans'], start};
+const contribution: Contribution = {id: 'limits', requires: ['leases', 'membership', 'peers', 'plans', 'platform'], start};
 
 registerContribution(contribution);
--- /dev/null
+++ b/src/limits/test/harness/share-world.ts
@@ -0,0 +1,243 @@
+/** Several daemons that share one grant under virtual time, with a record of every admitted request. */
+import {err, type Result} from 'neverthrow';
+import {
+	createDelayedStore, createGate, type Gate, type StoreControl,
+} from '../../../../test/fakes/faulty-store.js';
+import {createVirtualTime, type VirtualTime} from '../../../../test/fakes/virtual-loop.js';
+import {createOutcomeUnknown, type Failure} from '../../../base/common/failure.js';
+import type {Disposable} from '../../../base/common/disposable.js';
+import type {Random} from '../../../base/common/random.js';
+import type {Shards} from '../../../leases/common/shards.js';
+import type {Grant} from '../../../plans/common/lists.js';
+import {createMemoryStore} from '../../../platform/common/memory-store.js';
+import type {Store} from '../../../platform/common/store.js';
+import {createGate as createAdmission, type Gate as Admission} from '../../common/gate.js';
+import type {ShareAnswer} from '../../common/share-holder.js';
+import type {ShareLink} from '../../common/share-link.js';
+import {createShareClient, type ShareClient} from '../../node/share-client.js';
+import {createShareOwner, type ShareOwner} from '../../node/share-owner.js';
+
+/** Mechanisms that a scenario replaces by broken ones. */
+export type Breakage = {
+	readonly store?: (store: Store) => Store;
+	readonly link?: (link: ShareLink) => ShareLink;
+	readonly fractionOf?: (client: ShareClient) => ShareClient['fractionOf'];
+};
+
+type Daemon = {readonly gate: Gate; readonly owner: ShareOwner; readonly admission: Admission; readonly tasks: readonly Disposable[]};
+
+export type ShareWorld = {
+	readonly time: VirtualTime;
+	/** Times at which requests were admitted, over all daemons. */
+	readonly admitted: number[];
+	readonly refused: Failure[];
+	readonly store: StoreControl;
+	readonly daemonIds: readonly string[];
+	/** Sends requests at a rate to one daemon until the demand is set anew. */
+	readonly setDemand: (daemonId: string, perSecond: number) => void;
+	readonly pause: (daemonId: string, durationMs: number) => void;
+	readonly restart: (daemonId: string) => void;
+	readonly moveLease: (daemonId: string | undefined, overlapMs: number) => void;
+	/** Cuts a daemon off from the others, or joins it again. */
+	readonly setCut: (daemonId: string, cut: boolean) => void;
+	readonly admittedBy: (daemonId: string) => number;
+};
+
+export const grant: Grant = {
+	plan: 'plan', pool: 'pool', requestsPerSecond: 25, burstSeconds: 1,
+};
+const END_MS = 3_600_000;
+const LINK_TIMEOUT_MS = 1000;
+
+export function createShareWorld(random: Random, breakage: Breakage = {}): ShareWorld {
+	const time = createVirtualTime(random);
+	const {clock, loop} = time;
+	const memory = createMemoryStore();
+	const control: StoreControl = {down: false, lostShare: 0, random};
+	const daemons = new Map<string, Daemon>();
+	const daemonIds = ['entry-1', 'entry-2', 'entry-3', 'entry-4'];
+	const admitted: number[] = [];
+	const byDaemon = new Map<string, number>();
+	const refused: Failure[] = [];
+	const demands = new Map<string, Disposable>();
+	const beliefs = new Map<string, {readonly until: number; readonly fencing: number}>();
+	const cut = new Set<string>();
+	let holder: string | undefined = 'entry-1';
+	let fencing = 1;
+	let starts = 0;
+
+	const shardsOf = (id: string): Pick<Shards, 'count' | 'holding' | 'owner' | 'reportWrongOwner'> => ({
+		count: 1,
+		holding(shard, now) {
+			const belief = beliefs.get(id);
+			if (holder === id) {
+				return {shard, fencing, validUntil: now + 1000};
+			}
+
+			return belief !== undefined && now < belief.until ? {shard, fencing: belief.fencing, validUntil: belief.until} : undefined;
+		},
+		owner: shard => holder === undefined
+			? undefined
+			: {
+				shard, daemonId: holder, address: '127.0.0.1', peerPort: 1,
+			},
+		reportWrongOwner: () => undefined,
+	});
+
+	function createLink(id: string, gate: Gate): ShareLink {
+		return {
+			async renew(owner, renewal) {
+				const lost = (): Result<ShareAnswer, Failure> => err(createOutcomeUnknown('unavailable', {step: 'renew', peer: owner.daemonId}, 'lost'));
+				const target = daemons.get(owner.daemonId);
+				await gate.pass();
+				const exchange = async () => {
+					await loop.sleep(random() * 20);
+					if (target === undefined || (owner.daemonId !== id && (cut.has(id) || cut.has(owner.daemonId)))) {
+						return lost();
+					}
+
+					await target.gate.pass();
+					const answer = target.owner.renew(owner.shard, renewal);
+					await loop.sleep(random() * 20);
+					await target.gate.pass();
+					return random() < 0.02 ? lost() : answer;
+				};
+
+				const answered = await Promise.race([exchange(), loop.sleep(LINK_TIMEOUT_MS).then(lost)]);
+				await gate.pass();
+				return answered;
+			},
+		};
+	}
+
+	function start(id: string): void {
+		starts += 1;
+		const run = starts;
+		const gate = createGate(time);
+		let sequence = 0;
+		const delayed = createDelayedStore(memory.open(), time, gate, control);
+		const owner = createShareOwner({
+			shards: shardsOf(id),
+			store: breakage.store?.(delayed) ?? delayed,
+			clock,
+			endMs: END_MS,
+			nextWriteId() {
+				sequence += 1;
+				return {writer: `${id}:${run}`, sequence: String(sequence)};
+			},
+		});
+		const link = createLink(id, gate);
+		const client = createShareClient({
+			daemonId: id, run, shards: shardsOf(id), link: breakage.link?.(link) ?? link, clock, endMs: END_MS,
+		});
+		const admission = createAdmission({
+			grantOf: () => grant,
+			weightOf: () => 1,
+			fractionOf: breakage.fractionOf?.(client) ?? client.fractionOf,
+			concurrencyOf: () => 1000,
+			random,
+		});
+		const every = (name: string, periodMs: number, run: (now: number) => Promise<void> | void) => loop.every({
+			name,
+			periodMs,
+			jitterShare: 0.1,
+			async run(now) {
+				await gate.pass();
+				await run(now);
+			},
+		});
+		daemons.get(id)?.tasks.forEach(task => {
+			task.dispose();
+		});
+		daemons.set(id, {
+			gate,
+			owner,
+			admission,
+			tasks: [
+				every('tick', 50, () => {
+					admission.tick(clock.monotonic());
+				}),
+				every('divide', 200, owner.tick),
+				every('renew', 1000, async () => client.renew(admission.demands(clock.monotonic()))),
+				every('unmet', 200, async () => client.renewUnmet(admission.demands(clock.monotonic()))),
+			],
+		});
+	}
+
+	async function sendOne(id: string): Promise<void> {
+		const daemon = daemons.get(id);
+		await daemon?.gate.pass();
+		const now = clock.monotonic();
+		const result = await daemon?.admission.admit({
+			plan: 'plan', pool: 'pool', tokens: 0, deadline: now + 5000,
+		}, now, new AbortController().signal);
+		result?.match(ticket => {
+			admitted.push(clock.monotonic());
+			byDaemon.set(id, (byDaemon.get(id) ?? 0) + 1);
+			loop.after(50, at => {
+				ticket.release(at, 0);
+			});
+		}, failure => {
+			refused.push(failure);
+		});
+	}
+
+	daemonIds.forEach(start);
+	return {
+		time,
+		admitted,
+		refused,
+		store: control,
+		daemonIds,
+		setDemand(daemonId, perSecond) {
+			demands.get(daemonId)?.dispose();
+			if (perSecond > 0) {
+				demands.set(daemonId, loop.every({
+					name: 'demand',
+					periodMs: 1000 / perSecond,
+					run() {
+						void sendOne(daemonId);
+					},
+				}));
+			}
+		},
+		pause(daemonId, durationMs) {
+			daemons.get(daemonId)?.gate.pause(durationMs);
+		},
+		restart(daemonId) {
+			daemons.get(daemonId)?.gate.kill();
+			beliefs.delete(daemonId);
+			start(daemonId);
+		},
+		moveLease(daemonId, overlapMs) {
+			if (holder !== undefined) {
+				beliefs.set(holder, {until: clock.monotonic() + overlapMs, fencing});
+			}
+
+			fencing += 1;
+			holder = daemonId;
+		},
+		setCut(daemonId, isCut) {
+			if (isCut) {
+				cut.add(daemonId);
+				return;
+			}
+
+			cut.delete(daemonId);
+		},
+		admittedBy: daemonId => byDaemon.get(daemonId) ?? 0,
+	};
+}
+
+/**
+ * Checks from the admissions alone that no window of time holds more than the grant: a bucket of the whole grant, filled
+ * at the start, must never run dry. Returns the largest excess, in requests.
+ */
+export function checkGrant(admitted: readonly number[]): number {
+	const {requestsPerSecond, burstSeconds} = grant;
+	const capacity = requestsPerSecond * burstSeconds;
+	return admitted.toSorted((a, b) => a - b).reduce((state, at) => {
+		const level = Math.min(capacity, state.level + ((at - state.at) * requestsPerSecond / 1000)) - 1;
+		return {at, level, excess: Math.max(state.excess, -level)};
+	}, {at: 0, level: capacity, excess: 0}).excess;
+}
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -95,8 +95,8 @@
 });
 
 const limits = z.strictObject({
-	/** How long a share of a grant lasts once it is given to a daemon. */
-	shareMs: durationMs.default(4000),
+	/** How long a daemon goes on with its share of a grant when it cannot renew it, such as in an outage of the store. */
+	shareMs: durationMs.default(14_400_000),
 	renewMs: durationMs.default(1000),
 });
 
