Count a test file as failed when its runner lost tests

Cause: an error thrown in an after-each hook ends a uvu suite early with exit code 0; a file with 1 of 6 tests run was reported as passed. Ruled out: the exit code and the FAIL lines; both are clean in that case. Change: scripts/test.ts compares the counts of total and passed. Conclusion: a suite that stops early fails.

--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -44,7 +44,9 @@
 	const plain = stripVTControlCharacters(output);
 	const failures = [...plain.matchAll(/^\s*FAIL\s.*"(.*)"$/gm)].map(match => match[1] ?? '');
 	const passed = Number(/Passed:\s+(\d+)/.exec(plain)?.[1] ?? 0);
-	const broke = exitCode !== 0 && failures.length === 0;
+	const total = Number(/Total:\s+(\d+)/.exec(plain)?.[1] ?? 0);
+	// The runner swallows errors thrown by hooks, so the counts are compared as well.
+	const broke = failures.length === 0 && (exitCode !== 0 || passed !== total);
 	return {
 		file, output, passed, failures: broke ? [`${file} did not run to its end`] : failures,
 	};
