--- a/test/fakes/daemon-fleet.ts
+++ b/test/fakes/daemon-fleet.ts
@@ -10,7 +10,7 @@
 import type {Loop} from '../../src/kernel/common/loop.js';
 import {LeaseLink} from '../../src/leases/common/lease-link.js';
 import {createShardsService, type ShardsOptions} from '../../src/leases/common/shards-service.js';
-import type {GossipMessage} from '../../src/membership/common/gossip.js';
+import type {BucketPage, GossipMessage} from '../../src/membership/common/gossip.js';
 import {GossipLink} from '../../src/membership/common/gossip-link.js';
 import type {Member, Membership} from '../../src/membership/common/membership.js';
 import {createMembershipService, type MembershipOptions} from '../../src/membership/common/membership-service.js';
@@ -159,6 +159,7 @@
 	readonly daemons: Map<string, FleetDaemon>;
 	readonly random: () => number;
 	readonly onMessage?: (from: string, to: string, message: GossipMessage) => void;
+	readonly onPage?: (from: string, to: string, page: BucketPage) => void;
 };
 
 function startDaemon(fabric: Fabric, profile: DaemonProfile, seeds: readonly PeerAddress[]) {
@@ -215,7 +216,11 @@
 			};
 
 			override probe: GossipLink['probe'] = async (helper, peer) => call(helper, 2000, async target => target.membership.receiver.probe(peer));
-			override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => target.membership.receiver.pull(bucket, page));
+			override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => {
+				const pulled = target.membership.receiver.pull(bucket, page);
+				fabric.onPage?.(peer.address, profile.id, pulled);
+				return pulled;
+			});
 		})(),
 		loop, clock, random, log: silentLog, ...profile.membership,
 	});
@@ -256,7 +261,7 @@
 }
 
 /** Creates an empty fleet. */
-export function createDaemonFleet(seed: number, onMessage?: Fabric['onMessage']) {
+export function createDaemonFleet(seed: number, onMessage?: Fabric['onMessage'], onPage?: Fabric['onPage']) {
 	const random = createSeededRandom(seed);
 	const time = createVirtualTime(random);
 	const memory = createMemoryStore();
@@ -265,7 +270,7 @@
 		isCut: () => false, store: () => 'none', isStale: () => false, isWatching: () => true,
 	};
 	const fabric: Fabric = {
-		time, memory, faults, daemons, random, ...(onMessage && {onMessage}),
+		time, memory, faults, daemons, random, ...(onMessage && {onMessage}), ...(onPage && {onPage}),
 	};
 	return {
 		time,
