--- a/test/fakes/configuration-record.ts
+++ b/test/fakes/configuration-record.ts
@@ -43,12 +43,13 @@
 		sights,
 		proposals,
 		history,
-		follow(daemon: FleetDaemon) {
+		/** Looks at what is in force on a daemon; the label tells its starts apart where that matters. */
+		follow(daemon: FleetDaemon, label = daemon.id) {
 			void daemon.ready.then(() => daemon.process.loop.every({
 				name: 'look',
 				periodMs: LOOK_MS,
 				run() {
-					sights.push({at: fleet.time.clock.monotonic(), daemonId: daemon.id, version: daemon.configuration.current().version});
+					sights.push({at: fleet.time.clock.monotonic(), daemonId: label, version: daemon.configuration.current().version});
 				},
 			}));
 		},
--- a/test/fakes/daemon-fleet.ts
+++ b/test/fakes/daemon-fleet.ts
@@ -101,10 +101,10 @@
 		loop,
 		state: () => state,
 		freeze() {
-			state = 'frozen';
+			state = state === 'killed' ? state : 'frozen';
 		},
 		thaw() {
-			state = 'running';
+			state = state === 'killed' ? state : 'running';
 			waiting.splice(0).forEach(action => {
 				action();
 			});
--- a/test/fakes/shard-effects.ts
+++ b/test/fakes/shard-effects.ts
@@ -62,6 +62,10 @@
 		freezeAfterLook(daemonId: string) {
 			frozenAfterLook.add(daemonId);
 		},
+		/** Withdraws the freezes that have not happened yet. */
+		cancelFreezes() {
+			frozenAfterLook.clear();
+		},
 	};
 }
 
