--- a/bench/slopes.bench.ts
+++ b/bench/slopes.bench.ts
@@ -1,8 +1,11 @@
 /** Slopes: what one unit of each role costs on this machine. docs/CAPACITY.md works out the planned size from them. */
 import process from 'node:process';
 import type {Figure} from './figure.js';
+import {measureClaims} from './slopes/claims.js';
+import {measureAdmission, measureRouting} from './slopes/decisions.js';
 import {measureFleet, type FleetCost} from './slopes/fleet.js';
 import {measurePeerCall, type PeerCallCost} from './slopes/peer-calls.js';
+import {measureChunks, measureStep} from './slopes/steps.js';
 
 export const title = 'Slopes of each role';
 
@@ -27,12 +30,52 @@
 	];
 }
 
+const PLANS = [10, 1000];
+const WORKERS = [9, 110, 1100];
+
+async function runInTurn<T>(values: readonly number[], measure: (value: number) => Promise<T>): Promise<readonly T[]> {
+	return values.reduce<Promise<readonly T[]>>(async (previous, value) => [...await previous, await measure(value)], Promise.resolve([]));
+}
+
+async function describeDecisions(): Promise<readonly Figure[]> {
+	const admissions = await runInTurn(PLANS, measureAdmission);
+	const routings = await runInTurn(WORKERS, measureRouting);
+	return [
+		...admissions.map((cpuUs, index) => ({name: `admission and release of a request, ${PLANS[index]} plans`, value: cpuUs, unit: 'µs'})),
+		...routings.flatMap(({cpuUs, heapBytesPerServer}, index) => [
+			{name: `choice of a server and end of the dispatch, ${WORKERS[index]} workers`, value: cpuUs, unit: 'µs'},
+			{name: `heap of the router per worker, ${WORKERS[index]} workers`, value: heapBytesPerServer, unit: 'B'},
+		]),
+	];
+}
+
+async function describeOwners(): Promise<readonly Figure[]> {
+	const claims = await measureClaims();
+	const step = await measureStep();
+	const chunksUs = await measureChunks();
+	return [
+		{name: 'claims that one shard grants, writes of 4 ms', value: claims.claimsPerSecond, unit: 'claims/s'},
+		{name: 'claims in one write', value: claims.claimsPerWrite, unit: ''},
+		{name: 'processor time of a claim at the owner', value: claims.cpuUsPerClaim, unit: 'µs'},
+		{name: 'bytes written per claim', value: claims.bytesPerClaim, unit: 'B'},
+		{name: 'heap per remembered claim', value: claims.heapBytesPerClaim, unit: 'B'},
+		{name: 'heap of a whole step, 1,024 samples of 400 tokens', value: step.heapBytes, unit: 'B'},
+		{name: 'processor time of the schedule per sample of 50 chunks', value: step.cpuUsPerSample, unit: 'µs'},
+		{name: 'ledger of a step of 128 groups', value: step.ledgerBytes, unit: 'B'},
+		{name: 'stream of 1,000 chunks from an engine, both ends', value: chunksUs, unit: 'µs'},
+	];
+}
+
 export async function run(): Promise<readonly Figure[]> {
 	const call = await measurePeerCall(Array.from({length: DIGESTS}, (_, index) => index * 1_000_003));
-	const fleets = await FLEET_SIZES.reduce<Promise<readonly FleetCost[]>>(async (previous, size) => [...await previous, await measureFleet(size)], Promise.resolve([]));
+	const decisions = await describeDecisions();
+	const owners = await describeOwners();
+	const fleets = await runInTurn(FLEET_SIZES, measureFleet);
 	return [
 		{name: 'call between daemons: bytes of headers and framing, both ways', value: call.overheadBytes, unit: 'B'},
 		{name: 'call between daemons: processor time of both ends', value: call.cpuUs, unit: 'µs'},
+		...decisions,
+		...owners,
 		...fleets.flatMap(cost => describeFleet(cost, call)),
 	];
 }
--- a/bench/slopes/peer-calls.ts
+++ b/bench/slopes/peer-calls.ts
@@ -19,7 +19,8 @@
 	readonly cpuUs: number;
 };
 
-const WARM_UP_CALLS = 300;
+/** A daemon runs for days: the compiler must have finished with the calls. */
+const WARM_UP_CALLS = 6000;
 const CALLS = 2000;
 const CONCURRENT_CALLS = 4;
 
