Show a training step under faults in one process: npm run demo

Cause: nothing showed the whole path at once. Change: three daemons and the stand-ins of the platform on loopback ports; a step of 64 samples in groups of 8 with an engine crash and a weight swap in its middle; figures judged from what the trainer and the engines saw only. Non-zero exit when a sample is missing, doubled, stale or mislabelled. Ruled out: the engines' first version counted as published, because an engine on an unpublished version takes no rollouts; the demo publishes version 1 first. Ports are taken below the range of outgoing connections, which could have taken them.

--- /dev/null
+++ b/src/code/node/demo/platform.ts
@@ -0,0 +1,98 @@
+/** A platform with engines and a plain service in the demo's own process, on free ports of the loopback interface. */
+import {joinDisposables, type Disposable} from '../../../base/common/disposable.js';
+import type {Vm} from '../../../platform/common/vm-list.js';
+import {createEngineStandin, type StreamEntry} from '../../../standins/node/engine-standin.js';
+import {createScorerStandin} from '../../../standins/node/scorer-standin.js';
+import {createServiceStandin} from '../../../standins/node/service-standin.js';
+import type {Listening, Standin} from '../../../standins/node/standin-server.js';
+import {createStoreStandin} from '../../../standins/node/store-standin.js';
+import {createVmListStandin} from '../../../standins/node/vm-list-standin.js';
+import {createWeightStoreStandin} from '../../../standins/node/weight-store-standin.js';
+import {
+	availabilityZones, ENGINES, enginePool, loopback, model, servicePool, SLOTS_PER_ENGINE,
+} from './world.js';
+
+/** A running platform. */
+export type DemoPlatform = Disposable & {
+	readonly storeUrl: string;
+	readonly vmListUrl: string;
+	readonly weightStoreUrl: string;
+	readonly scorerUrl: string;
+	readonly crashEngine: (index: number) => void;
+	/** All streams that the engines have seen. */
+	readonly streams: () => readonly StreamEntry[];
+};
+
+const TOKEN_MS = 4;
+const CHUNK_TOKENS = 4;
+const FETCH_MS = 100;
+const LOAD_MS = 200;
+const SERVICE_WORK_MS = 5;
+
+function urlOf(listening: Listening): string {
+	return `http://${listening.address}:${listening.port}`;
+}
+
+async function listen(standin: Standin): Promise<Listening> {
+	return standin.listen({address: loopback, port: 0});
+}
+
+function createEngine(index: number, weightStoreUrl: string): Standin {
+	return createEngineStandin({
+		id: `engine-${index + 1}`,
+		models: {[model]: 1},
+		fencing: 'checked',
+		slots: SLOTS_PER_ENGINE,
+		tokenMs: TOKEN_MS,
+		chunkTokens: CHUNK_TOKENS,
+		loadMs: LOAD_MS,
+		weightStoreUrl,
+	});
+}
+
+function describeVm(listening: Listening, pool: string, index: number): Vm {
+	return {
+		id: `${pool}-${index + 1}`,
+		address: listening.address,
+		port: listening.port,
+		availabilityZone: availabilityZones[index % availabilityZones.length]?.name ?? '',
+		state: 'live',
+		pool,
+	};
+}
+
+function readStreams(engine: Standin): readonly StreamEntry[] {
+	// The record of an engine holds its streams.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	return (engine.record() as {readonly streams: readonly StreamEntry[]}).streams;
+}
+
+/** Starts the platform. `entryVms` are the VMs that run daemons, as the VM list shows them. */
+export async function startDemoPlatform(entryVms: readonly Vm[]): Promise<DemoPlatform> {
+	const store = await listen(createStoreStandin());
+	const scorer = await listen(createScorerStandin());
+	const weightStore = await listen(createWeightStoreStandin({models: {[model]: 1}, concurrentFetches: 2, fetchMs: FETCH_MS}));
+	const engines = Array.from({length: ENGINES}, (_, index) => createEngine(index, urlOf(weightStore)));
+	const listeningEngines = await Promise.all(engines.map(async engine => listen(engine)));
+	const service = await listen(createServiceStandin({id: `${servicePool}-1`, slots: SLOTS_PER_ENGINE, workMs: SERVICE_WORK_MS}));
+	const vms = [
+		...entryVms,
+		...listeningEngines.map((listening, index) => describeVm(listening, enginePool, index)),
+		describeVm(service, servicePool, 0),
+	];
+	const vmList = await listen(createVmListStandin({vms}));
+	const all = joinDisposables([store, scorer, weightStore, ...listeningEngines, service, vmList]);
+	return {
+		storeUrl: urlOf(store),
+		vmListUrl: urlOf(vmList),
+		weightStoreUrl: urlOf(weightStore),
+		scorerUrl: urlOf(scorer),
+		crashEngine(index) {
+			engines[index]?.crash();
+		},
+		streams: () => engines.flatMap(engine => readStreams(engine)),
+		dispose() {
+			all.dispose();
+		},
+	};
+}
--- a/src/code/node/free-ports.ts
+++ b/src/code/node/free-ports.ts
@@ -1,23 +1,33 @@
 /** Finds free TCP ports for daemons that share one machine, such as those of the demo. */
-import {createServer, type AddressInfo, type Server} from 'node:net';
+import {randomInt} from 'node:crypto';
+import {createServer, type Server} from 'node:net';
 
-async function listen(address: string): Promise<Server> {
-	return new Promise((resolve, reject) => {
+/** Below the range from which systems take ports of outgoing connections, which could occupy a port before its daemon does. */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 32_000;
+
+type Held = {
+	readonly port: number;
+	readonly server: Server;
+};
+
+async function hold(address: string, port: number): Promise<Held | undefined> {
+	return new Promise(resolve => {
 		const server = createServer();
-		server.once('error', reject);
-		server.listen(0, address, () => {
-			resolve(server);
+		server.once('error', () => {
+			resolve(undefined);
+		});
+		server.listen(port, address, () => {
+			resolve({port, server});
 		});
 	});
 }
 
-function portOf(server: Server): number {
-	// A server that listens on TCP has an address with a port.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-	return (server.address() as AddressInfo).port;
+async function holdAny(address: string): Promise<Held> {
+	return await hold(address, randomInt(FIRST_PORT, LAST_PORT)) ?? holdAny(address);
 }
 
-async function close(server: Server): Promise<void> {
+async function close({server}: Held): Promise<void> {
 	await new Promise<void>(resolve => {
 		server.close(() => {
 			resolve();
@@ -27,9 +37,8 @@
 
 /** Returns `count` different ports that are free on an address now. Another process may still take them first. */
 export async function findFreePorts(address: string, count: number): Promise<readonly number[]> {
-	// All are open at once, so that the system does not give one out twice.
-	const servers = await Promise.all(Array.from({length: count}, async () => listen(address)));
-	const ports = servers.map(server => portOf(server));
-	await Promise.all(servers.map(async server => close(server)));
-	return ports;
+	// All are held at once, so that no port is found twice.
+	const held = await Promise.all(Array.from({length: count}, async () => holdAny(address)));
+	await Promise.all(held.map(async entry => close(entry)));
+	return held.map(entry => entry.port);
 }
--- a/src/code/node/main.ts
+++ b/src/code/node/main.ts
@@ -4,6 +4,7 @@
 import createParser from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {exitCodes} from '../common/exit-code.js';
+import {demoCommand} from './commands/demo.js';
 import {auditCommand, drainCommand, statusCommand} from './commands/fleet.js';
 import {keysCommand} from './commands/keys.js';
 import {plansCommand} from './commands/plans.js';
@@ -19,6 +20,7 @@
 await createParser(hideBin(process.argv))
 	.scriptName('rosemaryshore')
 	.command(serveCommand)
+	.command(demoCommand)
 	.command(settingsCommand)
 	.command(plansCommand)
 	.command(statusCommand)
