Never ask for a refused second stream again at once; reorder lost loads; bench of rollouts

Ruled out: a slower loop for hedges (the refusal's own time to return is known). Change: hedges wait for notBefore and use slots that nobody needs; a reading that began after an order was accepted and shows neither loading nor the version counts as lost; streams on engines that load weights take no slot; the longest surplus groups wait.

--- /dev/null
+++ b/bench/rollout-deployment.ts
@@ -0,0 +1,297 @@
+/**
+ * One deployment under virtual time: trainers that share engines through the real owners, schedules, divisions, waves and
+ * routing, with slow, stalled and crashed engines on the way. What differs between two runs is the policy only.
+ */
+import {ok} from 'neverthrow';
+import type {Holding} from '../src/leases/common/shards.js';
+import {createMemoryStore} from '../src/platform/common/memory-store.js';
+import {createGenerationRunner, type RunnerOptions} from '../src/rollouts/common/generation-runner.js';
+import {chooseEngines} from '../src/rollouts/common/engine-choice.js';
+import {createLedgerKeeper} from '../src/rollouts/common/ledger-keeper.js';
+import {createLengthForecast} from '../src/rollouts/common/length-forecast.js';
+import {budgetOf, type SlotDivision} from '../src/rollouts/common/slot-division.js';
+import {createStalenessRule} from '../src/rollouts/common/staleness.js';
+import type {Batch, StepRequest} from '../src/rollouts/common/step.js';
+import {createStepRun} from '../src/rollouts/common/step-run.js';
+import {createStepSchedule} from '../src/rollouts/common/step-schedule.js';
+import {createTrainerOwner, type TrainerOwner} from '../src/rollouts/common/trainer-owner.js';
+import {createDispatcher} from '../src/routing/common/dispatcher.js';
+import {createLoadEstimate} from '../src/routing/common/load-estimate.js';
+import {createPrefixIndex} from '../src/routing/common/prefix-index.js';
+import {defaultCostWeights} from '../src/routing/common/server-cost.js';
+import {createServerTable} from '../src/routing/common/server-table.js';
+import {createPoolOwner} from '../src/weights/common/pool-owner.js';
+import {createSeededRandom, createVirtualTime, type VirtualTime} from '../test/fakes/virtual-loop.js';
+import {createEngineModel, createLengths, type EngineModel} from './engine-model.js';
+
+export type Policy = {
+	readonly isRoundRobin: boolean;
+	readonly canHedge: boolean;
+	readonly canResume: boolean;
+	readonly longestFirst: boolean;
+	readonly stallMs: number;
+	readonly waveShare: number;
+	readonly concurrentLoads: number;
+	readonly division: SlotDivision;
+	readonly measure: 'idle' | 'staleness';
+};
+
+export type TrainerPlan = {
+	readonly name: string;
+	readonly groups: number;
+	readonly samplesPerGroup: number;
+	readonly meanTokens: number;
+	readonly trainMs: number;
+};
+
+export type Deployment = {
+	readonly name: string;
+	readonly zones: ReadonlyArray<{readonly zone: string; readonly region: string}>;
+	readonly engines: number;
+	readonly trainers: readonly TrainerPlan[];
+	readonly stalenessBound: number;
+	readonly enough: number;
+	readonly durationMs: number;
+	readonly seed: number;
+};
+
+export type StepWork = {
+	readonly tokens: number;
+	/** Tokens of the longest sample. */
+	readonly longest: number;
+};
+
+export type Outcome = {
+	readonly idleMs: number;
+	/** Seconds from the publication of a sample's oldest version to its hand-over. */
+	readonly ages: readonly number[];
+	readonly overBound: number;
+	/** The samples handed over in each step, per trainer in the order of the steps. */
+	readonly work: ReadonlyArray<readonly StepWork[]>;
+	readonly steps: number;
+	readonly generated: number;
+};
+
+const SLOTS = 16;
+const ENGINE_TOKENS_PER_SECOND = 480;
+/** Tokens per second of one stream in a small batch. */
+export const STREAM_TOKENS_PER_SECOND = 48;
+const LOADS_SUSTAINED = 2;
+const LOAD_MS = 6000;
+const MAXIMUM_TOKENS = 1024;
+const held: Holding = {shard: 0, fencing: 1, validUntil: Number.POSITIVE_INFINITY};
+
+/** Tokens per second of all engines together. */
+export function tokenRateOf(deployment: Deployment): number {
+	return deployment.engines * ENGINE_TOKENS_PER_SECOND;
+}
+
+/** The same faults in every run of a seed: slow, stalled and crashed engines. */
+function scheduleFaults(time: VirtualTime, engines: readonly EngineModel[], deployment: Deployment): void {
+	const random = createSeededRandom(deployment.seed);
+	const count = Math.floor(deployment.durationMs / 45_000);
+	Array.from({length: count}, (_, index) => index).forEach(index => {
+		const engine = engines[Math.floor(random() * engines.length)]!;
+		const kind = random();
+		const lengthMs = 10_000 + (random() * 20_000);
+		time.loop.after((index * 45_000) + (random() * 40_000), () => {
+			if (kind < 0.2) {
+				engine.crash(lengthMs);
+				return;
+			}
+
+			engine.setSpeed(kind < 0.6 ? 0.25 : 0);
+			time.loop.after(lengthMs, () => {
+				engine.setSpeed(1);
+			});
+		});
+	});
+}
+
+type Routing = Pick<RunnerOptions['router'], 'dispatch' | 'load'>;
+
+function createRoundRobin(engines: readonly EngineModel[], zones: Deployment['zones']): Routing {
+	let last = 0;
+	const dispatch: Routing['dispatch'] = request => {
+		const allowed = engines.filter(engine => request.allowed?.includes(engine.id));
+		last += 1;
+		const {id} = allowed[last % Math.max(1, allowed.length)] ?? engines[0]!;
+		const place = zones[0]!;
+		return ok({
+			server: {
+				id, address: '127.0.0.1', port: 1, pool: 'p', availabilityZone: place.zone, region: place.region, state: 'live',
+			},
+			end: () => undefined,
+		});
+	};
+
+	return {dispatch, load: () => ({requests: 0, slots: SLOTS})};
+}
+
+function createRouting(time: VirtualTime, engines: readonly EngineModel[], deployment: Deployment): Routing {
+	const table = createServerTable(zone => deployment.zones.find(place => place.zone === zone)?.region);
+	table.update(engines.map((engine, index) => ({
+		id: engine.id,
+		address: '127.0.0.1',
+		port: index,
+		availabilityZone: deployment.zones[index % deployment.zones.length]!.zone,
+		state: 'live',
+		pool: 'p',
+	})), 0);
+	const loads = createLoadEstimate(() => SLOTS);
+	time.loop.every({
+		name: 'loads', periodMs: 500, async run(now) {
+			await Promise.all(engines.map(async engine => {
+				const report = await engine.engine.load();
+				report.andTee(value => {
+					loads.report(engine.id, value, now);
+				});
+			}));
+		},
+	});
+	const dispatcher = createDispatcher({
+		table,
+		loads,
+		prefixes: createPrefixIndex(10_000),
+		weights: defaultCostWeights,
+		ownRegion: deployment.zones[0]!.region,
+		random: createSeededRandom(deployment.seed + 1),
+		reservedElsewhere: () => false,
+	});
+	return {dispatch: dispatcher.dispatch, load: loads.read};
+}
+
+export async function runDeployment(deployment: Deployment, policy: Policy): Promise<Outcome> {
+	const time = createVirtualTime(createSeededRandom(deployment.seed + 2));
+	const {loop, clock: {monotonic}} = time;
+	const models = deployment.trainers.map(trainer => trainer.name);
+	const weightStore = {loads: 0, concurrent: LOADS_SUSTAINED};
+	const lengths = new Map(deployment.trainers.map(trainer => [trainer.name, createLengths(trainer.meanTokens, MAXIMUM_TOKENS)]));
+	const engines = Array.from({length: deployment.engines}, (_, index) => createEngineModel({
+		id: `engine-${index}`,
+		loop,
+		models,
+		slots: SLOTS,
+		tokensPerSecond: ENGINE_TOKENS_PER_SECOND,
+		streamTokensPerSecond: STREAM_TOKENS_PER_SECOND,
+		prefillTokensPerSecond: 8000,
+		loadMs: LOAD_MS,
+		fencing: 'checked',
+		startVersion: 1,
+		weightStore,
+		lengthOf: (prompt, seed) => lengths.get(prompt.split(' ', 1)[0]!)!(prompt, seed),
+	}));
+	const routing = policy.isRoundRobin ? createRoundRobin(engines, deployment.zones) : createRouting(time, engines, deployment);
+	const memory = createMemoryStore().open();
+	const published = new Map<string, number>(models.map(model => [`${model}/1`, 0]));
+	const ages: number[] = [];
+	const work: StepWork[][] = deployment.trainers.map(() => []);
+	const owners = new Map<string, TrainerOwner>();
+	let idleMs = 0;
+	let overBound = 0;
+
+	const pool = createPoolOwner({
+		pool: 'p', daemonId: 'd', models, fencing: 'checked', leaseMs: 6000, monotonic, holding: () => held, record: () => undefined, onFailure: () => undefined,
+		limits: {
+			waveShare: policy.waveShare, concurrentLoads: policy.concurrentLoads, loadTimeoutMs: 60_000, pollMs: 500,
+		},
+		engines: () => engines.map(engine => ({id: engine.id, engine: engine.engine})),
+	}, held, 0);
+
+	function createOwner(trainer: TrainerPlan): TrainerOwner {
+		const forecast = createLengthForecast();
+		const runner = createGenerationRunner({
+			admission: {admit: async () => ok({release: () => undefined})},
+			router: {...routing, engine: server => engines.find(engine => engine.id === server.id)!.engine},
+			monotonic, pool: 'p', model: trainer.name, plan: () => 'plan', deadlineMs: 240_000, onFailure: () => undefined,
+		});
+		return createTrainerOwner({
+			trainer: trainer.name,
+			keeper: createLedgerKeeper(memory, trainer.name, 'd'),
+			loop, monotonic, holding: () => held, maximumBatch: 64,
+			slots(now) {
+				const usable = pool.book.engines(trainer.name).filter(engine => engine.usable).length;
+				return budgetOf(policy.division, usable * SLOTS, [...owners.values()].map(owner => owner.demand(now)), trainer.name);
+			},
+			allowed: (_request, weightVersion) => chooseEngines({
+				pool: 'p', model: trainer.name, target: pool.book.target(trainer.name), engines: pool.book.engines(trainer.name),
+			}, {oldestAllowed: createStalenessRule(deployment.stalenessBound).oldestAllowed(weightVersion), weightVersion}, policy.measure),
+			createRun: (request, required) => createStepRun({
+				request, runner, scores: undefined, monotonic,
+				schedule: createStepSchedule({
+					...policy, request, required, forecast, stalenessBound: deployment.stalenessBound, attemptPrefix: `${trainer.name}.${request.step}`,
+				}),
+			}),
+		});
+	}
+
+	function noteBatch(trainer: TrainerPlan, batch: Batch, weightVersion: number): void {
+		batch.samples.forEach(sample => {
+			ages.push((monotonic() - published.get(`${trainer.name}/${sample.oldestVersion}`)!) / 1000);
+			overBound += sample.oldestVersion < weightVersion - deployment.stalenessBound ? 1 : 0;
+		});
+	}
+
+	/** Pulls until the step is done; returns what was handed over. */
+	async function pullAll(trainer: TrainerPlan, request: StepRequest, cursor: number, before: StepWork): Promise<StepWork> {
+		const pulled = await owners.get(trainer.name)!.pull({
+			trainer: trainer.name, step: request.step, cursor, weightVersion: request.weightVersion, waitMs: 1000,
+		});
+		if (pulled.isErr()) {
+			throw new Error(pulled.error.message);
+		}
+
+		noteBatch(trainer, pulled.value, request.weightVersion);
+		const sum = pulled.value.samples.reduce<StepWork>(({tokens, longest}, sample) => ({tokens: tokens + sample.tokens, longest: Math.max(longest, sample.tokens)}), before);
+		return pulled.value.done ? sum : pullAll(trainer, request, pulled.value.batch, sum);
+	}
+
+	async function runTrainer(trainer: TrainerPlan, index: number, step: number): Promise<void> {
+		const request: StepRequest = {
+			trainer: trainer.name,
+			step,
+			weightVersion: step,
+			samplesPerGroup: trainer.samplesPerGroup,
+			stalenessBound: undefined,
+			enough: deployment.enough,
+			maximumTokens: MAXIMUM_TOKENS,
+			deadlineMs: undefined,
+			// Prompts come again, as over the epochs of a training run.
+			prompts: Array.from({length: trainer.groups}, (_, group) => `${trainer.name} ${(step % 3)} ${group}`),
+		};
+		const begun = monotonic();
+		await owners.get(trainer.name)!.postStep(request);
+		const delivered = await pullAll(trainer, request, 0, {tokens: 0, longest: 0});
+		idleMs += monotonic() - begun;
+		work[index]!.push(delivered);
+		await loop.sleep(trainer.trainMs);
+		published.set(`${trainer.name}/${step + 1}`, monotonic());
+		pool.setTargets([{model: trainer.name, version: step + 1}]);
+		await runTrainer(trainer, index, step + 1);
+	}
+
+	pool.setTargets(models.map(model => ({model, version: 1})));
+	loop.every({
+		name: 'pool', periodMs: 500, run(now) {
+			pool.run(now);
+		},
+	});
+	loop.every({
+		name: 'owners', periodMs: 200, run(now) {
+			[...owners.values()].forEach(owner => {
+				owner.run(now);
+			});
+		},
+	});
+	scheduleFaults(time, engines, deployment);
+	await time.advance(2000);
+	deployment.trainers.forEach((trainer, index) => {
+		owners.set(trainer.name, createOwner(trainer));
+		void runTrainer(trainer, index, 1);
+	});
+	await time.advance(deployment.durationMs);
+	const generated = engines.reduce((sum, engine) => sum + engine.generated(), 0);
+	return {
+		idleMs, ages, overBound, work, steps: work.flat().length, generated,
+	};
+}
--- /dev/null
+++ b/bench/rollouts.bench.ts
@@ -0,0 +1,169 @@
+/** Rollouts per deployment: trainer idle time and staleness against a plain policy and against the engines' token rate. */
+import {
+	createSlotDivision, EqualDivision, ProportionalDivision, ShortestFirstDivision, type SlotDivision,
+} from '../src/rollouts/common/slot-division.js';
+import type {Figure} from './figure.js';
+import {
+	runDeployment, STREAM_TOKENS_PER_SECOND, tokenRateOf, type Deployment, type Outcome, type Policy,
+} from './rollout-deployment.js';
+
+export const title = 'Rollouts: trainer idle time and staleness';
+
+const SEED = 1;
+const DURATION_MS = 900_000;
+
+const kivotos: Deployment = {
+	name: 'Kivotos',
+	zones: [{zone: 'attica-pireas', region: 'attica'}, {zone: 'attica-marousi', region: 'attica'}, {zone: 'macedonia-kalamaria', region: 'macedonia'}],
+	engines: 6,
+	trainers: [
+		{
+			name: 'assistant', groups: 96, samplesPerGroup: 8, meanTokens: 200, trainMs: 90_000,
+		},
+		{
+			name: 'notes', groups: 32, samplesPerGroup: 8, meanTokens: 200, trainMs: 60_000,
+		},
+	],
+	stalenessBound: 2,
+	enough: 0.9,
+	durationMs: DURATION_MS,
+	seed: SEED,
+};
+
+const anadolu: Deployment = {
+	...kivotos,
+	name: 'Anadolu',
+	zones: [{zone: 'konya-a', region: 'ic-anadolu'}, {zone: 'kayseri-a', region: 'ic-anadolu'}, {zone: 'bursa-a', region: 'marmara'}],
+	trainers: [
+		{
+			name: 'fitting', groups: 80, samplesPerGroup: 8, meanTokens: 160, trainMs: 90_000,
+		},
+		{
+			name: 'lasts', groups: 40, samplesPerGroup: 8, meanTokens: 240, trainMs: 70_000,
+		},
+	],
+	stalenessBound: 1,
+	seed: SEED + 1,
+};
+
+const baseline: Policy = {
+	isRoundRobin: true, canHedge: false, canResume: false, longestFirst: false, stallMs: Number.POSITIVE_INFINITY, waveShare: 1, concurrentLoads: 1000, division: new EqualDivision(), measure: 'idle',
+};
+
+function createPolicy(measure: Policy['measure']): Policy {
+	return {
+		isRoundRobin: false, canHedge: true, canResume: true, longestFirst: true, stallMs: 3000, waveShare: 0.34, concurrentLoads: 2, division: createSlotDivision(measure), measure,
+	};
+}
+
+type Job = {
+	/** Tokens that the step still needs. */
+	readonly left: number;
+	readonly step: number;
+	readonly trainer: number;
+	readonly startsAt: number;
+};
+
+type Fluid = {
+	readonly now: number;
+	readonly idleMs: number;
+	readonly jobs: readonly Job[];
+};
+
+/** Ends the step of a job, and begins the trainer's next one after its training. */
+function endJob(fluid: Fluid, job: Job, deployment: Deployment, outcome: Outcome): Fluid {
+	const steps = outcome.work[job.trainer] ?? [];
+	const longestMs = (steps[job.step]?.longest ?? 0) * 1000 / STREAM_TOKENS_PER_SECOND;
+	const endsAt = Math.max(fluid.now, job.startsAt + longestMs);
+	const left = steps[job.step + 1]?.tokens;
+	const startsAt = endsAt + (deployment.trainers[job.trainer]?.trainMs ?? 0);
+	const next = left === undefined
+		? []
+		: [{
+			...job, left, step: job.step + 1, startsAt,
+		}];
+	return {...fluid, idleMs: fluid.idleMs + endsAt - job.startsAt, jobs: [...fluid.jobs.filter(other => other.trainer !== job.trainer), ...next]};
+}
+
+/** Serves the open job with the least work left until it ends or another one begins. */
+function serveFluid(fluid: Fluid, deployment: Deployment, outcome: Outcome): Fluid {
+	if (fluid.jobs.length === 0) {
+		return fluid;
+	}
+
+	const rate = tokenRateOf(deployment) / 1000;
+	const nextStart = Math.min(...fluid.jobs.map(job => job.startsAt).filter(startsAt => startsAt > fluid.now));
+	const first = fluid.jobs.filter(job => job.startsAt <= fluid.now).toSorted((a, b) => a.left - b.left).at(0);
+	if (first === undefined) {
+		return serveFluid({...fluid, now: nextStart}, deployment, outcome);
+	}
+
+	const endsAt = fluid.now + (first.left / rate);
+	if (endsAt <= nextStart) {
+		return serveFluid(endJob({...fluid, now: endsAt}, first, deployment, outcome), deployment, outcome);
+	}
+
+	const left = first.left - ((nextStart - fluid.now) * rate);
+	const jobs = fluid.jobs.map(job => job === first ? {...job, left} : job);
+	return serveFluid({...fluid, now: nextStart, jobs}, deployment, outcome);
+}
+
+/**
+ * Idle time per step if all engines were one that never fails or pauses and always serves the trainer with the least
+ * work left: the tokens of the samples that were handed over at the engines' full rate, and no step before its longest
+ * sample could have come at the rate of one stream.
+ */
+function boundIdleMs(deployment: Deployment, outcome: Outcome): number {
+	const jobs = deployment.trainers.map((_, trainer) => ({
+		left: outcome.work[trainer]?.[0]?.tokens ?? 0, step: 0, trainer, startsAt: 0,
+	}));
+	return serveFluid({now: 0, idleMs: 0, jobs}, deployment, outcome).idleMs / outcome.steps;
+}
+
+function percentile(values: readonly number[], share: number): number {
+	return values.toSorted((a, b) => a - b)[Math.floor(values.length * share)] ?? 0;
+}
+
+const idlePerStep = (outcome: Outcome) => outcome.idleMs / outcome.steps;
+
+async function runOne(deployment: Deployment, measure: Policy['measure']): Promise<readonly Figure[]> {
+	const before = await runDeployment(deployment, baseline);
+	const after = await runDeployment(deployment, createPolicy(measure));
+	const figure = (name: string, value: number, unit: string, base?: number, baselinePolicy?: string): Figure => ({
+		name: `${deployment.name}: ${name}`, value, unit, ...(base !== undefined && {baseline: base}), ...(baselinePolicy !== undefined && {baselinePolicy}),
+	});
+	return [
+		figure('trainer idle time per step', idlePerStep(after), 'ms', idlePerStep(before), 'plain policy'),
+		figure('trainer idle time per step', idlePerStep(after), 'ms', boundIdleMs(deployment, after), 'engines at full rate'),
+		figure('staleness, 95th percentile', percentile(after.ages, 0.95), 's', percentile(before.ages, 0.95), 'plain policy'),
+		figure('samples over the staleness bound', after.overBound, 'samples'),
+		figure('steps ended', after.steps, 'steps', before.steps, 'plain policy'),
+	];
+}
+
+async function runDivision(deployment: Deployment, measure: Policy['measure']): Promise<readonly Figure[]> {
+	const policy = createPolicy(measure);
+	const divisions: ReadonlyArray<readonly [string, SlotDivision]> = [['demand-proportional', new ProportionalDivision()], ['shortest first', new ShortestFirstDivision()]];
+	const equal = await runDeployment(deployment, {...policy, division: new EqualDivision()});
+	const value = (outcome: Outcome) => measure === 'idle' ? idlePerStep(outcome) : percentile(outcome.ages, 0.95);
+	return divisions.reduce<Promise<readonly Figure[]>>(async (previous, [name, division]) => {
+		const before = await previous;
+		const outcome = await runDeployment(deployment, {...policy, division});
+		return [...before, {
+			name: `${deployment.name}: division ${name}, ${measure}`,
+			value: value(outcome),
+			unit: measure === 'idle' ? 'ms' : 's',
+			baseline: value(equal),
+			baselinePolicy: 'equal division',
+		}];
+	}, Promise.resolve([]));
+}
+
+export async function run(): Promise<readonly Figure[]> {
+	return [
+		...await runOne(kivotos, 'idle'),
+		...await runOne(anadolu, 'staleness'),
+		...await runDivision(kivotos, 'idle'),
+		...await runDivision(anadolu, 'staleness'),
+	];
+}
--- a/src/rollouts/common/generation-runner.ts
+++ b/src/rollouts/common/generation-runner.ts
@@ -31,7 +31,7 @@
 /** What a runner needs. */
 export type RunnerOptions = {
 	readonly admission: Pick<Admission, 'admit'>;
-	readonly router: Pick<Router, 'dispatch' | 'engine'>;
+	readonly router: Pick<Router, 'dispatch' | 'engine' | 'load'>;
 	readonly monotonic: () => number;
 	readonly pool: string;
 	readonly model: string;
@@ -83,9 +83,20 @@
 		return err({kind: outcome === 'died' ? 'died' : 'broken', retryAfterMs: generated.error.retryAfterMs});
 	}
 
-	function choose({start, allowed, prefixKey}: StreamJob): Result<Dispatch, Failure> {
+	/** Narrows the engines to those that start a stream at once, where there are any. */
+	function preferFree(allowed: readonly string[]): readonly string[] {
+		const free = allowed.filter(id => {
+			const {requests, slots} = options.router.load(id);
+			return requests < slots;
+		});
+		return free.length > 0 ? free : allowed;
+	}
+
+	function choose({start, prefixKey, ...job}: StreamJob): Result<Dispatch, Failure> {
+		const others = job.allowed.filter(id => !start.excluded.includes(id));
 		// An engine to be avoided is better than none.
-		const excluded = allowed.some(id => !start.excluded.includes(id)) ? start.excluded : [];
+		const excluded = others.length > 0 ? start.excluded : [];
+		const allowed = preferFree(others.length > 0 ? others : job.allowed);
 		const expectedBytes = start.prompt.length + (start.expectedTokens * CHARACTERS_PER_TOKEN);
 		return options.router.dispatch({
 			pool: options.pool,
--- a/src/rollouts/common/slot-division.ts
+++ b/src/rollouts/common/slot-division.ts
@@ -18,6 +18,13 @@
 /** Streams per trainer. */
 export type SlotShares = ReadonlyMap<string, number>;
 
+/** What one trainer may use. */
+export type SlotBudget = {
+	readonly slots: number;
+	/** Slots that remain when every trainer has what it needs. */
+	readonly spare: number;
+};
+
 /** A way of dividing. */
 export abstract class SlotDivision {
 	/** Divides `slots` streams; nobody receives more than it has samples. */
@@ -70,6 +77,13 @@
 	}
 }
 
+/** Returns what one trainer may use under a division. */
+export function budgetOf(division: SlotDivision, slots: number, demands: readonly TrainerDemand[], trainer: string): SlotBudget {
+	const shares = division.divide(slots, demands);
+	const used = [...shares.values()].reduce((sum, share) => sum + share, 0);
+	return {slots: shares.get(trainer) ?? 0, spare: Math.max(0, slots - used)};
+}
+
 /** Returns the division that lowers a deployment's measure. */
 export function createSlotDivision(measure: 'idle' | 'staleness'): SlotDivision {
 	return measure === 'idle' ? new ShortestFirstDivision() : new ProportionalDivision();
--- a/src/rollouts/common/step-run.ts
+++ b/src/rollouts/common/step-run.ts
@@ -21,8 +21,8 @@
 export type StepRun = {
 	readonly request: StepRequest;
 	readonly schedule: StepSchedule;
-	/** Starts and cancels what is due. `allowed` names the engines that may be used. */
-	readonly run: (now: number, budget: Budget, allowed: readonly string[]) => void;
+	/** Starts and cancels what is due. */
+	readonly run: (now: number, budget: Budget) => void;
 	/** Streams under way. */
 	readonly running: () => number;
 	/** The samples of whole groups. */
@@ -112,9 +112,9 @@
 	return {
 		request,
 		schedule,
-		run(now, budget, allowed) {
+		run(now, budget) {
 			schedule.decide(now, budget).forEach(action => {
-				carryOut(action, allowed);
+				carryOut(action, budget.allowed);
 			});
 		},
 		running: () => streams.size,
--- a/src/rollouts/common/straggler-policy.ts
+++ b/src/rollouts/common/straggler-policy.ts
@@ -9,8 +9,8 @@
 	readonly startedAt: number;
 	readonly firstTokenAt: number | undefined;
 	readonly lastTokenAt: number | undefined;
-	/** Tokens that the stream was resumed from. */
-	readonly resumedTokens: number;
+	/** Tokens per millisecond of late; undefined before the second piece of the stream. */
+	readonly rate: number | undefined;
 	readonly progress: LabelledProgress;
 	/** True for a stream that runs beside another one of the same sample. */
 	readonly isHedge: boolean;
@@ -36,17 +36,32 @@
 
 /** Before its first token a stream may stand in the engine's queue, so it gets this multiple of the stall time. */
 const FIRST_TOKEN_FACTOR = 2;
-/** Time after the first token from which a stream's own rate says something, in milliseconds. */
-const MINIMUM_RATE_AGE_MS = 500;
+/** Time over which the recent rate of a stream is smoothed, in milliseconds. */
+const RATE_WINDOW_MS = 2000;
 /** Weight of one ended stream in the typical rate. */
 const RATE_WEIGHT = 0.1;
 /** Expected saving below which a second stream is not worth its tokens, in milliseconds. */
 const MINIMUM_SAVING_MS = 1000;
 
-function rateOf(attempt: Attempt, now: number): number | undefined {
-	const {firstTokenAt} = attempt;
-	const ageMs = firstTokenAt === undefined ? 0 : now - firstTokenAt;
-	return ageMs < MINIMUM_RATE_AGE_MS ? undefined : (attempt.progress.tokens - attempt.resumedTokens) / ageMs;
+/** Returns a stream's recent rate after a piece of `tokens` tokens. */
+export function updateRate(attempt: Attempt, tokens: number, now: number): number | undefined {
+	if (attempt.lastTokenAt === undefined) {
+		return undefined;
+	}
+
+	const elapsedMs = Math.max(1, now - attempt.lastTokenAt);
+	const weight = 1 - Math.exp(-elapsedMs / RATE_WINDOW_MS);
+	return attempt.rate === undefined ? tokens / elapsedMs : attempt.rate + (weight * ((tokens / elapsedMs) - attempt.rate));
+}
+
+/** Returns the rate as far as it is known now: a stream that is silent longer than usual is slower than it was. */
+function rateAt(attempt: Attempt, now: number): number | undefined {
+	if (attempt.rate === undefined || attempt.lastTokenAt === undefined) {
+		return undefined;
+	}
+
+	const silentMs = now - attempt.lastTokenAt;
+	return silentMs <= RATE_WINDOW_MS ? attempt.rate : attempt.rate * RATE_WINDOW_MS / silentMs;
 }
 
 /** Creates a policy that knows no rates yet. */
@@ -63,7 +78,7 @@
 				: now - attempt.lastTokenAt > options.stallMs;
 		},
 		noteEnd(attempt, now) {
-			const rate = rateOf(attempt, now);
+			const rate = rateAt(attempt, now);
 			if (rate === undefined || attempt.firstTokenAt === undefined) {
 				return;
 			}
@@ -73,7 +88,7 @@
 			typicalRate = typicalRate === undefined ? rate : typicalRate + (RATE_WEIGHT * (rate - typicalRate));
 		},
 		savedByHedge(attempt, expectedTokens, now) {
-			const rate = rateOf(attempt, now);
+			const rate = rateAt(attempt, now);
 			if (!options.canHedge || rate === undefined || typicalRate === undefined) {
 				return 0;
 			}
--- a/src/rollouts/common/trainer-owner.ts
+++ b/src/rollouts/common/trainer-owner.ts
@@ -19,7 +19,7 @@
 import type {LedgerKeeper} from './ledger-keeper.js';
 import type {Batch, PullRequest, StepRequest} from './step.js';
 import type {StepRun} from './step-run.js';
-import type {TrainerDemand} from './slot-division.js';
+import type {SlotBudget, TrainerDemand} from './slot-division.js';
 
 /** What an owner needs. */
 export type TrainerOwnerOptions = {
@@ -29,8 +29,8 @@
 	readonly monotonic: () => number;
 	/** The holding of the trainer's shard; asked again immediately before each answer. */
 	readonly holding: (now: number) => Holding | undefined;
-	/** Streams that the trainer may have under way. */
-	readonly slots: (now: number) => number;
+	/** Streams that the trainer may have under way, and those that no trainer needs. */
+	readonly slots: (now: number) => SlotBudget;
 	/** Engines on a version that is young enough for a step of this trainer. */
 	readonly allowed: (request: StepRequest, weightVersion: number) => readonly string[];
 	readonly createRun: (request: StepRequest, required: number) => StepRun;
@@ -98,10 +98,12 @@
 	}
 
 	function runAll(now: number): void {
-		const slots = options.slots(now);
+		const {slots, spare} = options.slots(now);
 		[...steps.values()].reduce((left, open) => {
-			const budget = {slots: Math.max(0, left), weightVersion: open.weightVersion};
-			open.run.run(now, budget, options.allowed(open.run.request, open.weightVersion));
+			const allowed = options.allowed(open.run.request, open.weightVersion);
+			open.run.run(now, {
+				slots: Math.max(0, left), spare, allowed, weightVersion: open.weightVersion,
+			});
 			return left - open.run.running();
 		}, slots);
 	}
--- a/src/rollouts/node/rollouts.contribution.ts
+++ b/src/rollouts/node/rollouts.contribution.ts
@@ -21,7 +21,7 @@
 import {createLedgerKeeper} from '../common/ledger-keeper.js';
 import {createLengthForecast} from '../common/length-forecast.js';
 import {createScoreRetries} from '../common/score-retries.js';
-import {createSlotDivision} from '../common/slot-division.js';
+import {budgetOf, createSlotDivision, type SlotBudget} from '../common/slot-division.js';
 import {createStalenessRule} from '../common/staleness.js';
 import type {StepRequest} from '../common/step.js';
 import {createStepRun, type StepRun} from '../common/step-run.js';
@@ -63,19 +63,19 @@
 		return settings.trainers.find(trainer => trainer.name === name);
 	}
 
-	function slotsOf(trainer: TrainerProfile, now: number): number {
+	function slotsOf(trainer: TrainerProfile, now: number): SlotBudget {
 		const pool = settings.pools.find(candidate => candidate.name === trainer.pool);
 		const {engines} = findVersions(trainer.pool, trainer.model);
 		const usable = engines.filter(engine => engine.usable).length;
 		const neighbours = new Set(settings.trainers.filter(other => other.pool === trainer.pool).map(other => other.name));
 		const demands = board.demands(now).filter(demand => neighbours.has(demand.trainer));
-		return division.divide(usable * (pool?.slots ?? 0), demands).get(trainer.name) ?? 0;
+		return budgetOf(division, usable * (pool?.slots ?? 0), demands, trainer.name);
 	}
 
 	function chooseAllowed(trainer: TrainerProfile, request: StepRequest, weightVersion: number): readonly string[] {
 		const rule = createStalenessRule(request.stalenessBound ?? trainer.stalenessBound);
 		const known = findVersions(trainer.pool, trainer.model);
-		return chooseEngines(known, rule.oldestAllowed(weightVersion));
+		return chooseEngines(known, {oldestAllowed: rule.oldestAllowed(weightVersion), weightVersion}, settings.rollouts.measure);
 	}
 
 	function createRun(trainer: TrainerProfile, forecast: ReturnType<typeof createLengthForecast>, request: StepRequest, required: number): StepRun {
--- /dev/null
+++ b/src/rollouts/test/step-schedule.test.ts
@@ -0,0 +1,111 @@
+/** The schedule of one step: what it starts, doubles, cancels and keeps. */
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {createLengthForecast} from '../common/length-forecast.js';
+import {
+	createStepSchedule, type Budget, type ScheduleAction, type ScheduleOptions, type StartAction,
+} from '../common/step-schedule.js';
+
+const test = suite('step schedule');
+
+const budget: Budget = {
+	slots: 8, spare: 0, allowed: ['e1', 'e2'], weightVersion: 5,
+};
+
+function createSchedule(prompts: readonly string[], options: Partial<ScheduleOptions> = {}) {
+	const forecast = options.forecast ?? createLengthForecast();
+	const request = {
+		trainer: 't', step: 1, weightVersion: 5, prompts, samplesPerGroup: 1, stalenessBound: 1, enough: undefined, maximumTokens: 1000, deadlineMs: undefined,
+	};
+	return createStepSchedule({
+		request, forecast, stalenessBound: 1, required: prompts.length, attemptPrefix: 'a', stallMs: 1000, canHedge: true, canResume: true, longestFirst: true, ...options,
+	});
+}
+
+const isStart = (action: ScheduleAction): action is StartAction => action.kind === 'start';
+const startsOf = (actions: readonly ScheduleAction[]) => actions.filter(isStart);
+
+function stream(schedule: ReturnType<typeof createSchedule>, attemptId: string, serverId: string, tokens: number, now: number): void {
+	schedule.noteDispatched(attemptId, serverId);
+	schedule.noteChunk(attemptId, {text: 'x'.repeat(tokens), tokens, version: 5}, now);
+}
+
+test('starts the samples that are expected to be longest first, and no surplus group', () => {
+	const forecast = createLengthForecast();
+	['short', 'long', 'longest'].forEach((prompt, index) => {
+		forecast.note(forecast.keyOf(prompt), 100 * (index + 1));
+	});
+	const schedule = createSchedule(['short', 'long', 'longest'], {forecast, required: 2});
+	assert.equal(startsOf(schedule.decide(0, budget)).map(start => start.prompt), ['long', 'short']);
+});
+
+test('resumes a stalled stream elsewhere from the tokens so far', () => {
+	const schedule = createSchedule(['p']);
+	const [first] = startsOf(schedule.decide(0, budget));
+	stream(schedule, first!.attemptId, 'e1', 10, 100);
+	const actions = schedule.decide(1200, budget);
+	const [resumed] = startsOf(actions);
+	assert.equal(actions[0], {kind: 'cancel', attemptId: first!.attemptId});
+	assert.equal([resumed!.resumeFrom?.tokens, resumed!.excluded], [10, ['e1']]);
+});
+
+test('drops partial work that has become too old, and starts anew', () => {
+	const schedule = createSchedule(['p']);
+	const [first] = startsOf(schedule.decide(0, budget));
+	stream(schedule, first!.attemptId, 'e1', 10, 100);
+	const [again] = startsOf(schedule.decide(200, {...budget, weightVersion: 7}));
+	assert.is(again!.resumeFrom, undefined);
+});
+
+/** Runs a fast sample to its end and a slow one beside it, so that the slow one is worth a second stream. */
+function createSlowStream() {
+	const schedule = createSchedule(['fast', 'slow']);
+	const starts = startsOf(schedule.decide(0, budget));
+	const [fast, slow] = ['fast', 'slow'].map(prompt => starts.find(start => start.prompt === prompt)!.attemptId);
+	[100, 200, 300, 400].forEach(now => {
+		stream(schedule, fast!, 'e1', 50, now);
+	});
+	[100, 400, 700, 1000].forEach(now => {
+		stream(schedule, slow!, 'e2', 2, now);
+	});
+	schedule.noteWhole(fast!, {
+		requestId: fast!, text: 'x'.repeat(200), tokens: 200, ranges: [{version: 5, from: 0, to: 200}], finish: 'stop',
+	}, 400);
+	return {schedule, slow: slow!};
+}
+
+test('doubles a slow stream and cancels the loser', () => {
+	const {schedule, slow} = createSlowStream();
+	const [hedge] = startsOf(schedule.decide(1000, budget));
+	assert.equal([hedge!.prompt, hedge!.excluded], ['slow', ['e2']]);
+	stream(schedule, hedge!.attemptId, 'e1', 2, 1100);
+	schedule.noteWhole(hedge!.attemptId, {
+		requestId: hedge!.attemptId, text: 'x'.repeat(10), tokens: 10, ranges: [{version: 5, from: 0, to: 10}], finish: 'stop',
+	}, 1100);
+	assert.equal(schedule.decide(1200, budget), [{kind: 'cancel', attemptId: slow}]);
+});
+
+test('a second stream that was refused is not asked for again at once', () => {
+	const {schedule} = createSlowStream();
+	const [hedge] = startsOf(schedule.decide(1000, budget));
+	schedule.noteFailed(hedge!.attemptId, {kind: 'refused', retryAfterMs: 500}, 1000);
+	assert.equal(schedule.decide(1000, budget), []);
+	assert.is(startsOf(schedule.decide(1500, budget)).length, 1);
+});
+
+test('a sample under which two engines died runs alone, and is given up when a third one dies', () => {
+	const schedule = createSchedule(['poison', 'good'], {required: 1});
+	const die = (now: number, serverId: string) => {
+		const start = startsOf(schedule.decide(now, budget)).find(entry => entry.prompt === 'poison')!;
+		schedule.noteDispatched(start.attemptId, serverId);
+		schedule.noteFailed(start.attemptId, {kind: 'died', retryAfterMs: 0}, now);
+		return start.alone;
+	};
+
+	schedule.decide(0, {...budget, slots: 0});
+	assert.equal([die(1, 'e1'), die(2, 'e2'), die(3, 'e3')], [false, false, true]);
+	assert.ok(schedule.table.isSuspect(0));
+	assert.not.ok(schedule.isHopeless());
+});
+
+test.run();
--- a/src/weights/common/pool-owner.ts
+++ b/src/weights/common/pool-owner.ts
@@ -89,12 +89,14 @@
 			orderId: `${book.position().book}-${orders}`, fencing: acquired.fencing, kind: 'load-version', model: order.model, version: order.version,
 		});
 		recordOrder(order, answer.isOk() ? 'accepted' : `${answer.error.code}, ${answer.error.effect}`);
-		if (answer.isErr()) {
-			options.onFailure(answer.error);
+		if (answer.isOk()) {
+			decider.noteAccepted(order, options.monotonic());
+			return;
 		}
 
+		options.onFailure(answer.error);
 		// With an unknown outcome the load stays counted until a reading or the load timeout settles it.
-		if (answer.isErr() && answer.error.effect === 'notRun') {
+		if (answer.error.effect === 'notRun') {
 			decider.noteRefused(order, options.monotonic());
 		}
 	}
