--- a/src/membership/common/broadcast-queue.ts
+++ b/src/membership/common/broadcast-queue.ts
@@ -1,4 +1,4 @@
-/** Chooses which updates go into the next message: those that were sent the fewest times, each a bounded number of times. */
+/** Chooses which updates go into the next message: those sent the fewest times, the newest first, each a bounded number of times. */
 
 /** Updates that wait to be spread, by key. A newer update of a key replaces the older one. */
 export type BroadcastQueue = {
@@ -25,7 +25,7 @@
 
 	return {
 		add(key) {
-			// Deleting first moves the key behind its equals, so that none is starved.
+			// Deleting first makes the key the newest one.
 			transmissions.delete(key);
 			transmissions.set(key, 0);
 		},
@@ -33,7 +33,8 @@
 			transmissions.delete(key);
 		},
 		take(limit, maximumTransmissions) {
-			const keys = [...transmissions].toSorted((a, b) => a[1] - b[1]).slice(0, limit).map(([key]) => key);
+			// The sort is stable, so among equals the newest goes first.
+			const keys = [...transmissions].toReversed().toSorted((a, b) => a[1] - b[1]).slice(0, limit).map(([key]) => key);
 			keys.forEach(key => {
 				countTransmission(key, maximumTransmissions);
 			});
--- a/src/membership/membership.contribution.ts
+++ b/src/membership/membership.contribution.ts
@@ -3,9 +3,11 @@
 import {lifecycleKey} from '../kernel/common/lifecycle.js';
 import {registerContribution} from '../kernel/common/registry.js';
 import {peersKey, type PeerAddress} from '../peers/common/peers.js';
+import {snapshotsKey} from '../persistence/common/snapshots.js';
 import {vmListKey, type VmList} from '../platform/common/vm-list.js';
 import {regionOf, settingsKey, type Settings} from '../settings/common/settings.js';
 import {PROTOCOL_VERSION} from './common/member-record.js';
+import {chooseIncarnation, parseMemberSnapshot, renderMemberSnapshot} from './common/member-snapshot.js';
 import {membershipKey, type Member} from './common/membership.js';
 import {createMembershipService} from './common/membership-service.js';
 import {createConnectGossipLink, serveGossip} from './node/connect-gossip-link.js';
@@ -16,12 +18,17 @@
 /** Time between two reads of the VM list by one daemon, for candidates only. */
 const VM_LIST_INTERVAL_MS = 10_000;
 
-function createSelf(context: Context, settings: Settings): Member {
+const SNAPSHOT_NAME = 'members';
+
+/** Period of saving to nowhere, for daemons without a data folder. */
+const NO_STORAGE_MS = 60_000;
+
+function createSelf(context: Context, settings: Settings, lastIncarnation: number): Member {
 	const {
 		id, address, peerPort, availabilityZone,
 	} = settings.daemon;
 	return {
-		id, address, peerPort, availabilityZone, incarnation: context.clock.wall(), state: 'alive', protocol: PROTOCOL_VERSION,
+		id, address, peerPort, availabilityZone, incarnation: chooseIncarnation(context.clock.wall(), lastIncarnation), state: 'alive', protocol: PROTOCOL_VERSION,
 	};
 }
 
@@ -38,12 +45,14 @@
 
 registerContribution({
 	id: 'membership',
-	requires: ['platform', 'peers'],
+	requires: ['platform', 'peers', 'persistence'],
 	async start(context) {
 		const settings = context.use(settingsKey);
 		const peers = context.use(peersKey);
 		const vmList = context.use(vmListKey);
-		const self = createSelf(context, settings);
+		const snapshots = context.use(snapshotsKey);
+		const snapshot = parseMemberSnapshot(snapshots.read(SNAPSHOT_NAME));
+		const self = createSelf(context, settings, snapshot.incarnation);
 		const ownRegion = regionOf(settings, self.availabilityZone);
 		let entryVms: readonly PeerAddress[] = [];
 
@@ -55,7 +64,7 @@
 			...settings.membership,
 			self,
 			isNear: member => regionOf(settings, member.availabilityZone) === ownRegion,
-			candidates: () => [...settings.seeds, ...entryVms].filter(candidate => !isSameAddress(candidate, self)),
+			candidates: () => [...settings.seeds, ...entryVms, ...snapshot.peers].filter(candidate => !isSameAddress(candidate, self)),
 			link: createConnectGossipLink(peers, settings.membership.suspectAfterMs / 2),
 			loop: context.loop,
 			clock: context.clock,
@@ -66,6 +75,13 @@
 		const polling = context.loop.every({
 			name: 'read entry VMs', periodMs: VM_LIST_INTERVAL_MS, jitterShare: 0.2, run: refreshEntryVms,
 		});
+		const saving = context.loop.every({
+			name: 'save members',
+			periodMs: settings.storage?.snapshotMs ?? NO_STORAGE_MS,
+			run() {
+				snapshots.write(SNAPSHOT_NAME, renderMemberSnapshot(service.self(), service.members()));
+			},
+		});
 		context.provide(membershipKey, service);
 		await refreshEntryVms();
 		const learned = await service.learnFleet();
@@ -82,6 +98,7 @@
 			},
 			dispose() {
 				leaving.dispose();
+				saving.dispose();
 				polling.dispose();
 				service.dispose();
 			},
--- a/test/fakes/daemon-fleet.ts
+++ b/test/fakes/daemon-fleet.ts
@@ -34,6 +34,7 @@
 	readonly snapshots?: Snapshots;
 	readonly wrapStore?: (store: Store) => Store;
 	readonly wrapAudit?: (audit: Audit) => Audit;
+	readonly wrapLink?: (link: GossipLink) => GossipLink;
 	/** Replaces the membership that the configuration sees. */
 	readonly wrapMembership?: (membership: Membership) => Membership;
 	/** Replaces dependencies, to switch a mechanism off. */
@@ -198,30 +199,31 @@
 
 	const view = createStoreView(fabric.memory, daemon, faults, profile.id);
 	const store = profile.wrapStore?.(view) ?? view;
+	const link = new (class extends GossipLink {
+		override exchange: GossipLink['exchange'] = async (peer, message) => {
+			fabric.onMessage?.(profile.id, peer.address, message);
+			const answer = await call(peer, 1000, target => {
+				const received = target.membership.receiver.exchange(message);
+				received.andTee(reply => {
+					fabric.onMessage?.(peer.address, profile.id, reply);
+				});
+				return received;
+			});
+			return answer.andThen(inner => inner);
+		};
+
+		override probe: GossipLink['probe'] = async (helper, peer) => call(helper, 2000, async target => target.membership.receiver.probe(peer));
+		override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => {
+			const pulled = target.membership.receiver.pull(bucket, page);
+			fabric.onPage?.(peer.address, profile.id, pulled);
+			return pulled;
+		});
+	})();
 	const membership = createMembershipService({
 		self, periodMs: 500, fanout: 2, suspectAfterMs: 2000, deadAfterMs: 6000,
 		isNear: member => regionOf(member.availabilityZone) === regionOf(profile.zone),
 		candidates: () => seeds.filter(seed => seed.address !== profile.id),
-		link: new (class extends GossipLink {
-			override exchange: GossipLink['exchange'] = async (peer, message) => {
-				fabric.onMessage?.(profile.id, peer.address, message);
-				const answer = await call(peer, 1000, target => {
-					const received = target.membership.receiver.exchange(message);
-					received.andTee(reply => {
-						fabric.onMessage?.(peer.address, profile.id, reply);
-					});
-					return received;
-				});
-				return answer.andThen(inner => inner);
-			};
-
-			override probe: GossipLink['probe'] = async (helper, peer) => call(helper, 2000, async target => target.membership.receiver.probe(peer));
-			override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => {
-				const pulled = target.membership.receiver.pull(bucket, page);
-				fabric.onPage?.(peer.address, profile.id, pulled);
-				return pulled;
-			});
-		})(),
+		link: profile.wrapLink?.(link) ?? link,
 		loop, clock, random, log: silentLog, ...profile.membership,
 	});
 	const shards = createShardsService({
