--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -89,14 +89,14 @@
 const membership = z.strictObject({
 	periodMs: durationMs.default(500),
 	/** Peers contacted per period, whatever the size of the fleet. */
-	fanout: z.int().min(1).max(16).default(3),
+	fanout: z.int().min(1).max(16).default(2),
 	suspectAfterMs: durationMs.default(2000),
 	deadAfterMs: durationMs.default(6000),
 });
 
 const limits = z.strictObject({
-	/** How long a share of a grant lasts once it is given to a daemon. */
-	shareMs: durationMs.default(4000),
+	/** How long a daemon goes on with its share of a grant when it cannot renew it, such as in an outage of the store. */
+	shareMs: durationMs.default(14_400_000),
 	renewMs: durationMs.default(1000),
 });
 
@@ -108,6 +108,12 @@
 	retryShare: share.default(0.1),
 	headerTimeoutMs: durationMs.default(10_000),
 	drainMs: durationMs.default(60_000),
+	/** How long the outcome of an idempotency key is remembered; a key sent again later runs again. */
+	claimRetentionMs: durationMs.default(86_400_000),
+	/** Time within which the first byte of a claimed request must leave. */
+	claimWindowMs: durationMs.default(5000),
+	/** Size of one claims object; each write of claims rewrites one. */
+	claimGenerationBytes: z.int().min(1024).max(900_000).default(65_536),
 });
 
 const weights = z.strictObject({
@@ -150,7 +156,10 @@
 	availabilityZones: z.array(availabilityZone).min(1).readonly(),
 	/** Daemons contacted first. The VM list adds to them. */
 	seeds: z.array(seed).readonly().default([]),
-	store: remote,
+	store: remote.extend({
+		/** Calls per second that one daemon may make. */
+		callsPerSecond: z.number().min(1).max(10_000).default(200),
+	}),
 	vmList: remote.extend({pollMs: durationMs.default(1000)}),
 	weightStore: remote.optional(),
 	pools: z.array(z.discriminatedUnion('kind', [enginePool, servicePool])).readonly(),
--- a/test/fakes/daemon-fleet.ts
+++ b/test/fakes/daemon-fleet.ts
@@ -2,16 +2,17 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
+import type {Audit} from '../../src/audit/common/audit.js';
 import {createAuditService} from '../../src/audit/common/audit-service.js';
 import type {Clock} from '../../src/base/common/clock.js';
-import {createNotRun, createOutcomeUnknown, type Failure} from '../../src/base/common/failure.js';
+import {createOutcomeUnknown, type Failure} from '../../src/base/common/failure.js';
 import {silentLog} from '../../src/kernel/common/log.js';
 import type {Loop} from '../../src/kernel/common/loop.js';
 import {LeaseLink} from '../../src/leases/common/lease-link.js';
 import {createShardsService, type ShardsOptions} from '../../src/leases/common/shards-service.js';
-import type {GossipMessage} from '../../src/membership/common/gossip.js';
+import type {BucketPage, GossipMessage} from '../../src/membership/common/gossip.js';
 import {GossipLink} from '../../src/membership/common/gossip-link.js';
-import type {Member} from '../../src/membership/common/membership.js';
+import type {Member, Membership} from '../../src/membership/common/membership.js';
 import {createMembershipService, type MembershipOptions} from '../../src/membership/common/membership-service.js';
 import type {PeerAddress} from '../../src/peers/common/peers.js';
 import {noSnapshots, type Snapshots} from '../../src/persistence/common/snapshots.js';
@@ -31,6 +32,11 @@
 	/** Seconds of the daemon's own clock per second of true time. */
 	readonly rate?: number;
 	readonly snapshots?: Snapshots;
+	readonly wrapStore?: (store: Store) => Store;
+	readonly wrapAudit?: (audit: Audit) => Audit;
+	readonly wrapLink?: (link: GossipLink) => GossipLink;
+	/** Replaces the membership that the configuration sees. */
+	readonly wrapMembership?: (membership: Membership) => Membership;
 	/** Replaces dependencies, to switch a mechanism off. */
 	readonly membership?: Partial<MembershipOptions>;
 	readonly shards?: Partial<ShardsOptions>;
@@ -41,6 +47,10 @@
 export type Faults = {
 	isCut: (from: string, to: string) => boolean;
 	store: (daemonId: string, call: StoreCall) => StoreFault;
+	/** Whether reads are answered with the first version that the daemon has ever read. */
+	isStale: (daemonId: string) => boolean;
+	/** Whether watches report a change. */
+	isWatching: () => boolean;
 };
 
 type DaemonProcess = ReturnType<typeof createProcess>;
@@ -92,10 +102,10 @@
 		loop,
 		state: () => state,
 		freeze() {
-			state = 'frozen';
+			state = state === 'killed' ? state : 'frozen';
 		},
 		thaw() {
-			state = 'running';
+			state = state === 'killed' ? state : 'running';
 			waiting.splice(0).forEach(action => {
 				action();
 			});
@@ -106,8 +116,9 @@
 	};
 }
 
-function createStoreView(memory: MemoryStore, daemon: DaemonProcess, decideFault: (call: StoreCall) => StoreFault): Store {
-	const inner = memory.open(decideFault);
+function createStoreView(memory: MemoryStore, daemon: DaemonProcess, faults: Faults, daemonId: string): Store {
+	const inner = memory.open(call => faults.store(daemonId, call));
+	const firstRead = new Map<string, Awaited<ReturnType<Store['read']>>>();
 	async function travel<T>(call: () => Promise<T>): Promise<T> {
 		await daemon.loop.sleep(STORE_MS);
 		const answer = await call();
@@ -116,14 +127,25 @@
 	}
 
 	return new (class extends Store {
-		override read: Store['read'] = async id => travel(async () => inner.read(id));
+		override read: Store['read'] = async id => travel(async () => {
+			const key = `${id.kind}/${id.name}`;
+			const found = await inner.read(id);
+			if (found.isOk() && found.value && !firstRead.has(key)) {
+				firstRead.set(key, found);
+			}
+
+			return found.isOk() && faults.isStale(daemonId) ? firstRead.get(key) ?? found : found;
+		});
+
 		override write: Store['write'] = async write => travel(async () => inner.write(write));
 		override remove: Store['remove'] = async removal => travel(async () => inner.remove(removal));
 		override list: Store['list'] = async (kind, prefix) => travel(async () => inner.list(kind, prefix));
 		override watch: Store['watch'] = (kind, listener) => inner.watch(kind, object => {
-			daemon.loop.after(STORE_MS, () => {
-				listener(object);
-			});
+			if (faults.isWatching()) {
+				daemon.loop.after(STORE_MS, () => {
+					listener(object);
+				});
+			}
 		});
 	})();
 }
@@ -138,6 +160,7 @@
 	readonly daemons: Map<string, FleetDaemon>;
 	readonly random: () => number;
 	readonly onMessage?: (from: string, to: string, message: GossipMessage) => void;
+	readonly onPage?: (from: string, to: string, page: BucketPage) => void;
 };
 
 function startDaemon(fabric: Fabric, profile: DaemonProfile, seeds: readonly PeerAddress[]) {
@@ -174,27 +197,33 @@
 		});
 	}
 
-	const store = createStoreView(fabric.memory, daemon, storeCall => faults.store(profile.id, storeCall));
+	const view = createStoreView(fabric.memory, daemon, faults, profile.id);
+	const store = profile.wrapStore?.(view) ?? view;
+	const link = new (class extends GossipLink {
+		override exchange: GossipLink['exchange'] = async (peer, message) => {
+			fabric.onMessage?.(profile.id, peer.address, message);
+			const answer = await call(peer, 1000, target => {
+				const received = target.membership.receiver.exchange(message);
+				received.andTee(reply => {
+					fabric.onMessage?.(peer.address, profile.id, reply);
+				});
+				return received;
+			});
+			return answer.andThen(inner => inner);
+		};
+
+		override probe: GossipLink['probe'] = async (helper, peer) => call(helper, 2000, async target => target.membership.receiver.probe(peer));
+		override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => {
+			const pulled = target.membership.receiver.pull(bucket, page);
+			fabric.onPage?.(peer.address, profile.id, pulled);
+			return pulled;
+		});
+	})();
 	const membership = createMembershipService({
 		self, periodMs: 500, fanout: 2, suspectAfterMs: 2000, deadAfterMs: 6000,
 		isNear: member => regionOf(member.availabilityZone) === regionOf(profile.zone),
 		candidates: () => seeds.filter(seed => seed.address !== profile.id),
-		link: new (class extends GossipLink {
-			override exchange: GossipLink['exchange'] = async (peer, message) => {
-				fabric.onMessage?.(profile.id, peer.address, message);
-				const answer = await call(peer, 1000, target => {
-					const received = target.membership.receiver.exchange(message);
-					received.andTee(reply => {
-						fabric.onMessage?.(peer.address, profile.id, reply);
-					});
-					return received;
-				});
-				return answer.andThen(inner => inner);
-			};
-
-			override probe: GossipLink['probe'] = async (helper, peer) => call(helper, 2000, async target => target.membership.receiver.probe(peer));
-			override pull: GossipLink['pull'] = async (peer, bucket, page) => call(peer, 1000, target => target.membership.receiver.pull(bucket, page));
-		})(),
+		link: profile.wrapLink?.(link) ?? link,
 		loop, clock, random, log: silentLog, ...profile.membership,
 	});
 	const shards = createShardsService({
@@ -205,6 +234,7 @@
 			durationMs: 6000, renewMs: 2000, marginMs: 1000, standbyDelayMs: 1000,
 		}, store, membership, loop, clock, log: silentLog,
 		link: new (class extends LeaseLink {
+			override prepare: LeaseLink['prepare'] = async (peer, shard) => call(peer, 1000, async target => target.shards.prepare(shard));
 			override offer: LeaseLink['offer'] = async (peer, shard) => call(peer, 1000, async target => target.shards.takeOffer(shard));
 		})(), ...profile.shards,
 	});
@@ -212,7 +242,10 @@
 		daemonId: self.id, store, loop, clock, log: silentLog,
 	});
 	const configuration = createConfigurationService({
-		membership, store, audit, snapshots: profile.snapshots ?? noSnapshots, loop, clock, random, log: silentLog,
+		membership: profile.wrapMembership?.(membership) ?? membership,
+		store,
+		audit: profile.wrapAudit?.(audit) ?? audit,
+		snapshots: profile.snapshots ?? noSnapshots, loop, clock, random, log: silentLog,
 		link: new (class extends ConfigurationLink {
 			override fetch: ConfigurationLink['fetch'] = async (peer, wanted, own) => call(peer, 2000, async target => target.configuration.serve(wanted, own));
 		})(), ...profile.configuration,
@@ -230,14 +263,16 @@
 }
 
 /** Creates an empty fleet. */
-export function createDaemonFleet(seed: number, onMessage?: Fabric['onMessage']) {
+export function createDaemonFleet(seed: number, onMessage?: Fabric['onMessage'], onPage?: Fabric['onPage']) {
 	const random = createSeededRandom(seed);
 	const time = createVirtualTime(random);
 	const memory = createMemoryStore();
 	const daemons = new Map<string, FleetDaemon>();
-	const faults: Faults = {isCut: () => false, store: () => 'none'};
+	const faults: Faults = {
+		isCut: () => false, store: () => 'none', isStale: () => false, isWatching: () => true,
+	};
 	const fabric: Fabric = {
-		time, memory, faults, daemons, random, ...(onMessage && {onMessage}),
+		time, memory, faults, daemons, random, ...(onMessage && {onMessage}), ...(onPage && {onPage}),
 	};
 	return {
 		time,
@@ -263,6 +298,3 @@
 		},
 	};
 }
-
-/** A failure for links that are switched off. */
-export const switchedOff: Failure = createNotRun('unavailable', {step: 'call', peer: 'none'}, 'switched off');
