--- a/bench/slopes/steps.ts
+++ b/bench/slopes/steps.ts
@@ -40,7 +40,9 @@
 	const schedule = createStepSchedule({
 		request, required: GROUPS, forecast: createLengthForecast(), stalenessBound: 1, attemptPrefix: 'bench', stallMs: 3000, canHedge: true, canResume: true, longestFirst: true,
 	});
-	const budget = {slots: SLOTS, weightVersion: 1};
+	const budget = {
+		slots: SLOTS, spare: 0, allowed: ['engine'], weightVersion: 1,
+	};
 
 	function runStream(attemptId: string, now: number): void {
 		schedule.noteDispatched(attemptId, 'engine');
