--- a/bench/slopes.bench.ts
+++ b/bench/slopes.bench.ts
@@ -6,6 +6,7 @@
 import {measureFleet, type FleetCost} from './slopes/fleet.js';
 import {measurePeerCall, type PeerCallCost} from './slopes/peer-calls.js';
 import {measureChunks, measureStep} from './slopes/steps.js';
+import {measureWholeDaemons} from './slopes/whole-daemons.js';
 
 export const title = 'Slopes of each role';
 
@@ -66,16 +67,31 @@
 	];
 }
 
+const WHOLE_DAEMONS = 9;
+
+async function describeWhole(): Promise<readonly Figure[]> {
+	const whole = await measureWholeDaemons(WHOLE_DAEMONS);
+	const size = `${WHOLE_DAEMONS} whole daemons at rest`;
+	return [
+		{name: `processor time of a daemon with its share of the stand-ins, ${size}`, value: whole.cpuUs, unit: 'µs/s'},
+		{name: `bytes to and from peers of a daemon, ${size}`, value: whole.peerBytes, unit: 'B/s'},
+		{name: `store calls of the fleet, ${size}`, value: whole.storeCalls, unit: 'calls/s'},
+		{name: `heap of a daemon, ${size}`, value: whole.heapBytes, unit: 'B'},
+	];
+}
+
 export async function run(): Promise<readonly Figure[]> {
 	const call = await measurePeerCall(Array.from({length: DIGESTS}, (_, index) => index * 1_000_003));
 	const decisions = await describeDecisions();
 	const owners = await describeOwners();
+	const whole = await describeWhole();
 	const fleets = await runInTurn(FLEET_SIZES, measureFleet);
 	return [
 		{name: 'call between daemons: bytes of headers and framing, both ways', value: call.overheadBytes, unit: 'B'},
 		{name: 'call between daemons: processor time of both ends', value: call.cpuUs, unit: 'µs'},
 		...decisions,
 		...owners,
+		...whole,
 		...fleets.flatMap(cost => describeFleet(cost, call)),
 	];
 }
--- a/bench/slopes/fleet.ts
+++ b/bench/slopes/fleet.ts
@@ -1,6 +1,7 @@
 /** Gossip, leases and configuration of whole fleets over virtual time. */
 import type {Lists} from '../../src/plans/common/lists.js';
 import {createDaemonFleet} from '../../test/fakes/daemon-fleet.js';
+import {createDefaultSettings} from './default-settings.js';
 import {measureCpuUs, readHeapBytes} from './measure.js';
 import {encodedBytes} from './peer-calls.js';
 
@@ -31,8 +32,7 @@
 const SPREAD_STEP_MS = 100;
 const SPREAD_LIMIT_MS = 20_000;
 const SEEDS = 3;
-const FANOUT = 3;
-const PERIOD_MS = 500;
+const {fanout, periodMs} = createDefaultSettings().membership;
 
 const lists: Lists = {
 	plans: [{
@@ -56,7 +56,7 @@
 		counted.bytes += encodedBytes(message);
 	});
 	const ids = Array.from({length: daemons}, (_, index) => `entry-${index + 1}`);
-	const profile = {membership: {fanout: FANOUT, periodMs: PERIOD_MS}, shards: {count: SHARDS}};
+	const profile = {membership: {fanout, periodMs}, shards: {count: SHARDS}};
 	ids.forEach((id, index) => {
 		fleet.start({id, zone: zoneOf(index), ...profile}, ids.slice(0, SEEDS));
 	});
--- a/src/code/node/demo/platform.ts
+++ b/src/code/node/demo/platform.ts
@@ -19,6 +19,8 @@
 	readonly weightStoreUrl: string;
 	readonly scorerUrl: string;
 	readonly crashEngine: (index: number) => void;
+	/** Calls that the store has answered. */
+	readonly storeCalls: () => number;
 	/** All streams that the engines have seen. */
 	readonly streams: () => readonly StreamEntry[];
 };
@@ -67,9 +69,16 @@
 	return (engine.record() as {readonly streams: readonly StreamEntry[]}).streams;
 }
 
+function readStoreCalls(store: Standin): number {
+	// The record of the store counts its calls.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	return (store.record() as {readonly calls: number}).calls;
+}
+
 /** Starts the platform. `entryVms` are the VMs that run daemons, as the VM list shows them. */
 export async function startDemoPlatform(entryVms: readonly Vm[]): Promise<DemoPlatform> {
-	const store = await listen(createStoreStandin());
+	const storeStandin = createStoreStandin();
+	const store = await listen(storeStandin);
 	const scorer = await listen(createScorerStandin());
 	const weightStore = await listen(createWeightStoreStandin({models: {[model]: 1}, concurrentFetches: 2, fetchMs: FETCH_MS}));
 	const engines = Array.from({length: ENGINES}, (_, index) => createEngine(index, urlOf(weightStore)));
@@ -90,6 +99,7 @@
 		crashEngine(index) {
 			engines[index]?.crash();
 		},
+		storeCalls: () => readStoreCalls(storeStandin),
 		streams: () => engines.flatMap(engine => readStreams(engine)),
 		dispose() {
 			all.dispose();
