Work out the planned size from measured slopes

Cause: nothing said what each role costs at 360 daemons. Shown by: npx tsx scripts/test.ts src/code/test/main (5 passed).

--- a/bench/slopes.bench.ts
+++ b/bench/slopes.bench.ts
@@ -6,6 +6,7 @@
 import {measureFleet, type FleetCost} from './slopes/fleet.js';
 import {measurePeerCall, type PeerCallCost} from './slopes/peer-calls.js';
 import {measureChunks, measureStep} from './slopes/steps.js';
+import {measureVmList} from './slopes/vm-list.js';
 import {measureWholeDaemons} from './slopes/whole-daemons.js';
 
 export const title = 'Slopes of each role';
@@ -22,6 +23,7 @@
 	return [
 		{name: `gossip calls a daemon takes part in, ${size}`, value: calls, unit: 'calls/s'},
 		{name: `gossip bytes of a daemon, both ways, ${size}`, value: cost.bytes + (calls * call.overheadBytes), unit: 'B/s'},
+		{name: `of it between regions, ${size}`, value: cost.regionBytes + (cost.regionMessages / 2 * call.overheadBytes), unit: 'B/s'},
 		// Half the cost of a call falls on either end.
 		{name: `gossip, leases, configuration: processor time of a daemon, ${size}`, value: cost.cpuUs + (calls * call.cpuUs / 2), unit: 'µs/s'},
 		{name: `of it without HTTP, ${size}`, value: cost.cpuUs, unit: 'µs/s'},
@@ -45,7 +47,8 @@
 		...admissions.map((cpuUs, index) => ({name: `admission and release of a request, ${PLANS[index]} plans`, value: cpuUs, unit: 'µs'})),
 		...routings.flatMap(({cpuUs, heapBytesPerServer}, index) => [
 			{name: `choice of a server and end of the dispatch, ${WORKERS[index]} workers`, value: cpuUs, unit: 'µs'},
-			{name: `heap of the router per worker, ${WORKERS[index]} workers`, value: heapBytesPerServer, unit: 'B'},
+			// The heap of a few workers is lost in the noise of the measurement.
+			...((WORKERS[index] ?? 0) < 100 ? [] : [{name: `heap of the router per worker, ${WORKERS[index]} workers`, value: heapBytesPerServer, unit: 'B'}]),
 		]),
 	];
 }
@@ -67,6 +70,16 @@
 	];
 }
 
+const VM_COUNTS = [18, 1460];
+
+async function describeVmLists(): Promise<readonly Figure[]> {
+	const costs = await runInTurn(VM_COUNTS, measureVmList);
+	return costs.flatMap(({bytes, cpuUs}, index) => [
+		{name: `read of the VM list, ${VM_COUNTS[index]} VMs`, value: bytes, unit: 'B'},
+		{name: `processor time of it, both ends, ${VM_COUNTS[index]} VMs`, value: cpuUs, unit: 'µs'},
+	]);
+}
+
 const WHOLE_DAEMONS = 9;
 
 async function describeWhole(): Promise<readonly Figure[]> {
@@ -84,6 +97,7 @@
 	const call = await measurePeerCall(Array.from({length: DIGESTS}, (_, index) => index * 1_000_003));
 	const decisions = await describeDecisions();
 	const owners = await describeOwners();
+	const vmLists = await describeVmLists();
 	const whole = await describeWhole();
 	const fleets = await runInTurn(FLEET_SIZES, measureFleet);
 	return [
@@ -91,6 +105,7 @@
 		{name: 'call between daemons: processor time of both ends', value: call.cpuUs, unit: 'µs'},
 		...decisions,
 		...owners,
+		...vmLists,
 		...whole,
 		...fleets.flatMap(cost => describeFleet(cost, call)),
 	];
--- a/bench/slopes/fleet.ts
+++ b/bench/slopes/fleet.ts
@@ -12,6 +12,9 @@
 	readonly messages: number;
 	/** Encoded bytes that a daemon sends and receives, per second, without headers. */
 	readonly bytes: number;
+	/** Messages and bytes of them that pass between regions. */
+	readonly regionMessages: number;
+	readonly regionBytes: number;
 	/** Processor time per daemon and second, in microseconds, the fakes included. */
 	readonly cpuUs: number;
 	/** Heap per daemon, the fakes included. */
@@ -47,13 +50,23 @@
 	return `r${index % REGIONS}-z${Math.floor(index / REGIONS) % ZONES_PER_REGION}`;
 }
 
+function regionOf(id: string): number {
+	return (Number(id.replace('entry-', '')) - 1) % REGIONS;
+}
+
 /** Measures a fleet of the given size. */
 export async function measureFleet(daemons: number): Promise<FleetCost> {
 	const heapBefore = readHeapBytes();
-	const counted = {messages: 0, bytes: 0};
-	const fleet = createDaemonFleet(1, (_from, _to, message) => {
+	const counted = {
+		messages: 0, bytes: 0, regionMessages: 0, regionBytes: 0,
+	};
+	const fleet = createDaemonFleet(1, (from, to, message) => {
+		const bytes = encodedBytes(message);
+		const isBetweenRegions = regionOf(from) !== regionOf(to);
 		counted.messages += 1;
-		counted.bytes += encodedBytes(message);
+		counted.bytes += bytes;
+		counted.regionMessages += isBetweenRegions ? 1 : 0;
+		counted.regionBytes += isBetweenRegions ? bytes : 0;
 	});
 	const ids = Array.from({length: daemons}, (_, index) => `entry-${index + 1}`);
 	const profile = {membership: {fanout, periodMs}, shards: {count: SHARDS}};
@@ -70,6 +83,8 @@
 		// Each message has a sender and a receiver.
 		messages: 2 * (counted.messages - before.messages) * perDaemon,
 		bytes: 2 * (counted.bytes - before.bytes) * perDaemon,
+		regionMessages: 2 * (counted.regionMessages - before.regionMessages) * perDaemon,
+		regionBytes: 2 * (counted.regionBytes - before.regionBytes) * perDaemon,
 		storeCalls: (fleet.memory.calls() - before.calls) / seconds,
 	};
 	const heapBytes = (readHeapBytes() - heapBefore) / daemons;
--- a/src/code/node/main.ts
+++ b/src/code/node/main.ts
@@ -1,8 +1,10 @@
 #!/usr/bin/env node
 /** The command line. */
+import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import createParser from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {z} from 'zod';
 import {exitCodes} from '../common/exit-code.js';
 import {demoCommand} from './commands/demo.js';
 import {auditCommand, drainCommand, statusCommand} from './commands/fleet.js';
@@ -12,6 +14,12 @@
 import {settingsCommand} from './commands/settings.js';
 import {printError} from './terminal.js';
 
+/** The version of this package; the parser itself would take that of the package in the working directory. */
+function readVersion(): string {
+	const file = new URL('../../../package.json', import.meta.url);
+	return z.object({version: z.string()}).parse(JSON.parse(readFileSync(file, 'utf8'))).version;
+}
+
 /** Arguments that the parser or an option's own check has refused; anything else is a fault of the program. */
 function isBadInput(error: Error | undefined): boolean {
 	return error === undefined || error.name === 'YError';
@@ -19,6 +27,7 @@
 
 await createParser(hideBin(process.argv))
 	.scriptName('rosemaryshore')
+	.version(readVersion())
 	.command(serveCommand)
 	.command(demoCommand)
 	.command(settingsCommand)
