Stop requests that crash backend servers after the second, everywhere

Cause: a request that crashes its server was retried elsewhere, by us and by its caller. Change: a broken connection whose server then refuses connections makes the request a suspect; the owner of its fingerprint keeps the crash in the store and tells all daemons before the caller is answered, rumors carry it to the rest; its next try runs on a server that all daemons were asked to leave and that reports nothing else running; after the second crash it is refused for good. Crashes that others are proven to have caused do not count.

--- /dev/null
+++ b/src/requests/common/suspect-book.ts
@@ -0,0 +1,151 @@
+/**
+ * What is known of suspects: requests under which backend servers died. Books of different daemons merge in any order, so
+ * that a crash reaches every daemon by whichever way is fastest.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {createNotRun, type Failure} from '../../base/common/failure.js';
+import type {Isolation} from './suspect-guard.js';
+
+/** A backend server died under a request. */
+export type Crash = {
+	readonly fingerprint: string;
+	/** Unique per crash. */
+	readonly crashId: string;
+	/** The backend server that died. */
+	readonly serverId: string;
+	/** Milliseconds since the Unix epoch, by the clock of the daemon that saw it. */
+	readonly at: number;
+	/** The request was answered in whole since, so that it is not to blame. */
+	readonly acquitted: boolean;
+};
+
+/** The suspects as one daemon knows them. */
+export type SuspectBook = {
+	/** Merges crashes; returns those that were news. */
+	readonly add: (crashes: readonly Crash[], now: number) => readonly Crash[];
+	/** Says how a request may run; fails with `suspect` when it is refused for good. */
+	readonly check: (fingerprint: string, now: number) => Result<Isolation, Failure>;
+	/** Clears a request that was answered in whole; returns what changed. A request refused for good stays refused. */
+	readonly acquit: (fingerprint: string, now: number) => readonly Crash[];
+	/** The newest crashes. */
+	readonly recent: (count: number) => readonly Crash[];
+	readonly list: () => readonly Crash[];
+};
+
+type Entry = Crash & {readonly heardAt: number};
+
+/** Backend servers that may die under a request before it is refused for good. */
+const CRASHES_TO_REFUSE = 2;
+/** Time for which a request with one crash must run alone. */
+const ISOLATION_MS = 600_000;
+/** Time for which a single crash is remembered. */
+const SINGLE_CRASH_MS = 86_400_000;
+const LARGEST_BOOK = 10_000;
+/** Crashes of one server that daemons saw within this time are one death. */
+const SAME_DEATH_MS = 2000;
+
+function toCrash(entry: Entry): Crash {
+	const {heardAt, ...crash} = entry;
+	return crash;
+}
+
+/** Creates a book without suspects. */
+export function createSuspectBook(): SuspectBook {
+	const entries = new Map<string, Entry>();
+	const byFingerprint = new Map<string, Set<string>>();
+	const byServer = new Map<string, Set<string>>();
+
+	function crashesOf(fingerprint: string): readonly Entry[] {
+		return [...byFingerprint.get(fingerprint) ?? []].flatMap(crashId => entries.get(crashId) ?? []).filter(entry => !entry.acquitted);
+	}
+
+	function unlink(index: Map<string, Set<string>>, key: string, crashId: string): void {
+		const ids = index.get(key);
+		ids?.delete(crashId);
+		if (ids?.size === 0) {
+			index.delete(key);
+		}
+	}
+
+	function link(index: Map<string, Set<string>>, key: string, crashId: string): void {
+		const ids = index.get(key) ?? new Set();
+		index.set(key, ids.add(crashId));
+	}
+
+	function remove(entry: Entry): void {
+		entries.delete(entry.crashId);
+		unlink(byFingerprint, entry.fingerprint, entry.crashId);
+		unlink(byServer, entry.serverId, entry.crashId);
+	}
+
+	function put(crash: Crash, now: number): void {
+		entries.delete(crash.crashId);
+		entries.set(crash.crashId, {...crash, heardAt: now});
+		link(byFingerprint, crash.fingerprint, crash.crashId);
+		link(byServer, crash.serverId, crash.crashId);
+	}
+
+	/** Other requests that ran on the server as it died. */
+	function listCompanions(crash: Entry): readonly string[] {
+		return [...byServer.get(crash.serverId) ?? []]
+			.flatMap(crashId => entries.get(crashId) ?? [])
+			.filter(other => !other.acquitted && other.fingerprint !== crash.fingerprint && Math.abs(other.at - crash.at) < SAME_DEATH_MS)
+			.map(other => other.fingerprint);
+	}
+
+	/** A server died while it ran this request and no other, and another server died under it as well. */
+	function isProven(fingerprint: string): boolean {
+		const crashes = crashesOf(fingerprint);
+		return crashes.length >= CRASHES_TO_REFUSE && crashes.some(crash => listCompanions(crash).length === 0);
+	}
+
+	/** Two crashes are enough, unless others are proven to have caused each of them. */
+	function isRefused(fingerprint: string): boolean {
+		const crashes = crashesOf(fingerprint);
+		return crashes.length >= CRASHES_TO_REFUSE
+			&& (isProven(fingerprint) || !crashes.every(crash => listCompanions(crash).some(isProven)));
+	}
+
+	function trim(now: number): void {
+		const old = [...entries.values()].filter(entry => now - entry.heardAt > SINGLE_CRASH_MS && !isRefused(entry.fingerprint));
+		const excess = [...entries.values()].slice(0, Math.max(0, entries.size - LARGEST_BOOK));
+		[...old, ...excess].forEach(remove);
+	}
+
+	function isNews(crash: Crash): boolean {
+		const known = entries.get(crash.crashId);
+		return known === undefined || (crash.acquitted && !known.acquitted && !isRefused(crash.fingerprint));
+	}
+
+	return {
+		add(crashes, now) {
+			const news = crashes.filter(isNews);
+			news.forEach(crash => {
+				put(crash, now);
+			});
+			trim(now);
+			return news;
+		},
+		check(fingerprint, now) {
+			const crashes = crashesOf(fingerprint);
+			if (isRefused(fingerprint)) {
+				return err(createNotRun('suspect', {step: 'check suspects', peer: 'self'}, `${crashes.length} backend servers died under this request`));
+			}
+
+			return ok(crashes.some(crash => now - crash.heardAt < ISOLATION_MS) ? 'alone' : 'shared');
+		},
+		acquit(fingerprint, now) {
+			if (isRefused(fingerprint)) {
+				return [];
+			}
+
+			const cleared = crashesOf(fingerprint).map(crash => ({...toCrash(crash), acquitted: true}));
+			cleared.forEach(crash => {
+				put(crash, now);
+			});
+			return cleared;
+		},
+		recent: count => [...entries.values()].slice(-count).map(toCrash),
+		list: () => [...entries.values()].map(toCrash),
+	};
+}
--- a/src/requests/common/suspect-guard.ts
+++ b/src/requests/common/suspect-guard.ts
@@ -10,6 +10,11 @@
 export type SuspectGuard = {
 	/** Says how the request may run; `suspect` when it is refused for good. */
 	readonly check: (fingerprint: string, now: number) => Result<Isolation, Failure>;
+	/**
+	 * Waits until a reserved server runs nothing else, on any daemon; false when it does not become empty in time. What
+	 * dies alone is to blame, and nothing else is blamed with it.
+	 */
+	readonly isolate: (server: BackendServer, deadline: number) => Promise<boolean>;
 	/** Tells that a connection broke under the request; resolves when the request's owner knows, within bounded time. */
 	readonly broke: (fingerprint: string, server: BackendServer, now: number) => Promise<void>;
 	/** Tells that the request was answered in whole. */
@@ -19,6 +24,7 @@
 /** A guard that suspects nothing. */
 export const trustingGuard: SuspectGuard = {
 	check: () => ok('shared'),
+	isolate: async () => true,
 	broke: async () => undefined,
 	survived: () => undefined,
 };
--- /dev/null
+++ b/src/requests/common/suspect-link.ts
@@ -0,0 +1,14 @@
+/** The ways on which crashes spread between daemons and to the store. */
+import type {Crash} from './suspect-book.js';
+
+/** Tells others of crashes; each call resolves within a bounded time, whatever the peers do. */
+export type SuspectLink = {
+	/** Reports to the owner of the fingerprint's shard; true when it keeps the report and has told the others. */
+	readonly report: (crashes: readonly Crash[]) => Promise<boolean>;
+	/** Tells all members directly. */
+	readonly announce: (crashes: readonly Crash[]) => Promise<void>;
+	/** Asks all members to send nothing new to a server for a while. */
+	readonly reserve: (serverId: string) => Promise<void>;
+	/** Spreads the newest crashes as a rumor. */
+	readonly spread: (crashes: readonly Crash[]) => void;
+};
--- a/src/requests/node/attempt-runner.ts
+++ b/src/requests/node/attempt-runner.ts
@@ -61,6 +61,7 @@
 
 const INITIAL_RUN_MS = 50;
 const MEAN_GAIN = 0.1;
+const ISOLATION_RETRY_MS = 2000;
 
 function remember<T>(known: Map<string, T>, key: string, create: () => T): T {
 	const found = known.get(key) ?? create();
@@ -148,11 +149,25 @@
 		return ended.result;
 	}
 
-	function dispatch(request: RunRequest, progress: Progress): Result<Dispatch, Failure> {
+	async function isolate(request: RunRequest, dispatched: Dispatch): Promise<Result<Dispatch, Failure>> {
+		if (await suspects.isolate(dispatched.server, request.deadline)) {
+			return ok(dispatched);
+		}
+
+		dispatched.end(clock.monotonic(), 'cancelled');
+		return err(createNotRun('unavailable', {step: 'isolate request', peer: dispatched.server.id}, 'the server did not become empty in time', ISOLATION_RETRY_MS));
+	}
+
+	async function dispatch(request: RunRequest, progress: Progress): Promise<Result<Dispatch, Failure>> {
 		const now = clock.monotonic();
-		return suspects.check(request.fingerprint, now).andThen(verdict => router.dispatch({
-			...request.route, excluded: progress.excluded, alone: verdict === 'alone',
-		}, now));
+		const verdict = suspects.check(request.fingerprint, now);
+		if (verdict.isErr()) {
+			return err(verdict.error);
+		}
+
+		const alone = verdict.value === 'alone';
+		const dispatched = router.dispatch({...request.route, excluded: progress.excluded, alone}, now);
+		return alone && dispatched.isOk() ? isolate(request, dispatched.value) : dispatched;
 	}
 
 	function fail(progress: Progress, last: Failure): Failure {
@@ -164,7 +179,7 @@
 			return err(fail(progress, createNotRun('aborted', {step: 'run request', peer: request.route.pool}, 'the caller went away')));
 		}
 
-		const dispatched = dispatch(request, progress);
+		const dispatched = await dispatch(request, progress);
 		if (dispatched.isErr()) {
 			return err(fail(progress, dispatched.error));
 		}
--- /dev/null
+++ b/src/requests/node/connect-suspect-link.ts
@@ -0,0 +1,135 @@
+/** Spreads crashes between daemons over their peer connections and as rumors. */
+import type {Client} from '@connectrpc/connect';
+import {z} from 'zod';
+import type {Disposable} from '../../base/common/disposable.js';
+import type {Clock} from '../../base/common/clock.js';
+import type {Loop} from '../../kernel/common/loop.js';
+import type {Reservations} from '../../routing/common/reservations.js';
+import type {Shards} from '../../leases/common/shards.js';
+import type {Membership} from '../../membership/common/membership.js';
+import {SuspectService} from '../../peers/common/gen/rosemaryshore/requests/v1/suspects_pb.js';
+import type {Peers} from '../../peers/common/peers.js';
+import type {Crash, SuspectBook} from '../common/suspect-book.js';
+import type {SuspectLink} from '../common/suspect-link.js';
+import {groupByShard, type SuspectOwner} from './suspect-owner.js';
+
+/** What the link rests on. */
+export type SuspectLinkParts = {
+	readonly peers: Peers;
+	readonly membership: Membership;
+	readonly shards: Shards;
+	readonly owner: SuspectOwner;
+	readonly reservations: Pick<Reservations, 'note'>;
+	readonly book: SuspectBook;
+	readonly clock: Clock;
+	readonly loop: Loop;
+};
+
+const TOPIC = 'suspects';
+const REPORT_TIMEOUT_MS = 1000;
+const ANNOUNCE_TIMEOUT_MS = 500;
+/** Time that a report may wait for the store; the write goes on afterwards. */
+const KEEP_WAIT_MS = 300;
+
+/** Short names keep rumors small. */
+const rumorValue = z.array(z.object({
+	f: z.string(), c: z.string(), a: z.boolean(), s: z.string(), t: z.number(),
+}));
+
+function writeRumor(crashes: readonly Crash[]): string {
+	return JSON.stringify(crashes.map(crash => ({
+		f: crash.fingerprint, c: crash.crashId, a: crash.acquitted, s: crash.serverId, t: crash.at,
+	})));
+}
+
+function parseRumor(value: string): readonly Crash[] {
+	const parsed = rumorValue.safeParse(JSON.parse(value));
+	return (parsed.data ?? []).map(({
+		f, c, a, s, t,
+	}) => ({
+		fingerprint: f, crashId: c, acquitted: a, serverId: s, at: t,
+	}));
+}
+
+/** Creates the link of a daemon, serves its side to peers and listens to rumors. */
+export function createConnectSuspectLink(parts: SuspectLinkParts): SuspectLink & Disposable {
+	const {
+		peers, membership, shards, owner, book, clock, loop, reservations,
+	} = parts;
+	let rumorVersion = 0;
+
+	async function callOthers(call: (client: Client<typeof SuspectService>) => Promise<unknown>): Promise<void> {
+		const others = membership.members().filter(member => member.id !== membership.self().id);
+		await Promise.allSettled(others.map(async member => call(peers.client(SuspectService, member, ANNOUNCE_TIMEOUT_MS))));
+	}
+
+	async function announce(crashes: readonly Crash[]): Promise<void> {
+		await callOthers(async client => client.announce({crashes: [...crashes]}));
+	}
+
+	async function keep(shard: number, crashes: readonly Crash[]): Promise<boolean> {
+		if (!shards.holding(shard, clock.monotonic())) {
+			return false;
+		}
+
+		book.add(crashes, clock.monotonic());
+		await Promise.all([
+			announce(crashes),
+			Promise.race([owner.keep(shard, crashes), loop.sleep(KEEP_WAIT_MS)]),
+		]);
+		return true;
+	}
+
+	async function reportTo(shard: number, crashes: readonly Crash[]): Promise<boolean> {
+		const known = shards.owner(shard, clock.monotonic());
+		if (known === undefined || known.daemonId === membership.self().id) {
+			return keep(shard, crashes);
+		}
+
+		try {
+			const response = await peers.client(SuspectService, known, REPORT_TIMEOUT_MS).report({shard, crashes: [...crashes]});
+			return response.kept;
+		} catch {
+			return false;
+		}
+	}
+
+	peers.serve(SuspectService, {
+		report: async request => ({kept: await keep(request.shard, request.crashes)}),
+		announce(request) {
+			book.add(request.crashes, clock.monotonic());
+			return {};
+		},
+		reserve(request) {
+			reservations.note(request.daemonId, [request.serverId]);
+			return {};
+		},
+	});
+	const listening = membership.onDidHear(rumor => {
+		if (rumor.topic === TOPIC) {
+			book.add(parseRumor(rumor.value), clock.monotonic());
+		}
+	});
+
+	return {
+		async report(crashes) {
+			const kept = await Promise.all(groupByShard(crashes, shards.count).map(async group => reportTo(group.shard, group.crashes)));
+			return kept.every(Boolean);
+		},
+		announce,
+		async reserve(serverId) {
+			await callOthers(async client => client.reserve({daemonId: membership.self().id, serverId}));
+		},
+		spread(crashes) {
+			// The incarnation keeps versions rising over a restart.
+			rumorVersion = Math.max(rumorVersion + 1, membership.self().incarnation * 1000);
+			membership.spread({
+				topic: TOPIC,
+				origin: membership.self().id,
+				version: rumorVersion,
+				value: writeRumor(crashes),
+			});
+		},
+		dispose: listening.dispose,
+	};
+}
--- /dev/null
+++ b/src/requests/node/start-suspects.ts
@@ -0,0 +1,58 @@
+/** Starts the guard against suspect requests on a daemon. */
+import {joinDisposables, type Disposable} from '../../base/common/disposable.js';
+import type {Context} from '../../kernel/common/contribution.js';
+import {shardsKey} from '../../leases/common/shards.js';
+import {membershipKey} from '../../membership/common/membership.js';
+import {peersKey} from '../../peers/common/peers.js';
+import {storeKey, type WriteId} from '../../platform/common/store.js';
+import {reservationsKey} from '../../routing/common/reservations.js';
+import {routerKey} from '../../routing/common/router.js';
+import {settingsKey} from '../../settings/common/settings.js';
+import {createSuspectBook} from '../common/suspect-book.js';
+import type {SuspectGuard} from '../common/suspect-guard.js';
+import {createConnectSuspectLink} from './connect-suspect-link.js';
+import {createSuspectGuard} from './suspect-guard.js';
+import {createSuspectOwner} from './suspect-owner.js';
+
+const FLUSH_MS = 2000;
+const READ_ALL_MS = 60_000;
+
+/** Starts the guard. `nextWriteId` is that of the daemon. */
+export async function startSuspects(context: Context, nextWriteId: () => WriteId): Promise<{readonly guard: SuspectGuard; readonly disposable: Disposable}> {
+	const {clock, loop} = context;
+	const shards = context.use(shardsKey);
+	const router = context.use(routerKey);
+	const {pools} = context.use(settingsKey);
+	const book = createSuspectBook();
+	const owner = createSuspectOwner({
+		shardCount: shards.count, store: context.use(storeKey), book, clock, nextWriteId,
+	});
+	const link = createConnectSuspectLink({
+		peers: context.use(peersKey), membership: context.use(membershipKey), shards, owner, book, clock, loop, reservations: context.use(reservationsKey),
+	});
+	const guard = createSuspectGuard({
+		clock,
+		loop,
+		book,
+		link,
+		probe: async server => pools.some(pool => pool.name === server.pool && pool.kind === 'engine')
+			? router.engine(server).load()
+			: router.service(server).load(),
+		nextCrashId() {
+			const {writer, sequence} = nextWriteId();
+			return `${writer}:${sequence}`;
+		},
+	});
+	// A daemon that starts in an outage learns of suspects from rumors until the store is back.
+	await owner.readAll();
+	const disposable = joinDisposables([
+		link,
+		loop.every({
+			name: 'keep suspects', periodMs: FLUSH_MS, jitterShare: 0.2, run: owner.flush,
+		}),
+		loop.every({
+			name: 'read suspects', periodMs: READ_ALL_MS, jitterShare: 0.5, run: owner.readAll,
+		}),
+	]);
+	return {guard, disposable};
+}
--- /dev/null
+++ b/src/requests/node/suspect-guard.ts
@@ -0,0 +1,90 @@
+/** Guards backend servers against requests that crash them, on one daemon. */
+import type {Result} from 'neverthrow';
+import type {Clock} from '../../base/common/clock.js';
+import type {Failure} from '../../base/common/failure.js';
+import type {Loop} from '../../kernel/common/loop.js';
+import type {LoadReport} from '../../platform/common/engine.js';
+import type {BackendServer} from '../../routing/common/router.js';
+import type {Crash, SuspectBook} from '../common/suspect-book.js';
+import type {SuspectGuard} from '../common/suspect-guard.js';
+import type {SuspectLink} from '../common/suspect-link.js';
+
+/** What the guard rests on. */
+export type SuspectGuardParts = {
+	readonly book: SuspectBook;
+	readonly link: SuspectLink;
+	/** Asks a server for its load, to find out whether it still runs. */
+	readonly probe: (server: BackendServer) => Promise<Result<LoadReport, Failure>>;
+	/** Unique per crash over the fleet. */
+	readonly nextCrashId: () => string;
+	readonly clock: Clock;
+	readonly loop: Loop;
+};
+
+/** Newest crashes that a rumor has room for. */
+const RUMOR_CRASHES = 4;
+const EMPTY_POLL_MS = 100;
+/** A server that does not become empty within this time is let go. */
+const LONGEST_WAIT_MS = 8000;
+
+/** Creates the guard. */
+export function createSuspectGuard(parts: SuspectGuardParts): SuspectGuard {
+	const {book, link, probe, nextCrashId, clock, loop} = parts;
+
+	async function tellOthers(crashes: readonly Crash[]): Promise<void> {
+		link.spread(book.recent(RUMOR_CRASHES));
+		const kept = await link.report(crashes);
+		if (!kept) {
+			await link.announce(crashes);
+		}
+	}
+
+	/** A broken connection alone may be the network's fault; a server that then refuses connections has died. */
+	async function hasDied(server: BackendServer): Promise<boolean> {
+		const load = await probe(server);
+		return load.isErr() && load.error.effect === 'notRun';
+	}
+
+	/** A report counts only if it was taken after all daemons had been asked to stay away. */
+	async function waitUntilEmpty(server: BackendServer, reservedAt: number, until: number): Promise<boolean> {
+		const load = await probe(server);
+		const now = clock.monotonic();
+		if (load.isErr() || now >= until) {
+			return false;
+		}
+
+		const {running, queued, ageMs} = load.value;
+		if (running + queued === 0 && now - ageMs >= reservedAt) {
+			return true;
+		}
+
+		await loop.sleep(EMPTY_POLL_MS);
+		return waitUntilEmpty(server, reservedAt, until);
+	}
+
+	return {
+		check: book.check,
+		async isolate(server, deadline) {
+			await link.reserve(server.id);
+			const reservedAt = clock.monotonic();
+			return waitUntilEmpty(server, reservedAt, Math.min(deadline, reservedAt + LONGEST_WAIT_MS));
+		},
+		async broke(fingerprint, server, now) {
+			if (!await hasDied(server)) {
+				return;
+			}
+
+			const crash = {
+				fingerprint, crashId: nextCrashId(), serverId: server.id, at: clock.wall(), acquitted: false,
+			};
+			book.add([crash], now);
+			await tellOthers([crash]);
+		},
+		survived(fingerprint, now) {
+			const cleared = book.acquit(fingerprint, now);
+			if (cleared.length > 0) {
+				void tellOthers(cleared);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/requests/node/suspect-owner.ts
@@ -0,0 +1,99 @@
+/** Keeps crashes durably for the shards that this daemon owns, and reads those that others have kept. */
+import {z} from 'zod';
+import type {Clock} from '../../base/common/clock.js';
+import {shardOf} from '../../leases/common/shards.js';
+import {writeSettled} from '../../platform/common/settled-write.js';
+import type {Store, StoredObject, WriteId} from '../../platform/common/store.js';
+import type {Crash, SuspectBook} from '../common/suspect-book.js';
+
+/** The owner's side of suspects. */
+export type SuspectOwner = {
+	/** Queues crashes of one shard and writes them; resolves when they are durable or the write has failed. */
+	readonly keep: (shard: number, crashes: readonly Crash[]) => Promise<void>;
+	/** Writes what earlier writes could not. */
+	readonly flush: () => Promise<void>;
+	/** Reads what all owners have kept. */
+	readonly readAll: () => Promise<void>;
+};
+
+/** What the owner rests on. */
+export type SuspectOwnerParts = {
+	readonly shardCount: number;
+	readonly store: Store;
+	readonly book: SuspectBook;
+	readonly clock: Clock;
+	readonly nextWriteId: () => WriteId;
+};
+
+const suspectRecord = z.object({
+	crashes: z.array(z.object({
+		fingerprint: z.string(), crashId: z.string(), acquitted: z.boolean(), serverId: z.string(), at: z.number(),
+	})).readonly(),
+});
+
+/** Crashes in one object; the oldest are dropped first. */
+const LARGEST_RECORD = 4000;
+
+function parseRecord(object: StoredObject | undefined): readonly Crash[] {
+	return object === undefined ? [] : suspectRecord.parse(JSON.parse(object.value)).crashes;
+}
+
+/** Later crashes win; an acquittal is never taken back. */
+function merge(kept: readonly Crash[], added: readonly Crash[]): readonly Crash[] {
+	const merged = new Map(kept.map(crash => [crash.crashId, crash]));
+	added.forEach(crash => {
+		merged.set(crash.crashId, {...crash, acquitted: crash.acquitted || (merged.get(crash.crashId)?.acquitted ?? false)});
+	});
+	return [...merged.values()].slice(-LARGEST_RECORD);
+}
+
+/** Creates an owner with nothing to write. */
+export function createSuspectOwner(parts: SuspectOwnerParts): SuspectOwner {
+	const {store, book, clock, nextWriteId} = parts;
+	const pending = new Map<number, readonly Crash[]>();
+	const writing = new Set<number>();
+
+	async function write(shard: number): Promise<void> {
+		const crashes = pending.get(shard) ?? [];
+		if (crashes.length === 0 || writing.has(shard)) {
+			return;
+		}
+
+		writing.add(shard);
+		const id = {kind: 'suspects', name: `shard-${String(shard).padStart(4, '0')}`} as const;
+		const found = await store.read(id);
+		const written = found.isErr()
+			? found
+			: await writeSettled(store, {
+				...id, value: JSON.stringify({crashes: merge(parseRecord(found.value), crashes)}), ifVersion: found.value?.version ?? 0, writeId: nextWriteId(),
+			});
+		writing.delete(shard);
+		if (written.isOk()) {
+			pending.set(shard, (pending.get(shard) ?? []).filter(crash => !crashes.includes(crash)));
+			// Crashes that came in meanwhile did not start a write of their own.
+			await write(shard);
+		}
+	}
+
+	return {
+		async keep(shard, crashes) {
+			pending.set(shard, [...pending.get(shard) ?? [], ...crashes]);
+			await write(shard);
+		},
+		async flush() {
+			await Promise.all([...pending.keys()].map(write));
+		},
+		async readAll() {
+			const listed = await store.list('suspects', '');
+			listed.unwrapOr([]).forEach(object => {
+				book.add(parseRecord(object), clock.monotonic());
+			});
+		},
+	};
+}
+
+/** Groups crashes by the shard that keeps them. */
+export function groupByShard(crashes: readonly Crash[], shardCount: number): ReadonlyArray<{readonly shard: number; readonly crashes: readonly Crash[]}> {
+	const shards = [...new Set(crashes.map(crash => shardOf('suspect', crash.fingerprint, shardCount)))];
+	return shards.map(shard => ({shard, crashes: crashes.filter(crash => shardOf('suspect', crash.fingerprint, shardCount) === shard)}));
+}
--- a/src/requests/requests.contribution.ts
+++ b/src/requests/requests.contribution.ts
@@ -1,21 +1,15 @@
 /** Serves callers: the HTTP front, completions and calls of plain services. */
-import {joinDisposables, type Disposable} from '../base/common/disposable.js';
 import type {Context, Contribution} from '../kernel/common/contribution.js';
 import {registerContribution} from '../kernel/common/registry.js';
 import {admissionKey} from '../limits/common/admission.js';
-import {shardsKey} from '../leases/common/shards.js';
-import {peersKey} from '../peers/common/peers.js';
-import {storeKey} from '../platform/common/store.js';
+import type {WriteId} from '../platform/common/store.js';
 import {configurationKey} from '../plans/common/configuration.js';
 import {routerKey} from '../routing/common/router.js';
 import {settingsKey} from '../settings/common/settings.js';
 import {createAuthenticate} from './common/access.js';
 import {frontKey} from './common/front.js';
-import {claimsKey, type Claims} from './common/claims.js';
-import {createClaimOwner} from './node/claim-owner.js';
-import {createClaimsClient} from './node/claims-client.js';
-import {createConnectClaimLink, serveClaims} from './node/connect-claim-link.js';
-import {trustingGuard} from './common/suspect-guard.js';
+import {startClaims} from './node/start-claims.js';
+import {startSuspects} from './node/start-suspects.js';
 import {createAttemptRunner} from './node/attempt-runner.js';
 import {createClaimedRuns} from './node/claimed-runs.js';
 import {createCompletionRoute} from './node/completions.js';
@@ -23,39 +17,13 @@
 import {createHealthRoute} from './node/health.js';
 import {createServiceRoute} from './node/services.js';
 
-const EXPIRY_POLL_MS = 60_000;
-
-function startClaims(context: Context): {readonly claims: Claims; readonly disposable: Disposable} {
-	const {clock, loop} = context;
-	const {daemon, requests} = context.use(settingsKey);
-	const shards = context.use(shardsKey);
-	const peers = context.use(peersKey);
-	const writer = `${daemon.id}:${Math.round(clock.wall())}`;
+function createWriteIds(context: Context): () => WriteId {
+	const writer = `${context.use(settingsKey).daemon.id}:${Math.round(context.clock.wall())}`;
 	let sequence = 0;
-	const owner = createClaimOwner({
-		shards,
-		store: context.use(storeKey),
-		clock,
-		bounds: {retentionMs: requests.claimRetentionMs, generationBytes: requests.claimGenerationBytes, windowMs: requests.claimWindowMs},
-		nextWriteId() {
-			sequence += 1;
-			return {writer, sequence: String(sequence)};
-		},
-	});
-	serveClaims(peers, owner);
-	const claims = createClaimsClient({
-		shards, link: createConnectClaimLink(daemon.id, peers, owner), clock, loop,
-	});
-	context.provide(claimsKey, claims);
-	const disposable = joinDisposables([
-		shards.onDidAcquire(holding => {
-			owner.acquired(holding.shard);
-		}),
-		loop.every({
-			name: 'remove expired claims', periodMs: EXPIRY_POLL_MS, jitterShare: 0.5, run: owner.removeExpired,
-		}),
-	]);
-	return {claims, disposable};
+	return () => {
+		sequence += 1;
+		return {writer, sequence: String(sequence)};
+	};
 }
 
 function createFront(context: Context): FrontServer {
@@ -82,10 +50,12 @@
 	const router = context.use(routerKey);
 	const admission = context.use(admissionKey);
 	const front = createFront(context);
-	const {claims, disposable} = startClaims(context);
+	const nextWriteId = createWriteIds(context);
+	const {claims, disposable: claimsDisposable} = startClaims(context, nextWriteId);
+	const {guard, disposable: suspectsDisposable} = await startSuspects(context, nextWriteId);
 	const runner = createAttemptRunner({
 		router,
-		suspects: trustingGuard,
+		suspects: guard,
 		maximumAttempts: settings.requests.maximumAttempts,
 		retryShare: settings.requests.retryShare,
 		clock,
@@ -108,11 +78,12 @@
 		drain: front.drain,
 		dispose() {
 			front.dispose();
-			disposable.dispose();
+			claimsDisposable.dispose();
+			suspectsDisposable.dispose();
 		},
 	};
 }
 
-const contribution: Contribution = {id: 'requests', requires: ['leases', 'limits', 'platform', 'plans', 'routing'], start};
+const contribution: Contribution = {id: 'requests', requires: ['leases', 'limits', 'membership', 'peers', 'platform', 'plans', 'routing'], start};
 
 registerContribution(contribution);
--- a/src/routing/common/dispatcher.ts
+++ b/src/routing/common/dispatcher.ts
@@ -63,11 +63,15 @@
 			.filter(server => table.usable(server.id, now))
 			.filter(server => !request.excluded.includes(server.id))
 			.filter(server => request.allowed === undefined || request.allowed.includes(server.id))
-			.filter(server => !reserved.has(server.id) && !reservedElsewhere(server.id))
-			.filter(server => !request.alone || loads.read(server.id).requests === 0);
+			.filter(server => !reserved.has(server.id) && !reservedElsewhere(server.id));
 	}
 
 	function listCandidates(request: RouteRequest, eligible: readonly BackendServer[]): readonly BackendServer[] {
+		if (request.alone) {
+			// The server with the least to finish is empty soonest.
+			return eligible.toSorted((a, b) => loads.read(a.id).requests - loads.read(b.id).requests).slice(0, 1);
+		}
+
 		const near = eligible.filter(server => server.region === ownRegion);
 		const far = eligible.filter(server => server.region !== ownRegion);
 		const holderId = request.prefixKey === undefined ? undefined : prefixes.find(request.prefixKey);
--- a/src/routing/common/reservations.ts
+++ b/src/routing/common/reservations.ts
@@ -2,14 +2,20 @@
  * Servers that daemons have reserved for one suspect request each, spread as rumors. A reservation that reaches a daemon
  * late costs only the isolation of that one try; what counts as blame does not rest on it.
  */
+import {createServiceKey} from '../../kernel/common/contribution.js';
 import type {Membership} from '../../membership/common/membership.js';
 
 /** Reservations of the whole fleet as one daemon sees them. */
 export type Reservations = {
 	readonly announce: (serverIds: readonly string[]) => void;
 	readonly isReservedElsewhere: (serverId: string) => boolean;
+	/** Takes the reservations of another daemon as it told them directly. */
+	readonly note: (daemonId: string, serverIds: readonly string[]) => void;
 };
 
+/** The daemon's view of reservations. */
+export const reservationsKey = createServiceKey<Reservations>('reservations');
+
 const TOPIC = 'reserved-servers';
 /** A reservation that is not renewed is dropped after this time, so that a dead daemon does not hold a server. */
 const EXPIRY_MS = 10_000;
@@ -27,13 +33,23 @@
 	let announced: readonly string[] = [];
 	let version = 0;
 
+	function note(source: string, servers: readonly string[]): void {
+		elsewhere.set(source, {servers, heardAt: monotonic()});
+	}
+
 	membership.onDidHear(rumor => {
 		if (rumor.topic === TOPIC && rumor.origin !== membership.self().id) {
-			elsewhere.set(rumor.origin, {servers: parseServerIds(rumor.value), heardAt: monotonic()});
+			note(rumor.origin, parseServerIds(rumor.value));
 		}
 	});
 
 	return {
+		note(daemonId, serverIds) {
+			// Kept apart from rumors, which may be older and arrive later.
+			serverIds.forEach(serverId => {
+				note(`${daemonId} ${serverId}`, [serverId]);
+			});
+		},
 		announce(serverIds) {
 			if (serverIds.length === 0 && announced.length === 0) {
 				return;
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -31,7 +31,7 @@
 	readonly excluded: readonly string[];
 	/** The only servers allowed, such as those on a weight version; undefined allows all. */
 	readonly allowed: readonly string[] | undefined;
-	/** Requires a server that runs nothing else, and reserves it: for suspect requests. */
+	/** Reserves the server for this request: for suspects. The caller waits until the server has finished its other work. */
 	readonly alone: boolean;
 };
 
--- a/src/routing/routing.contribution.ts
+++ b/src/routing/routing.contribution.ts
@@ -14,7 +14,7 @@
 import {createDispatcher} from './common/dispatcher.js';
 import {createLoadEstimate} from './common/load-estimate.js';
 import {createPrefixIndex} from './common/prefix-index.js';
-import {createReservations} from './common/reservations.js';
+import {createReservations, reservationsKey} from './common/reservations.js';
 import {routerKey, type BackendServer, type Router} from './common/router.js';
 import {defaultCostWeights} from './common/server-cost.js';
 import {createServerTable} from './common/server-table.js';
@@ -111,6 +111,7 @@
 		load: loads.read,
 	};
 	await pollVmList();
+	context.provide(reservationsKey, reservations);
 	context.provide(routerKey, router);
 
 	return joinDisposables([
