--- a/src/limits/common/drain-rate.ts
+++ b/src/limits/common/drain-rate.ts
@@ -3,7 +3,7 @@
 /** The measured speed of a pool. */
 export type DrainRate = {
 	readonly completed: (cost: number, runMs: number) => void;
-	/** Expected time that a request of the given cost runs, in milliseconds. */
+	/** Time within which most requests of the given cost run, in milliseconds. */
 	readonly runMs: (cost: number) => number;
 	/** Expected time until `costAhead` is worked off by `concurrency` requests at once, in milliseconds. */
 	readonly waitMs: (costAhead: number, concurrency: number) => number;
@@ -11,6 +11,8 @@
 
 /** Weight of the newest request in the running means. */
 const GAIN = 0.05;
+/** Mean deviations above the mean within which most requests run. */
+const DEVIATIONS = 2;
 /** Requests after which the running means are trusted fully; before, plain averages are taken. */
 const WARM_UP = 1 / GAIN;
 
@@ -18,16 +20,18 @@
 export function createDrainRate(initialRunMs: number): DrainRate {
 	let meanRunMs = initialRunMs;
 	let meanCost = 1;
+	let deviationMs = 0;
 	let count = 0;
 
 	return {
 		completed(cost, runMs) {
 			count += 1;
 			const gain = Math.max(GAIN, 1 / Math.min(count, WARM_UP));
+			deviationMs += gain * (Math.abs(runMs - meanRunMs) - deviationMs);
 			meanRunMs += gain * (runMs - meanRunMs);
 			meanCost += gain * (cost - meanCost);
 		},
-		runMs: cost => count === 0 ? initialRunMs : meanRunMs * cost / meanCost,
+		runMs: cost => count === 0 ? initialRunMs : (meanRunMs + (DEVIATIONS * deviationMs)) * cost / meanCost,
 		waitMs: (costAhead, concurrency) => (count === 0 ? initialRunMs * Math.sign(costAhead) : meanRunMs * costAhead / meanCost) / Math.max(1, concurrency),
 	};
 }
--- a/src/requests/node/services.ts
+++ b/src/requests/node/services.ts
@@ -1,6 +1,7 @@
 /** Calls of plain services for callers. Those that may not be repeated run under a claim. */
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import type {Clock} from '../../base/common/clock.js';
@@ -42,6 +43,7 @@
 const EXPECTED_ANSWER_BYTES = 4096;
 /** A claimed run goes on when its caller leaves, so that a repetition can be given its outcome. */
 const neverAborted = new AbortController().signal;
+setMaxListeners(0, neverAborted);
 
 function isIdempotent(pool: ServicePool, method: string, path: string): boolean {
 	return pool.operations.some(operation => operation.idempotent && operation.method === method && operation.path === path);
--- a/src/routing/common/dispatcher.ts
+++ b/src/routing/common/dispatcher.ts
@@ -66,10 +66,10 @@
 			.filter(server => !reserved.has(server.id) && !reservedElsewhere(server.id));
 	}
 
-	function listCandidates(request: RouteRequest, eligible: readonly BackendServer[]): readonly BackendServer[] {
+	function listCandidates(request: RouteRequest, eligible: readonly BackendServer[], now: number): readonly BackendServer[] {
 		if (request.alone) {
 			// The server with the least to finish is empty soonest.
-			return eligible.toSorted((a, b) => loads.read(a.id).requests - loads.read(b.id).requests).slice(0, 1);
+			return eligible.toSorted((a, b) => loads.read(a.id, now).requests - loads.read(b.id, now).requests).slice(0, 1);
 		}
 
 		const near = eligible.filter(server => server.region === ownRegion);
@@ -79,9 +79,9 @@
 		return near.length === 0 ? [...holder, ...pickTwo(far, random)] : [...holder, ...pickTwo(near, random), ...pick(far, random)];
 	}
 
-	function rate(server: BackendServer, request: RouteRequest): number {
+	function rate(server: BackendServer, request: RouteRequest, now: number): number {
 		const prospect = {
-			load: loads.read(server.id),
+			load: loads.read(server.id, now),
 			holdsPrefix: request.prefixKey !== undefined && prefixes.find(request.prefixKey) === server.id,
 			ownRegion: server.region === ownRegion,
 			meanRequestMs: meanRequestMs.get(server.pool) ?? INITIAL_REQUEST_MS,
@@ -138,7 +138,7 @@
 
 	return {
 		dispatch(request, now) {
-			const rated = listCandidates(request, listEligible(request, now)).map(server => ({server, cost: rate(server, request)}));
+			const rated = listCandidates(request, listEligible(request, now), now).map(server => ({server, cost: rate(server, request, now)}));
 			const best = rated.toSorted((a, b) => a.cost - b.cost).at(0);
 			return best === undefined
 				? err(createNotRun('unavailable', {step: 'choose backend server', peer: request.pool}, 'no backend server may take the request now', RETRY_AFTER_MS))
--- a/src/routing/common/load-estimate.ts
+++ b/src/routing/common/load-estimate.ts
@@ -8,6 +8,11 @@
 export type EstimatedLoad = {
 	/** Requests that run or wait there. */
 	readonly requests: number;
+	/**
+	 * Requests there that one may count on for a choice between servers: this daemon's own in full, those of others less
+	 * and less as their report ages, for most will have ended.
+	 */
+	readonly likely: number;
 	/** Requests that run at once without waiting. */
 	readonly slots: number;
 };
@@ -17,7 +22,7 @@
 	readonly report: (serverId: string, report: LoadReport, receivedAt: number) => void;
 	/** Counts a dispatch; the returned function ends it. */
 	readonly begin: (serverId: string, now: number) => (now: number) => void;
-	readonly read: (serverId: string) => EstimatedLoad;
+	readonly read: (serverId: string, now: number) => EstimatedLoad;
 	/** This daemon's own dispatches under way. */
 	readonly inFlight: (serverId: string) => number;
 	readonly forget: (serverId: string) => void;
@@ -32,10 +37,14 @@
 	reported: LoadReport | undefined;
 	reportedAt: number;
 	own: readonly Own[];
+	meanRunMs: number;
 };
 
 /** Ended dispatches are remembered at most this long for lack of a newer report. */
 const REMEMBER_ENDED_MS = 10_000;
+const INITIAL_RUN_MS = 1000;
+/** Weight of the newest request in the running mean. */
+const MEAN_GAIN = 0.05;
 
 function correct(entry: Entry, reported: LoadReport): number {
 	const begunSince = entry.own.filter(own => own.startedAt > entry.reportedAt && own.endedAt === undefined).length;
@@ -48,7 +57,9 @@
 	const entries = new Map<string, Entry>();
 
 	function entryOf(serverId: string): Entry {
-		const known = entries.get(serverId) ?? {reported: undefined, reportedAt: Number.NEGATIVE_INFINITY, own: []};
+		const known = entries.get(serverId) ?? {
+			reported: undefined, reportedAt: Number.NEGATIVE_INFINITY, own: [], meanRunMs: INITIAL_RUN_MS,
+		};
 		entries.set(serverId, known);
 		return known;
 	}
@@ -74,16 +85,22 @@
 			const begun: Own = {startedAt: now, endedAt: undefined};
 			entry.own = [...entry.own, begun];
 			return endedAt => {
+				entry.meanRunMs += MEAN_GAIN * (endedAt - now - entry.meanRunMs);
 				entry.own = entry.own
 					.map(own => own === begun ? {...begun, endedAt} : own)
 					.filter(own => own.endedAt === undefined || own.endedAt > endedAt - REMEMBER_ENDED_MS);
 			};
 		},
-		read(serverId) {
+		read(serverId, now) {
 			const entry = entries.get(serverId);
 			const own = countInFlight(serverId);
-			const requests = entry?.reported === undefined ? own : Math.max(own, correct(entry, entry.reported));
-			return {requests, slots: Math.max(1, entry?.reported?.slots ?? slotsOf(serverId))};
+			if (entry?.reported === undefined) {
+				return {requests: own, likely: own, slots: Math.max(1, slotsOf(serverId))};
+			}
+
+			const requests = Math.max(own, correct(entry, entry.reported));
+			const trust = 0.5 ** (Math.max(0, now - entry.reportedAt) / entry.meanRunMs);
+			return {requests, likely: own + (trust * (requests - own)), slots: Math.max(1, entry.reported.slots)};
 		},
 		inFlight: countInFlight,
 		forget(serverId) {
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -55,7 +55,7 @@
 	/** Dispatches that this daemon has under way on a server. */
 	readonly inFlight: (serverId: string) => number;
 	/** The estimated load of a server: its last report, corrected by this daemon's own dispatches since. */
-	readonly load: (serverId: string) => EstimatedLoad;
+	readonly load: (serverId: string, now: number) => EstimatedLoad;
 };
 
 /** The daemon's router. */
--- a/src/routing/common/server-cost.ts
+++ b/src/routing/common/server-cost.ts
@@ -25,7 +25,7 @@
 export const defaultCostWeights: CostWeights = {
 	prefillMsPerToken: 0.5,
 	crossRegionMs: 25,
-	crossRegionMsPerKilobyte: 20,
+	crossRegionMsPerKilobyte: 5,
 };
 
 /** Share of a request's time that each request already on a server adds, below saturation: engines slow down as batches grow. */
@@ -33,8 +33,8 @@
 
 function queueCost(prospect: ServerProspect): number {
 	const {load, meanRequestMs} = prospect;
-	const waiting = Math.max(0, load.requests + 1 - load.slots) / load.slots;
-	const slowdown = SHARED_BATCH_SLOWDOWN * Math.min(1, load.requests / load.slots);
+	const waiting = Math.max(0, load.likely + 1 - load.slots) / load.slots;
+	const slowdown = SHARED_BATCH_SLOWDOWN * Math.min(1, load.likely / load.slots);
 	return meanRequestMs * (waiting + slowdown);
 }
 
--- a/src/routing/routing.contribution.ts
+++ b/src/routing/routing.contribution.ts
@@ -56,7 +56,7 @@
 		const now = context.clock.monotonic();
 		settings.pools.forEach(pool => {
 			const usable = table.list(pool.name).filter(server => table.usable(server.id, now));
-			capacity.report(pool.name, usable.map(server => loads.read(server.id)));
+			capacity.report(pool.name, usable.map(server => loads.read(server.id, now)));
 		});
 	}
 
