Free the shares of daemons whose port refuses connections

Ruled out: a shorter end of shares, which would stop plans in an outage of the store. Change: owners connect to holders that have been silent for 4.5 s; a peer port that refuses connections for 2 s proves that the process is gone.

--- a/src/limits/common/limit-queue.ts
+++ b/src/limits/common/limit-queue.ts
@@ -45,8 +45,8 @@
 	readonly settle: (result: Result<void, Failure>) => void;
 };
 
-/** Longest wait for the share. */
-const LONGEST_WAIT_MS = 1500;
+/** Longest wait for the share: a first share takes a division, a renewal of whoever holds too much, and a write. */
+const LONGEST_WAIT_MS = 3000;
 const SHORTEST_RETRY_MS = 250;
 const RETRY_JITTER = 0.25;
 /** Time to return that is named while the daemon has no share at all. */
--- a/src/limits/common/share-ledger.ts
+++ b/src/limits/common/share-ledger.ts
@@ -82,7 +82,7 @@
 };
 
 /** Holders that were silent for longer keep what they have, but take no part in the division. */
-const SILENT_AFTER_MS = 8000;
+const SILENT_AFTER_MS = 4500;
 /** Smaller changes of a share are not worth a write. */
 const SMALLEST_CHANGE = 0.01;
 /** Factor by which a share that does not meet its demand must grow to be worth a write. */
--- a/src/limits/limits.contribution.ts
+++ b/src/limits/limits.contribution.ts
@@ -7,21 +7,19 @@
 import {peersKey} from '../peers/common/peers.js';
 import {configurationKey} from '../plans/common/configuration.js';
 import {storeKey} from '../platform/common/store.js';
-import {vmListKey} from '../platform/common/vm-list.js';
 import {settingsKey} from '../settings/common/settings.js';
 import {admissionKey} from './common/admission.js';
 import {capacityKey, createCapacity} from './common/capacity.js';
 import {limitConcurrency} from './common/concurrency.js';
 import {createGate} from './common/gate.js';
-import {createVanishedDaemons} from './common/vanished-daemons.js';
 import {createConnectShareLink, serveShares} from './node/connect-share-link.js';
+import {startCleanup} from './node/start-cleanup.js';
 import {createShareClient, type ShareClient} from './node/share-client.js';
 import {createShareOwner, type ShareOwner} from './node/share-owner.js';
 
 const ADMIT_MS = 20;
 const DIVIDE_MS = 200;
 const UNMET_MS = 200;
-const VM_LIST_MS = 5000;
 /** A release that the owner does not answer is given up: the shares stay reserved until the VM is gone. */
 const RELEASE_TIMEOUT_MS = 2000;
 
@@ -49,31 +47,6 @@
 	return {owner, client};
 }
 
-/** Frees the shares of silent holders whose VM is gone. */
-function createCleanup(context: Context, owner: ShareOwner): () => Promise<void> {
-	const {clock} = context;
-	const membership = context.use(membershipKey);
-	const vmList = context.use(vmListKey);
-	const addresses = new Map<string, string>();
-	const vanished = createVanishedDaemons(daemonId => addresses.get(daemonId));
-
-	return async () => {
-		membership.members().forEach(member => {
-			addresses.set(member.id, `${member.address}:${member.peerPort}`);
-		});
-		const listed = await vmList.list();
-		if (listed.isErr()) {
-			return;
-		}
-
-		vanished.update(listed.value, clock.monotonic());
-		owner.silent().filter(daemonId => vanished.isGone(daemonId, clock.monotonic())).forEach(daemonId => {
-			context.log.info('frees the shares of a daemon whose VM is gone', {daemonId});
-			owner.forget(daemonId);
-		});
-	};
-}
-
 async function start(context: Context) {
 	const {clock, loop} = context;
 	const configuration = context.use(configurationKey);
@@ -111,9 +84,7 @@
 			jitterShare: 0.1,
 			run: async now => client.renewUnmet(gate.demands(now)),
 		}),
-		loop.every({
-			name: 'free shares of vanished daemons', periodMs: VM_LIST_MS, jitterShare: 0.2, run: createCleanup(context, owner),
-		}),
+		startCleanup(context, owner),
 		shards.onDidLose(shard => {
 			owner.drop(shard);
 		}),
--- /dev/null
+++ b/src/limits/node/port-probe.ts
@@ -0,0 +1,27 @@
+/** Finds out whether a process listens on a port. */
+import {connect} from 'node:net';
+import type {PeerAddress} from '../../peers/common/peers.js';
+import type {PortState} from '../common/vanished-daemons.js';
+
+const TIMEOUT_MS = 500;
+
+/** Connects and closes at once. Only a refusal by the peer's machine counts as refused. */
+export async function probePort(peer: PeerAddress): Promise<PortState> {
+	return new Promise(resolve => {
+		const socket = connect({host: peer.address, port: peer.peerPort});
+		const settle = (state: PortState) => {
+			socket.destroy();
+			resolve(state);
+		};
+
+		socket.setTimeout(TIMEOUT_MS, () => {
+			settle('unknown');
+		});
+		socket.once('connect', () => {
+			settle('open');
+		});
+		socket.once('error', (error: NodeJS.ErrnoException) => {
+			settle(error.code === 'ECONNREFUSED' ? 'refused' : 'unknown');
+		});
+	});
+}
--- a/src/limits/node/share-client.ts
+++ b/src/limits/node/share-client.ts
@@ -33,7 +33,7 @@
 const UNMET_FACTOR = 1.2;
 const IDLE_DEMAND = 0.001;
 const IDLE_FRACTION = 0.05;
-const IDLE_RENEW_MS = 4000;
+const IDLE_RENEW_MS = 3000;
 
 function nameOf(plan: string, pool: string): string {
 	return `${plan}/${pool}`;
--- /dev/null
+++ b/src/limits/node/start-cleanup.ts
@@ -0,0 +1,59 @@
+/** Frees the shares of holders that certainly do not run any more. */
+import {joinDisposables, type Disposable} from '../../base/common/disposable.js';
+import type {Context} from '../../kernel/common/contribution.js';
+import {membershipKey} from '../../membership/common/membership.js';
+import type {PeerAddress} from '../../peers/common/peers.js';
+import {vmListKey} from '../../platform/common/vm-list.js';
+import {createVanishedDaemons} from '../common/vanished-daemons.js';
+import {probePort} from './port-probe.js';
+import type {ShareOwner} from './share-owner.js';
+
+const VM_LIST_MS = 5000;
+const PROBE_MS = 1000;
+
+/** Starts the cleanup of an owner's holders. */
+export function startCleanup(context: Context, owner: ShareOwner): Disposable {
+	const {clock, loop, log} = context;
+	const membership = context.use(membershipKey);
+	const vmList = context.use(vmListKey);
+	const addresses = new Map<string, PeerAddress>();
+	const vanished = createVanishedDaemons(daemonId => {
+		const known = addresses.get(daemonId);
+		return known && `${known.address}:${known.peerPort}`;
+	});
+
+	async function readVmList(): Promise<void> {
+		const listed = await vmList.list();
+		if (listed.isOk()) {
+			vanished.updateVms(listed.value, clock.monotonic());
+		}
+	}
+
+	async function probe(daemonId: string): Promise<void> {
+		const known = addresses.get(daemonId);
+		if (known) {
+			vanished.probed(daemonId, await probePort(known), clock.monotonic());
+		}
+	}
+
+	async function freeVanished(): Promise<void> {
+		membership.members().forEach(member => {
+			addresses.set(member.id, {address: member.address, peerPort: member.peerPort});
+		});
+		const silent = owner.silent();
+		await Promise.all(silent.map(probe));
+		silent.filter(daemonId => vanished.isGone(daemonId, clock.monotonic())).forEach(daemonId => {
+			log.info('frees the shares of a daemon that does not run any more', {daemonId});
+			owner.forget(daemonId);
+		});
+	}
+
+	return joinDisposables([
+		loop.every({
+			name: 'read VM list for shares', periodMs: VM_LIST_MS, jitterShare: 0.2, run: readVmList,
+		}),
+		loop.every({
+			name: 'free shares of vanished daemons', periodMs: PROBE_MS, jitterShare: 0.2, run: freeVanished,
+		}),
+	]);
+}
