--- /dev/null
+++ b/src/requests/test/attempt-schedules.test.ts
@@ -0,0 +1,171 @@
+import process from 'node:process';
+import {err, ok, type Result} from 'neverthrow';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {createSeededRandom, createVirtualTime} from '../../../test/fakes/virtual-loop.js';
+import {createEmitter} from '../../base/common/event.js';
+import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import {silentMetrics} from '../../kernel/common/metrics.js';
+import {createDispatcher} from '../../routing/common/dispatcher.js';
+import {createLoadEstimate} from '../../routing/common/load-estimate.js';
+import {createPrefixIndex} from '../../routing/common/prefix-index.js';
+import {defaultCostWeights} from '../../routing/common/server-cost.js';
+import {createServerTable} from '../../routing/common/server-table.js';
+import {trustingGuard} from '../common/suspect-guard.js';
+import {createAttemptRunner, type AttemptContext} from '../node/attempt-runner.js';
+
+const test = suite('attempts under random faults');
+const SEEDS = 100 * Number(process.env.FUZZ_FACTOR ?? 1);
+const REQUESTS = 200;
+const SERVERS = ['a', 'b', 'c', 'd', 'e'];
+const RETRY_SHARE = 0.1;
+const SAVED_RETRIES = 10;
+const DEADLINE_MS = 1000;
+
+type Told = {readonly id: string; readonly repeatable: boolean; readonly result: Result<string, Failure>; readonly tookMs: number};
+type EdgeRecord = {readonly executions: string[]; readonly told: Told[]; readonly attempts: () => number; readonly leaked: () => number};
+type Breakage = {
+	/** Repeats what may not be repeated. */
+	readonly repeatAll?: boolean;
+	readonly retryShare?: number;
+	/** Claims after every failure that nothing was sent. */
+	readonly forgetSent?: boolean;
+};
+
+async function runSchedule(seed: number, breakage: Breakage = {}): Promise<EdgeRecord> {
+	const random = createSeededRandom(seed);
+	const {clock, loop, advance} = createVirtualTime(random);
+	const faultShare = random();
+	const executions: string[] = [];
+	const told: Told[] = [];
+	let attempts = 0;
+
+	/** A server that refuses, does nothing and says so, breaks off before or after it ran, answers late, or answers. */
+	async function call(id: string, context: AttemptContext): Promise<Result<string, Failure>> {
+		attempts += 1;
+		const origin = {step: 'call', peer: context.server.id};
+		await loop.sleep(random() * 5);
+		const kind = random() < faultShare ? Math.floor(random() * 5) : 5;
+		if (kind === 0 || context.signal.aborted) {
+			return err(createNotRun('unavailable', origin, 'connection refused'));
+		}
+
+		if (breakage.forgetSent !== true) {
+			context.attempt.sent();
+		}
+
+		if (kind === 1) {
+			return err(createNotRun('overloaded', origin, 'full'));
+		}
+
+		if (kind === 2) {
+			return err(createOutcomeUnknown('incomplete', origin, 'broken off before it ran'));
+		}
+
+		executions.push(id);
+		await loop.sleep(kind === 4 ? 3000 : random() * 50);
+		if (kind === 3) {
+			const failure = createOutcomeUnknown('incomplete', origin, 'broken off after it ran');
+			return err(breakage.forgetSent === true ? {...failure, effect: 'notRun'} : failure);
+		}
+
+		return ok(`answer to ${id}`);
+	}
+
+	const table = createServerTable(() => 'near');
+	table.update(SERVERS.map(id => ({
+		id, address: id, port: 1, availabilityZone: 'near', state: 'live', pool: 'pool',
+	})), 0);
+	const loads = createLoadEstimate(() => 4);
+	const dispatcher = createDispatcher({
+		// Refusals must not take all servers away: what is tried here are the attempts.
+		table: {...table, usable: () => true}, loads, prefixes: createPrefixIndex(10), weights: defaultCostWeights, ownRegion: 'near', random, reservedElsewhere: () => false,
+	});
+	const unused = (): never => {
+		throw new Error('not used');
+	};
+
+	const runner = createAttemptRunner({
+		router: {
+			dispatch: dispatcher.dispatch, servers: table.list, engine: unused, service: unused, onDidChangeServers: createEmitter<never>().event, inFlight: loads.inFlight, load: loads.read,
+		},
+		suspects: trustingGuard,
+		maximumAttempts: 3,
+		retryShare: breakage.retryShare ?? RETRY_SHARE,
+		clock,
+		loop,
+		metrics: silentMetrics,
+	});
+
+	async function send(id: string): Promise<void> {
+		const repeatable = random() < 0.5;
+		const sentAt = clock.monotonic();
+		const result = await runner.run({
+			requestId: id,
+			fingerprint: id,
+			repeatable: () => repeatable || breakage.repeatAll === true,
+			deadline: sentAt + DEADLINE_MS,
+			signal: new AbortController().signal,
+			route: {
+				pool: 'pool', prefixKey: undefined, prefixTokens: 0, expectedTokens: 0, expectedBytes: 0, allowed: undefined,
+			},
+		}, async context => call(id, context));
+		told.push({
+			id, repeatable, result, tookMs: clock.monotonic() - sentAt,
+		});
+	}
+
+	await Array.from({length: REQUESTS}).reduce<Promise<void>>(async (previous, _, index) => {
+		await previous;
+		void send(`request ${index}`);
+		await advance(random() * 40);
+	}, Promise.resolve());
+	await advance(10_000);
+	return {
+		executions, told, attempts: () => attempts, leaked: () => SERVERS.reduce((sum, id) => sum + loads.inFlight(id), 0),
+	};
+}
+
+/** Checks the record alone. */
+function checkAttempts(record: EdgeRecord): readonly string[] {
+	const count = (id: string) => record.executions.filter(other => other === id).length;
+	const perRequest = record.told.flatMap(({id, repeatable, result, tookMs}) => [
+		...(!repeatable && count(id) > 1 ? [`${id} may not be repeated and ran ${count(id)} times`] : []),
+		...(result.isErr() && result.error.effect === 'notRun' && count(id) > 0 ? [`${id} was refused as not run, but ran`] : []),
+		...(result.isOk() && result.value !== `answer to ${id}` ? [`${id} received ${result.value}`] : []),
+		...(tookMs > DEADLINE_MS + 1 ? [`${id} was answered after its deadline`] : []),
+	]);
+	const allowed = (REQUESTS * (1 + RETRY_SHARE)) + SAVED_RETRIES;
+	return [
+		...perRequest,
+		...(record.told.length === REQUESTS ? [] : [`${record.told.length} of ${REQUESTS} requests were answered`]),
+		...(record.attempts() > allowed ? [`${record.attempts()} attempts for ${REQUESTS} requests`] : []),
+		...(record.leaked() > 0 ? [`${record.leaked()} dispatches leaked`] : []),
+	];
+}
+
+const seeds = Array.from({length: SEEDS}, (_, index) => index + 1);
+
+async function countCaught(breakage: Breakage): Promise<number> {
+	const records = await Promise.all(seeds.slice(0, 20).map(async seed => runSchedule(seed, breakage)));
+	return records.filter(record => checkAttempts(record).length > 0).length;
+}
+
+test('answer every request once and in time, and repeat only what may be repeated', async () => {
+	const records = await Promise.all(seeds.map(async seed => runSchedule(seed)));
+	assert.equal(records.flatMap(checkAttempts), []);
+});
+
+test('are caught when everything is repeated', async () => {
+	assert.ok(await countCaught({repeatAll: true}) > 0);
+});
+
+test('are caught without a retry budget', async () => {
+	assert.ok(await countCaught({retryShare: 1}) > 0);
+});
+
+test('are caught when it is forgotten that a request was sent', async () => {
+	assert.ok(await countCaught({forgetSent: true}) > 0);
+});
+
+test.run();
