Measure the duration of requests, and offer the suspect guard to other features

Cause: refusals by routes were not counted, and rollouts run prompts at engines without the guard against suspects. Change: requests.duration{status} and requests.in_progress at the front; suspectGuardKey.

--- a/src/requests/common/suspect-guard.ts
+++ b/src/requests/common/suspect-guard.ts
@@ -1,6 +1,7 @@
 /** What the running of requests needs to know of suspects: requests under which backend servers died. */
 import {ok, type Result} from 'neverthrow';
 import type {Failure} from '../../base/common/failure.js';
+import {createServiceKey} from '../../kernel/common/contribution.js';
 import type {BackendServer} from '../../routing/common/router.js';
 
 /** How a request may run: as any other, or on a server that runs nothing else. */
@@ -21,6 +22,9 @@
 	readonly survived: (fingerprint: string, now: number) => void;
 };
 
+/** The daemon's guard, for features that run requests at backend servers themselves. */
+export const suspectGuardKey = createServiceKey<SuspectGuard>('suspect-guard');
+
 /** A guard that suspects nothing. */
 export const trustingGuard: SuspectGuard = {
 	check: () => ok('shared'),
--- a/src/requests/node/front-server.ts
+++ b/src/requests/node/front-server.ts
@@ -201,9 +201,14 @@
 			response.setHeader('connection', 'close');
 		}
 
+		const receivedAt = clock.monotonic();
 		inProgress.add(response);
 		response.once('close', () => {
 			inProgress.delete(response);
+			// A caller that left before its answer was whole has no status.
+			const status = response.writableFinished ? String(response.statusCode) : 'aborted';
+			metrics.timing('requests.duration', clock.monotonic() - receivedAt, {status});
+			metrics.gauge('requests.in_progress', inProgress.size);
 		});
 		void handle(message, response, requestId).then(() => {
 			boundDelivery(response);
--- a/src/requests/requests.contribution.ts
+++ b/src/requests/requests.contribution.ts
@@ -8,6 +8,7 @@
 import {settingsKey} from '../settings/common/settings.js';
 import {createAuthenticate} from './common/access.js';
 import {frontKey} from './common/front.js';
+import {suspectGuardKey} from './common/suspect-guard.js';
 import {startClaims} from './node/start-claims.js';
 import {startSuspects} from './node/start-suspects.js';
 import {createAttemptRunner} from './node/attempt-runner.js';
@@ -53,6 +54,7 @@
 	const nextWriteId = createWriteIds(context);
 	const {claims, disposable: claimsDisposable} = startClaims(context, nextWriteId);
 	const {guard, disposable: suspectsDisposable} = await startSuspects(context, nextWriteId);
+	context.provide(suspectGuardKey, guard);
 	const runner = createAttemptRunner({
 		router,
 		suspects: guard,
