--- a/bench/slopes/fleet.ts
+++ b/bench/slopes/fleet.ts
@@ -1,6 +1,7 @@
 /** Gossip, leases and configuration of whole fleets over virtual time. */
 import type {Lists} from '../../src/plans/common/lists.js';
 import {createDaemonFleet} from '../../test/fakes/daemon-fleet.js';
+import {createDefaultSettings} from './default-settings.js';
 import {measureCpuUs, readHeapBytes} from './measure.js';
 import {encodedBytes} from './peer-calls.js';
 
@@ -11,6 +12,9 @@
 	readonly messages: number;
 	/** Encoded bytes that a daemon sends and receives, per second, without headers. */
 	readonly bytes: number;
+	/** Messages and bytes of them that pass between regions. */
+	readonly regionMessages: number;
+	readonly regionBytes: number;
 	/** Processor time per daemon and second, in microseconds, the fakes included. */
 	readonly cpuUs: number;
 	/** Heap per daemon, the fakes included. */
@@ -31,8 +35,7 @@
 const SPREAD_STEP_MS = 100;
 const SPREAD_LIMIT_MS = 20_000;
 const SEEDS = 3;
-const FANOUT = 3;
-const PERIOD_MS = 500;
+const {fanout, periodMs} = createDefaultSettings().membership;
 
 const lists: Lists = {
 	plans: [{
@@ -47,16 +50,26 @@
 	return `r${index % REGIONS}-z${Math.floor(index / REGIONS) % ZONES_PER_REGION}`;
 }
 
+function regionOf(id: string): number {
+	return (Number(id.replace('entry-', '')) - 1) % REGIONS;
+}
+
 /** Measures a fleet of the given size. */
 export async function measureFleet(daemons: number): Promise<FleetCost> {
 	const heapBefore = readHeapBytes();
-	const counted = {messages: 0, bytes: 0};
-	const fleet = createDaemonFleet(1, (_from, _to, message) => {
+	const counted = {
+		messages: 0, bytes: 0, regionMessages: 0, regionBytes: 0,
+	};
+	const fleet = createDaemonFleet(1, (from, to, message) => {
+		const bytes = encodedBytes(message);
+		const isBetweenRegions = regionOf(from) !== regionOf(to);
 		counted.messages += 1;
-		counted.bytes += encodedBytes(message);
+		counted.bytes += bytes;
+		counted.regionMessages += isBetweenRegions ? 1 : 0;
+		counted.regionBytes += isBetweenRegions ? bytes : 0;
 	});
 	const ids = Array.from({length: daemons}, (_, index) => `entry-${index + 1}`);
-	const profile = {membership: {fanout: FANOUT, periodMs: PERIOD_MS}, shards: {count: SHARDS}};
+	const profile = {membership: {fanout, periodMs}, shards: {count: SHARDS}};
 	ids.forEach((id, index) => {
 		fleet.start({id, zone: zoneOf(index), ...profile}, ids.slice(0, SEEDS));
 	});
@@ -70,6 +83,8 @@
 		// Each message has a sender and a receiver.
 		messages: 2 * (counted.messages - before.messages) * perDaemon,
 		bytes: 2 * (counted.bytes - before.bytes) * perDaemon,
+		regionMessages: 2 * (counted.regionMessages - before.regionMessages) * perDaemon,
+		regionBytes: 2 * (counted.regionBytes - before.regionBytes) * perDaemon,
 		storeCalls: (fleet.memory.calls() - before.calls) / seconds,
 	};
 	const heapBytes = (readHeapBytes() - heapBefore) / daemons;
