Swap weights while the demo's samples are generated

Cause: the demo counted a weight swap when the trainer went on to the new version, but no sample came from it: the first whole group reached the trainer when most streams had ended, and then the engine that loaded first was the one that crashed, which holds a wave of one engine at a time until its load times out. Change: new weights are published when 8 streams have ended, another engine crashes, and the table counts the samples from the new weights.

--- a/src/code/node/commands/demo.ts
+++ b/src/code/node/commands/demo.ts
@@ -22,7 +22,8 @@
 		['samples delivered twice', outcome.doubled],
 		['samples beyond the staleness bound', outcome.stale],
 		['samples with a wrong version label', outcome.mislabelled],
-		['samples from more than one version', outcome.mixedVersions],
+		['samples from the new weights', outcome.fromNewWeights],
+		['samples from old and new weights', outcome.mixedVersions],
 		['trainer idle time', `${outcome.trainerIdleMs} ms`],
 		['whole run', `${outcome.durationMs} ms`],
 	];
--- a/src/code/node/demo/demo.ts
+++ b/src/code/node/demo/demo.ts
@@ -29,12 +29,16 @@
 };
 
 const FIRST_VERSION = 1;
-const GROUPS = 8;
+const GROUPS = 12;
 const SAMPLES_PER_GROUP = 8;
-const MAXIMUM_TOKENS = 96;
+const MAXIMUM_TOKENS = 160;
+/** The last engine, which the first wave of new weights does not touch. */
+const CRASHED_ENGINE = 2;
 /** Streams that have ended when the engine crashes. */
 const CRASH_AFTER_STREAMS = 20;
-/** Samples that the trainer has when it publishes new weights. */
+/** Streams that have ended when new weights are published. */
+const SWAP_AFTER_STREAMS = 8;
+/** Samples that the trainer has when it goes on to the new weights. */
 const PUBLISH_AFTER_SAMPLES = 24;
 const STEP_LIMIT_MS = 12_000;
 const READY_LIMIT_MS = 5000;
@@ -73,8 +77,8 @@
 	return followed.find(result => result.isErr()) ?? ok();
 }
 
-/** Tells the daemons that the engines' first weights come from the trainer; until then their version is unexpected. */
-async function publishFirstWeights(daemon: DaemonPorts): Promise<Result<void, Failure>> {
+/** Tells the daemons of weights that the trainer has stored; engines on a version that was not published are not used. */
+async function publishWeights(daemon: DaemonPorts, version: number): Promise<Result<void, Failure>> {
 	const http = createHttpClient(urlOf(daemon));
 	return retryUntil(async () => {
 		const answer = await http.call({
@@ -82,26 +86,45 @@
 			method: 'POST',
 			path: `/v1/trainers/${trainer}/weights`,
 			headers: {authorization: `Bearer ${trainerKey}`, 'content-type': 'application/json'},
-			body: JSON.stringify({version: FIRST_VERSION}),
+			body: JSON.stringify({version}),
 			timeoutMs: READY_LIMIT_MS,
 		});
 		return answer.andThen(whole => (whole.status < 300 ? ok() : err(createStatusFailure(whole, 'publish weights', http.peer))));
 	}, Date.now() + READY_LIMIT_MS);
 }
 
-async function crashInMidStep(platform: DemoPlatform, until: number): Promise<number> {
-	const ended = platform.streams().filter(stream => stream.outcome === 'ended').length;
-	if (ended >= CRASH_AFTER_STREAMS) {
-		platform.crashEngine(0);
-		return 1;
+/** Waits until so many streams have ended; false when the time is over before. */
+async function waitForStreams(platform: DemoPlatform, count: number, until: number): Promise<boolean> {
+	if (platform.streams().filter(stream => stream.outcome === 'ended').length >= count) {
+		return true;
 	}
 
 	if (Date.now() > until) {
-		return 0;
+		return false;
 	}
 
 	await sleep(POLL_MS);
-	return crashInMidStep(platform, until);
+	return waitForStreams(platform, count, until);
+}
+
+async function crashInMidStep(platform: DemoPlatform, until: number): Promise<number> {
+	const isDue = await waitForStreams(platform, CRASH_AFTER_STREAMS, until);
+	if (isDue) {
+		platform.crashEngine(CRASHED_ENGINE);
+	}
+
+	return isDue ? 1 : 0;
+}
+
+async function swapInMidStep(daemon: DaemonPorts | undefined, platform: DemoPlatform, until: number): Promise<number> {
+	const isDue = await waitForStreams(platform, SWAP_AFTER_STREAMS, until);
+	if (!isDue || daemon === undefined) {
+		return 0;
+	}
+
+	const stored = await platform.storeWeights(FIRST_VERSION + 1);
+	const published = stored.isOk() ? await publishWeights(daemon, FIRST_VERSION + 1) : stored;
+	return published.isOk() ? 1 : 0;
 }
 
 async function runStep(daemons: readonly DaemonPorts[], platform: DemoPlatform): Promise<TrainerRecord> {
@@ -122,18 +145,20 @@
 
 async function runWith(daemons: readonly DaemonPorts[], platform: DemoPlatform, startedAt: number): Promise<Result<DemoOutcome, Failure>> {
 	const ready = await putListsInForce(daemons);
-	const published = ready.isOk() && daemons[0] ? await publishFirstWeights(daemons[0]) : ready;
+	const published = ready.isOk() && daemons[0] ? await publishWeights(daemons[0], FIRST_VERSION) : ready;
 	if (published.isErr()) {
 		return err(published.error);
 	}
 
 	const until = Date.now() + STEP_LIMIT_MS;
-	const [record, engineCrashes] = await Promise.all([runStep(daemons, platform), crashInMidStep(platform, until)]);
+	const [record, engineCrashes, weightSwaps] = await Promise.all([
+		runStep(daemons, platform), crashInMidStep(platform, until), swapInMidStep(daemons[1], platform, until),
+	]);
 	return ok({
 		...judgeStep(record, platform.streams(), STALENESS_BOUND),
 		daemons: daemons.length,
 		engineCrashes,
-		weightSwaps: record.batches.some(batch => batch.weightVersion > FIRST_VERSION) ? 1 : 0,
+		weightSwaps,
 		durationMs: Date.now() - startedAt,
 		retried: record.errors,
 	});
--- a/src/code/node/demo/platform.ts
+++ b/src/code/node/demo/platform.ts
@@ -1,5 +1,8 @@
 /** A platform with engines and a plain service in the demo's own process, on free ports of the loopback interface. */
+import {err, ok, type Result} from 'neverthrow';
 import {joinDisposables, type Disposable} from '../../../base/common/disposable.js';
+import type {Failure} from '../../../base/common/failure.js';
+import {createHttpClient, createStatusFailure} from '../../../platform/node/http-client.js';
 import type {Vm} from '../../../platform/common/vm-list.js';
 import {createEngineStandin, type StreamEntry} from '../../../standins/node/engine-standin.js';
 import {createScorerStandin} from '../../../standins/node/scorer-standin.js';
@@ -19,6 +22,8 @@
 	readonly weightStoreUrl: string;
 	readonly scorerUrl: string;
 	readonly crashEngine: (index: number) => void;
+	/** Puts new weights into the weight store. */
+	readonly storeWeights: (version: number) => Promise<Result<void, Failure>>;
 	/** Calls that the store has answered. */
 	readonly storeCalls: () => number;
 	/** All streams that the engines have seen. */
@@ -99,6 +104,11 @@
 		crashEngine(index) {
 			engines[index]?.crash();
 		},
+		async storeWeights(version) {
+			const http = createHttpClient(urlOf(weightStore));
+			const answer = await http.call({step: 'store weights', method: 'PUT', path: `/models/${model}/versions/${version}`});
+			return answer.andThen(whole => (whole.status < 300 ? ok() : err(createStatusFailure(whole, 'store weights', http.peer))));
+		},
 		storeCalls: () => readStoreCalls(storeStandin),
 		streams: () => engines.flatMap(engine => readStreams(engine)),
 		dispose() {
--- a/src/code/node/demo/report.ts
+++ b/src/code/node/demo/report.ts
@@ -3,7 +3,7 @@
 import type {StreamEntry} from '../../../standins/node/engine-standin.js';
 import type {ReceivedBatch, ReceivedSample, TrainerRecord} from '../../../standins/node/trainer-standin.js';
 
-/** The figures of a step. All but the last two are numbers of samples. */
+/** The figures of a step. All but the last are numbers of samples. */
 export type StepFigures = {
 	readonly asked: number;
 	readonly delivered: number;
@@ -13,6 +13,8 @@
 	readonly stale: number;
 	/** Whose text the named weight versions cannot have produced. */
 	readonly mislabelled: number;
+	/** Whose text newer weights than the step began with produced, in whole or in part. */
+	readonly fromNewWeights: number;
 	/** Whose text more than one weight version produced. */
 	readonly mixedVersions: number;
 	/** Milliseconds that the trainer waited for samples. */
@@ -51,6 +53,7 @@
 		doubled: deliveries.length - delivered,
 		stale: deliveries.filter(({sample, weightVersion}) => weightVersion - oldestVersion(sample) > bound).length,
 		mislabelled: deliveries.filter(({sample}) => !isLabelledTruly(sample, prompts[Number(sample.group)] ?? '', streams)).length,
+		fromNewWeights: deliveries.filter(({sample}) => sample.versions.some(range => range.version > record.step.weightVersion)).length,
 		mixedVersions: deliveries.filter(({sample}) => new Set(sample.versions.map(range => range.version)).size > 1).length,
 		trainerIdleMs: Math.round(record.idleMs),
 	};
--- a/src/code/test/demo-report.test.ts
+++ b/src/code/test/demo-report.test.ts
@@ -34,7 +34,7 @@
 test('accepts whole, fresh and truly labelled samples', () => {
 	const figures = judge([createSample('a'), createSample('b')]);
 	assert.ok(isWhole(figures));
-	assert.equal([figures.asked, figures.delivered, figures.mixedVersions], [2, 2, 2]);
+	assert.equal([figures.asked, figures.delivered, figures.fromNewWeights, figures.mixedVersions], [2, 2, 2, 2]);
 });
 
 const faults: ReadonlyArray<readonly [name: string, samples: readonly ReceivedSample[], weightVersion: number]> = [
