--- a/test/fakes/shard-effects.ts
+++ b/test/fakes/shard-effects.ts
@@ -20,6 +20,11 @@
 	const record: Effect[] = [];
 	const highest = new Map<number, number>();
 	const frozenAfterLook = new Set<string>();
+	const underWay = new Map<string, number>();
+
+	function countUnderWay(daemonId: string, change: number): void {
+		underWay.set(daemonId, (underWay.get(daemonId) ?? 0) + change);
+	}
 
 	function receive(daemonId: string, shard: number, fencing: number): void {
 		const accepted = !checksFencing || fencing >= (highest.get(shard) ?? 0);
@@ -35,7 +40,9 @@
 			return;
 		}
 
+		countUnderWay(daemon.id, 1);
 		daemon.process.loop.after(TRAVEL_MS, () => {
+			countUnderWay(daemon.id, -1);
 			receive(daemon.id, shard, holding.fencing);
 		});
 		if (frozenAfterLook.delete(daemon.id)) {
@@ -62,6 +69,8 @@
 		freezeAfterLook(daemonId: string) {
 			frozenAfterLook.add(daemonId);
 		},
+		/** Whether a daemon has looked at a lease and not yet sent the order. */
+		isUnderWay: (daemonId: string) => (underWay.get(daemonId) ?? 0) > 0,
 		/** Withdraws the freezes that have not happened yet. */
 		cancelFreezes() {
 			frozenAfterLook.clear();
--- a/test/lease-faults.test.ts
+++ b/test/lease-faults.test.ts
@@ -138,9 +138,18 @@
 	}), SEEDS);
 });
 
+/** Waits for a moment at which a daemon has no order between its look at the lease and its sending. */
+async function awaitNoOrder(started: Started, daemonId: string): Promise<void> {
+	if (started.effects.isUnderWay(daemonId)) {
+		await started.fleet.time.advance(1);
+		await awaitNoOrder(started, daemonId);
+	}
+}
+
 async function runFrozenOwner(scenario: Scenario): Promise<Started> {
 	const started = await start(scenario);
 	const owner = holderOf(started, 0);
+	await awaitNoOrder(started, owner);
 	started.fleet.get(owner).process.freeze();
 	await started.fleet.time.advance(25_000);
 	started.fleet.get(owner).process.thaw();
