Give a first share to small demand, and prove refusal of crashing requests between processes

Cause: a daemon whose demand was under a thousandth of the grant counted as idle and renewed its share every four seconds only, even when it had none yet; a waiting call gives up after 1.5 s. In two runs of crashing-request the first call through each of three daemons got 429. Ruled out: headroom of others, since no other daemon had demand. Change: demand without any share renews out of turn. Stand-ins now refuse connections while they are crashed. Cause: they went on listening, so the guard, which takes only a refused connection for a death, counted none and one call crashed three engines.

--- a/src/limits/node/share-client.ts
+++ b/src/limits/node/share-client.ts
@@ -50,9 +50,14 @@
 	const renewedAt = new Map<number, number>();
 	let sequence = 0;
 
-	/** A daemon with next to nothing of a shard's grants, and no demand, renews seldom. */
+	/** Callers are waiting for a first share, however small their demand is beside the grant. */
+	function isStarving(report: HolderReport): boolean {
+		return report.demand > 0 && report.fraction === 0;
+	}
+
+	/** A daemon with next to nothing of a shard's grants, and next to no demand, renews seldom. */
 	function isDue(shard: number, reports: readonly HolderReport[], now: number): boolean {
-		const isIdle = reports.every(report => report.demand < IDLE_DEMAND && report.fraction < IDLE_FRACTION);
+		const isIdle = reports.every(report => report.demand < IDLE_DEMAND && report.fraction < IDLE_FRACTION && !isStarving(report));
 		return !isIdle || now - (renewedAt.get(shard) ?? Number.NEGATIVE_INFINITY) >= IDLE_RENEW_MS;
 	}
 
--- a/src/standins/node/standin-server.ts
+++ b/src/standins/node/standin-server.ts
@@ -20,7 +20,7 @@
 	lagMs: z.number().default(0),
 	/** A request that contains this text crashes the stand-in. */
 	crashMarker: z.string().default(''),
-	/** Time for which a crashed embedded stand-in breaks connections off. */
+	/** Time for which a crashed stand-in refuses connections. */
 	crashMs: z.number().default(1000),
 	/** What becomes of an order to load a version. */
 	swap: z.enum(['works', 'stays', 'unexpected']).default('works'),
@@ -61,7 +61,7 @@
 	readonly listen: (at: {readonly address: string; readonly port: number}) => Promise<Listening>;
 	readonly setFaults: (faults: z.input<typeof faultsSchema>) => void;
 	readonly faults: () => Faults;
-	/** Breaks all connections off. */
+	/** Breaks all connections off and refuses new ones for a while. */
 	readonly crash: () => void;
 	/** What the stand-in saw at its edge. */
 	readonly record: () => unknown;
@@ -98,13 +98,18 @@
 /** Creates a stand-in. */
 export function createStandin(parts: StandinParts): Standin {
 	let faults = faultsSchema.parse({});
-	let crashedUntil = 0;
+	let address: {readonly address: string; readonly port: number} | undefined;
 	const server = createServer();
 
 	function crash(): void {
-		crashedUntil = Date.now() + faults.crashMs;
 		parts.onCrash?.();
+		server.close();
 		server.closeAllConnections();
+		setTimeout(() => {
+			if (address) {
+				server.listen(address.port, address.address);
+			}
+		}, faults.crashMs);
 	}
 
 	function control(request: StandinRequest): Reply {
@@ -146,7 +151,7 @@
 				return;
 			}
 
-			if (faults.down || Date.now() < crashedUntil) {
+			if (faults.down) {
 				raw.socket.destroy();
 				return;
 			}
@@ -179,10 +184,12 @@
 				server.once('error', reject);
 				server.listen(at.port, at.address, () => {
 					const bound = server.address();
+					const port = bound !== null && typeof bound === 'object' ? bound.port : at.port;
+					address = {address: at.address, port};
 					resolve({
-						address: at.address,
-						port: bound !== null && typeof bound === 'object' ? bound.port : at.port,
+						...address,
 						dispose() {
+							address = undefined;
 							server.close();
 							server.closeAllConnections();
 						},
--- /dev/null
+++ b/test/checkers/edge-checkers.test.ts
@@ -0,0 +1,73 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {renderGeneration} from '../../src/standins/node/deterministic-text.js';
+import type {ReceivedSample, TrainerStep} from '../../src/standins/node/trainer-standin.js';
+import type {CallEntry, EdgeRecord, StandinRecord} from '../scenario-runner.js';
+import {
+	checkAnswered, checkAtMostOnce, checkNotRun, checkOwnAnswers, checkSamples, checkWholeSteps, safetyCheckers, type Checker,
+} from './edge-checkers.js';
+
+const test = suite('edge checkers');
+
+const source = {
+	model: 'diag', prompt: 'note 0', seed: 5, outcome: 'ended', engine: 'engine-1',
+};
+const versions = [{version: 1, from: 0, to: 3}, {version: 2, from: 3, to: 5}];
+const sample: ReceivedSample = {
+	id: 's1', group: 0, text: renderGeneration(source, versions), tokens: 5, versions, oldestVersion: 1,
+};
+const step: TrainerStep = {
+	step: 1, weightVersion: 1, prompts: ['note 0'], samplesPerGroup: 1, maximumTokens: 5, limitMs: 1,
+};
+const call: CallEntry = {
+	daemon: 'entry-1', route: 'POST /v1/services/rounds-app/stock/count', key: 'k', body: '{"order":"1"}', status: 200, replayed: false, answer: String.raw`{"echo":"{\"order\":\"1\"}"}`,
+};
+const run = {body: call.body, worker: 'worker-1'};
+const engine: StandinRecord = {
+	streams: [source], calls: [], runs: [], latest: {},
+};
+const worker: StandinRecord = {
+	streams: [], calls: [{body: call.body, route: 'POST /stock/count'}], runs: [run], latest: {},
+};
+
+function createRecord(samples: readonly ReceivedSample[], calls: readonly CallEntry[], runs = [run]): EdgeRecord {
+	const batches = [{
+		step: 1, batch: 1, samples: [...samples], done: true, weightVersion: 2,
+	}];
+	return {
+		calls, steps: [{
+			step, batches, done: true, errors: [], idleMs: 0,
+		}], exits: [], killed: [], standins: {'engine-1': engine, 'worker-1': {...worker, runs}}, logs: '',
+	};
+}
+
+test('accept a record in which all guarantees hold', () => {
+	assert.equal([...safetyCheckers, checkWholeSteps].flatMap(check => check(createRecord([sample], [call]))), []);
+});
+
+const refused = {...call, status: 503, answer: '{"effect":"notRun"}'};
+const tampered: ReadonlyArray<readonly [string, Checker, EdgeRecord]> = [
+	['a sample delivered twice', checkSamples, createRecord([sample, sample], [])],
+	['a sample under a wrong version', checkSamples, createRecord([{...sample, versions: [{version: 2, from: 0, to: 5}], oldestVersion: 2}], [])],
+	['a sample that hides its oldest version', checkSamples, createRecord([{...sample, oldestVersion: 2}], [])],
+	['a sample beyond the staleness bound', checkSamples, {
+		...createRecord([], []), steps: [{
+			step: {...step, stalenessBound: 0}, batches: [{
+				step: 1, batch: 1, samples: [sample], done: true, weightVersion: 2,
+			}], done: true, errors: [], idleMs: 0,
+		}],
+	}],
+	['a missing sample', checkWholeSteps, createRecord([], [])],
+	['a second run', checkAtMostOnce, createRecord([], [call], [run, run])],
+	['an answer without a run', checkAtMostOnce, createRecord([], [call], [])],
+	['an answer to another request', checkOwnAnswers, createRecord([], [{...call, body: '{"order":"2"}'}])],
+	['a run that was said not to have happened', checkNotRun, createRecord([], [refused])],
+	['a call that was cut off', checkAnswered, createRecord([], [{...call, status: 0, answer: 'outcomeUnknown'}])],
+];
+tampered.forEach(([what, checker, record]) => {
+	test(`catch ${what}`, () => {
+		assert.ok(checker(record).length > 0);
+	});
+});
+
+test.run();
--- a/test/scenario-runner.ts
+++ b/test/scenario-runner.ts
@@ -265,7 +265,12 @@
 		await done;
 	}, Promise.resolve());
 	await Promise.all(pending);
-	const records = await Promise.all(standinNames.map(async name => [name, standinRecord.parse(await callMember(find(name), 'GET /record'))] as const));
+	// A stand-in that has just crashed may break the first reading off.
+	let records: ReadonlyArray<readonly [string, StandinRecord]> = [];
+	await waitUntil('records are read', async () => {
+		records = await Promise.all(standinNames.map(async name => [name, standinRecord.parse(await callMember(find(name), 'GET /record'))] as const));
+		return true;
+	});
 	return {
 		calls, steps, exits, killed, standins: Object.fromEntries(records), logs: daemonNames.map(name => `${name}:\n${find(name).log()}`).join('\n'),
 	};
--- a/test/scenarios-callers.test.ts
+++ b/test/scenarios-callers.test.ts
@@ -11,4 +11,11 @@
 addScenario(test, 'billing-after-kill', []);
 addCaught(test, 'billing-declared-idempotent', checkAtMostOnce);
 
+addScenario(test, 'crashing-request', [], record => {
+	const crashed = Object.values(record.standins).flatMap(standin => standin.streams).filter(stream => stream.outcome === 'crashed');
+	assert.is(crashed.length, 2);
+	assert.equal(record.calls.slice(1).map(call => call.status), [422, 422, 422]);
+	assert.ok(record.calls.slice(1).every(call => call.answer.includes('urn:rosemaryshore:suspect')));
+});
+
 test.run();
