--- a/bench/rollout-deployment.ts
+++ b/bench/rollout-deployment.ts
@@ -125,7 +125,7 @@
 		});
 	};
 
-	return {dispatch, load: () => ({requests: 0, slots: SLOTS})};
+	return {dispatch, load: () => ({requests: 0, likely: 0, slots: SLOTS})};
 }
 
 function createRouting(time: VirtualTime, engines: readonly EngineModel[], deployment: Deployment): Routing {
--- a/src/rollouts/common/generation-runner.ts
+++ b/src/rollouts/common/generation-runner.ts
@@ -86,7 +86,7 @@
 	/** Narrows the engines to those that start a stream at once, where there are any. */
 	function preferFree(allowed: readonly string[]): readonly string[] {
 		const free = allowed.filter(id => {
-			const {requests, slots} = options.router.load(id);
+			const {requests, slots} = options.router.load(id, options.monotonic());
 			return requests < slots;
 		});
 		return free.length > 0 ? free : allowed;
