Wait for the trainer's own version where staleness counts, and measure the division

Cause: streams of a new step began on engines with the older version, so samples were old at hand-over; streams beyond the allowed engines' slots queued there and were given up as stalled; 16 streams broken off by one crash made the router avoid the engine for 60 s; the mean length followed the long samples that end a step; engines were never usable while no version had been published.

--- a/bench/rollout-deployment.ts
+++ b/bench/rollout-deployment.ts
@@ -6,7 +6,7 @@
 import type {Holding} from '../src/leases/common/shards.js';
 import {createMemoryStore} from '../src/platform/common/memory-store.js';
 import {createGenerationRunner, type RunnerOptions} from '../src/rollouts/common/generation-runner.js';
-import {chooseEngines} from '../src/rollouts/common/engine-choice.js';
+import {createEngineChoice} from '../src/rollouts/common/engine-choice.js';
 import {createLedgerKeeper} from '../src/rollouts/common/ledger-keeper.js';
 import {createLengthForecast} from '../src/rollouts/common/length-forecast.js';
 import {budgetOf, type SlotDivision} from '../src/rollouts/common/slot-division.js';
@@ -200,6 +200,7 @@
 
 	function createOwner(trainer: TrainerPlan): TrainerOwner {
 		const forecast = createLengthForecast();
+		const choice = createEngineChoice(policy.measure);
 		const runner = createGenerationRunner({
 			admission: {admit: async () => ok({release: () => undefined})},
 			router: {...routing, engine: server => engines.find(engine => engine.id === server.id)!.engine},
@@ -208,14 +209,14 @@
 		return createTrainerOwner({
 			trainer: trainer.name,
 			keeper: createLedgerKeeper(memory, trainer.name, 'd'),
-			loop, monotonic, holding: () => held, maximumBatch: 64,
+			loop, monotonic, holding: () => held, maximumBatch: 64, slotsPerEngine: SLOTS,
 			slots(now) {
 				const usable = pool.book.engines(trainer.name).filter(engine => engine.usable).length;
 				return budgetOf(policy.division, usable * SLOTS, [...owners.values()].map(owner => owner.demand(now)), trainer.name);
 			},
-			allowed: (_request, weightVersion) => chooseEngines({
+			allowed: (_request, weightVersion) => choice.choose({
 				pool: 'p', model: trainer.name, target: pool.book.target(trainer.name), engines: pool.book.engines(trainer.name),
-			}, {oldestAllowed: createStalenessRule(deployment.stalenessBound).oldestAllowed(weightVersion), weightVersion}, policy.measure),
+			}, {oldestAllowed: createStalenessRule(deployment.stalenessBound).oldestAllowed(weightVersion), weightVersion}, monotonic()),
 			createRun: (request, required) => createStepRun({
 				request, runner, scores: undefined, monotonic,
 				schedule: createStepSchedule({
--- a/src/rollouts/common/length-forecast.ts
+++ b/src/rollouts/common/length-forecast.ts
@@ -16,7 +16,8 @@
 
 /** Weight of a new length in the moving mean of its prompt. */
 const PROMPT_WEIGHT = 0.4;
-const OVERALL_WEIGHT = 0.02;
+/** Samples after which the mean over all prompts forgets; fewer would follow the long samples that end a step. */
+const OVERALL_SAMPLES = 2000;
 /** Prompts remembered; the least recently noted ones are forgotten first. */
 const MAXIMUM_PROMPTS = 20_000;
 /** A sample that has passed its forecast is expected to go on for this share of what it has. */
@@ -26,6 +27,7 @@
 export function createLengthForecast(): LengthForecast {
 	const means = new Map<number, number>();
 	let overall: number | undefined;
+	let samples = 0;
 
 	return {
 		keyOf: hashToUint32,
@@ -33,7 +35,8 @@
 			const known = means.get(key);
 			means.delete(key);
 			means.set(key, known === undefined ? tokens : known + (PROMPT_WEIGHT * (tokens - known)));
-			overall = overall === undefined ? tokens : overall + (OVERALL_WEIGHT * (tokens - overall));
+			samples = Math.min(OVERALL_SAMPLES, samples + 1);
+			overall = overall === undefined ? tokens : overall + ((tokens - overall) / samples);
 			if (means.size > MAXIMUM_PROMPTS) {
 				const [oldest] = means.keys();
 				means.delete(oldest ?? key);
--- a/src/rollouts/common/slot-division.ts
+++ b/src/rollouts/common/slot-division.ts
@@ -84,7 +84,7 @@
 	return {slots: shares.get(trainer) ?? 0, spare: Math.max(0, slots - used)};
 }
 
-/** Returns the division that lowers a deployment's measure. */
+/** Returns the division that lowers a deployment's measure; docs/design/sharing-engines.md compares them. */
 export function createSlotDivision(measure: 'idle' | 'staleness'): SlotDivision {
-	return measure === 'idle' ? new ShortestFirstDivision() : new ProportionalDivision();
+	return measure === 'idle' ? new ShortestFirstDivision() : new EqualDivision();
 }
--- a/src/rollouts/common/step-schedule.ts
+++ b/src/rollouts/common/step-schedule.ts
@@ -378,7 +378,8 @@
 		},
 		demand() {
 			const isWanted = createWantedTest();
-			const open = table.all().filter(record => ['pending', 'running'].includes(record.state) && isWanted(record.group));
+			const surplus = options.longestFirst ? findSurplus(isWanted) : new Set<number>();
+			const open = table.all().filter(record => ['pending', 'running'].includes(record.state) && isWanted(record.group) && !surplus.has(record.group));
 			return {
 				samples: open.length,
 				tokens: open.reduce((sum, record) => sum + expectTokens(record, record.carried.tokens) - record.carried.tokens, 0),
--- a/src/rollouts/common/trainer-owner.ts
+++ b/src/rollouts/common/trainer-owner.ts
@@ -31,6 +31,8 @@
 	readonly holding: (now: number) => Holding | undefined;
 	/** Streams that the trainer may have under way, and those that no trainer needs. */
 	readonly slots: (now: number) => SlotBudget;
+	/** Streams that one engine runs at once. */
+	readonly slotsPerEngine: number;
 	/** Engines on a version that is young enough for a step of this trainer. */
 	readonly allowed: (request: StepRequest, weightVersion: number) => readonly string[];
 	readonly createRun: (request: StepRequest, required: number) => StepRun;
@@ -102,7 +104,7 @@
 		[...steps.values()].reduce((left, open) => {
 			const allowed = options.allowed(open.run.request, open.weightVersion);
 			open.run.run(now, {
-				slots: Math.max(0, left), spare, allowed, weightVersion: open.weightVersion,
+				slots: Math.max(0, Math.min(left, allowed.length * options.slotsPerEngine)), spare, allowed, weightVersion: open.weightVersion,
 			});
 			return left - open.run.running();
 		}, slots);
--- a/src/rollouts/node/rollouts.contribution.ts
+++ b/src/rollouts/node/rollouts.contribution.ts
@@ -16,7 +16,7 @@
 import {settingsKey, type TrainerProfile} from '../../settings/common/settings.js';
 import {engineVersionsKey} from '../../weights/common/engine-versions.js';
 import {createDemandBoard} from '../common/demand-board.js';
-import {chooseEngines} from '../common/engine-choice.js';
+import {createEngineChoice, type EngineChoice} from '../common/engine-choice.js';
 import {createGenerationRunner} from '../common/generation-runner.js';
 import {createLedgerKeeper} from '../common/ledger-keeper.js';
 import {createLengthForecast} from '../common/length-forecast.js';
@@ -72,10 +72,10 @@
 		return budgetOf(division, usable * (pool?.slots ?? 0), demands, trainer.name);
 	}
 
-	function chooseAllowed(trainer: TrainerProfile, request: StepRequest, weightVersion: number): readonly string[] {
+	function chooseAllowed(trainer: TrainerProfile, choice: EngineChoice, request: StepRequest, weightVersion: number): readonly string[] {
 		const rule = createStalenessRule(request.stalenessBound ?? trainer.stalenessBound);
 		const known = findVersions(trainer.pool, trainer.model);
-		return chooseEngines(known, {oldestAllowed: rule.oldestAllowed(weightVersion), weightVersion}, settings.rollouts.measure);
+		return choice.choose(known, {oldestAllowed: rule.oldestAllowed(weightVersion), weightVersion}, monotonic());
 	}
 
 	function createRun(trainer: TrainerProfile, forecast: ReturnType<typeof createLengthForecast>, request: StepRequest, required: number): StepRun {
@@ -114,6 +114,7 @@
 		}
 
 		const forecast = createLengthForecast();
+		const choice = createEngineChoice(settings.rollouts.measure);
 		const shard = shardOf('trainer', name, shards.count);
 		return createTrainerOwner({
 			trainer: name,
@@ -122,7 +123,8 @@
 			monotonic,
 			holding: now => shards.holding(shard, now),
 			slots: now => slotsOf(trainer, now),
-			allowed: (request, weightVersion) => chooseAllowed(trainer, request, weightVersion),
+			slotsPerEngine: settings.pools.find(pool => pool.name === trainer.pool)?.slots ?? 1,
+			allowed: (request, weightVersion) => chooseAllowed(trainer, choice, request, weightVersion),
 			createRun: (request, required) => createRun(trainer, forecast, request, required),
 			maximumBatch: settings.rollouts.maximumBatch,
 		});
--- a/src/rollouts/test/rollout-world.ts
+++ b/src/rollouts/test/rollout-world.ts
@@ -154,6 +154,7 @@
 				lastHeld = state.holding ?? lastHeld;
 				return broken.isEverHeld === true ? lastHeld : state.holding;
 			},
+			slotsPerEngine: SLOTS,
 			slots: () => ({slots: engines.length * SLOTS, spare: 0}),
 			allowed: (_request, version) => engines.filter(model => model.version('m') >= createStalenessRule(bound).oldestAllowed(version)).map(model => model.id),
 			createRun: (request, required) => createStepRun({
--- a/src/routing/common/server-table.ts
+++ b/src/routing/common/server-table.ts
@@ -61,7 +61,13 @@
 	}
 
 	function avoid(serverId: string, baseMs: number, now: number): void {
-		const times = (avoided.get(serverId)?.times ?? 0) + 1;
+		const known = avoided.get(serverId);
+		// All requests that one crash broke off report it at the same time; they count as one.
+		if (known !== undefined && now < known.until) {
+			return;
+		}
+
+		const times = (known?.times ?? 0) + 1;
 		const until = now + Math.min(LONGEST_AVOID_MS, baseMs * (2 ** (times - 1)));
 		avoided.set(serverId, {until, times});
 	}
--- a/src/weights/common/wave-decider.ts
+++ b/src/weights/common/wave-decider.ts
@@ -132,12 +132,12 @@
 		return status?.state === 'serving' && status.version > 0 && status.version === record?.confirmed.get(model);
 	}
 
-	/** A version is expected when it was read before, was ordered, or is the target; a first reading counts unless it is above the target. */
+	/** A version is expected when it was read before, was ordered, or is the target; a first reading counts unless it is above a published target. */
 	function confirm(record: EngineRecord, status: ModelStatus): number | undefined {
 		const known = record.confirmed.get(status.model);
 		const target = targets.get(status.model) ?? 0;
 		const ordered = record.load?.model === status.model ? record.load.version : undefined;
-		const expected = known === undefined ? status.version <= target : [known, ordered, target].includes(status.version);
+		const expected = known === undefined ? target === 0 || status.version <= target : [known, ordered, target].includes(status.version);
 		return expected ? status.version : known;
 	}
 
