--- a/src/rollouts/common/generation-runner.ts
+++ b/src/rollouts/common/generation-runner.ts
@@ -5,7 +5,7 @@
 import type {Admission, Ticket} from '../../limits/common/admission.js';
 import type {Chunk, Generation} from '../../platform/common/engine.js';
 import type {Dispatch, Router} from '../../routing/common/router.js';
-import type {AttemptFailure, StartAction} from './step-schedule.js';
+import type {AttemptFailure, StartAction} from './stream-actions.js';
 
 /** A stream to run. */
 export type StreamJob = {
--- a/src/rollouts/common/step-run.ts
+++ b/src/rollouts/common/step-run.ts
@@ -3,9 +3,10 @@
 import type {GenerationRunner} from './generation-runner.js';
 import type {ScoreRetries} from './score-retries.js';
 import {sampleId, type Sample, type StepRequest} from './step.js';
+import type {StepSchedule} from './step-schedule.js';
 import type {
-	Budget, ScheduleAction, StartAction, StepSchedule, WholeText,
-} from './step-schedule.js';
+	Budget, ScheduleAction, StartAction, WholeText,
+} from './stream-actions.js';
 
 /** What a run needs. */
 export type StepRunOptions = {
--- a/src/rollouts/common/step-schedule.ts
+++ b/src/rollouts/common/step-schedule.ts
@@ -3,73 +3,21 @@
  * groups, keeps partial work while the staleness bound allows it, and starts the samples that are expected to be longest
  * first, because a long sample that starts late ends the step alone.
  */
-import type {Generation, Progress} from '../../platform/common/engine.js';
+import type {Generation} from '../../platform/common/engine.js';
+import {createAttemptTable} from './attempt-table.js';
 import {
-	addChunk, labelGeneration, noProgress, type LabelledProgress, type LabelledText,
+	addChunk, labelGeneration, noProgress, type LabelledProgress,
 } from './labels.js';
-import type {LengthForecast} from './length-forecast.js';
 import {createSampleTable, type SampleRecord, type SampleTable} from './sample-table.js';
 import {chooseSurplus, orderStarts} from './start-order.js';
-import {createStalenessRule, type StalenessRule} from './staleness.js';
-import type {StepRequest} from './step.js';
+import type {ScheduleOptions} from './schedule-options.js';
+import {createStalenessRule} from './staleness.js';
 import {
 	createStragglerPolicy, updateRate, type Attempt, type StragglerOptions,
 } from './straggler-policy.js';
-
-/** What a step may use now. */
-export type Budget = {
-	/** Streams that may run at once. */
-	readonly slots: number;
-	/** Engines that may be used; streams on others wait for weights and take no slot meanwhile. */
-	readonly allowed: readonly string[];
-	/** Streams that no trainer needs and that may run a second time for slow samples. */
-	readonly spare: number;
-	/** The newest weight version that the trainer has shown. */
-	readonly weightVersion: number;
-};
-
-/** Starts a stream. */
-export type StartAction = {
-	readonly kind: 'start';
-	readonly attemptId: string;
-	readonly sample: number;
-	readonly group: number;
-	readonly prompt: string;
-	readonly resumeFrom: Progress | undefined;
-	readonly expectedTokens: number;
-	readonly excluded: readonly string[];
-	/** Requires an engine that runs nothing else, because engines have died under this sample. */
-	readonly alone: boolean;
-};
-
-/** Cancels a stream. */
-export type CancelAction = {
-	readonly kind: 'cancel';
-	readonly attemptId: string;
-};
-
-/** What to do now. */
-export type ScheduleAction = StartAction | CancelAction;
-
-/** How a stream ended without a whole text. */
-export type AttemptFailure = {
-	/** `refused` before it began; `broken` while it ran; `died` when its engine broke off. */
-	readonly kind: 'refused' | 'broken' | 'died';
-	readonly retryAfterMs: number | undefined;
-};
-
-/** A text that waits for its score. */
-export type WholeText = {
-	readonly sample: number;
-	readonly prompt: string;
-	readonly text: LabelledText;
-};
-
-/** The work that a step still needs. */
-export type StepDemand = {
-	readonly samples: number;
-	readonly tokens: number;
-};
+import type {
+	AttemptFailure, Budget, CancelAction, ScheduleAction, StartAction, StepDemand, WholeText,
+} from './stream-actions.js';
 
 /** The schedule of one step. */
 export type StepSchedule = {
@@ -93,24 +41,6 @@
 	readonly isHopeless: () => boolean;
 };
 
-/** Options of a schedule. */
-export type ScheduleOptions = StragglerOptions & {
-	readonly request: StepRequest;
-	readonly stalenessBound: number;
-	/** Whole groups that end the step. */
-	readonly required: number;
-	readonly forecast: LengthForecast;
-	/** Distinguishes the attempts of this owner from those of another. */
-	readonly attemptPrefix: string;
-	/** Whether partial work is carried over to another engine. */
-	readonly canResume: boolean;
-	/** Whether the samples expected to be longest start first; otherwise in order of their groups. */
-	readonly longestFirst: boolean;
-	/** The rules for labels and staleness; tests pass broken ones. */
-	readonly label?: typeof labelGeneration;
-	readonly rule?: StalenessRule;
-};
-
 const FIRST_BACKOFF_MS = 100;
 const LAST_BACKOFF_MS = 5000;
 /** Deaths of servers after which a sample is tried alone. */
@@ -123,9 +53,7 @@
 	const table = createSampleTable(request.prompts.length, request.samplesPerGroup);
 	const policy = createStragglerPolicy(options);
 	const rule = options.rule ?? createStalenessRule(options.stalenessBound);
-	const attempts = new Map<string, Attempt>();
-	/** Streams under way per sample. */
-	const streams = new Map<number, number>();
+	const attempts = createAttemptTable();
 	let fixed: ReadonlySet<number> = new Set();
 	let needed: ReadonlySet<number> = new Set();
 	let lastAttempt = 0;
@@ -133,7 +61,6 @@
 	const keys = request.prompts.map(prompt => forecast.keyOf(prompt));
 	const keyOf = (record: SampleRecord) => keys[record.group] ?? 0;
 	const promptOf = (record: SampleRecord) => request.prompts[record.group] ?? '';
-	const streamsOf = (sample: number) => streams.get(sample) ?? 0;
 	const groups = () => request.prompts.map((_, group) => group);
 	const wholeGroups = () => groups().filter(group => !fixed.has(group) && table.isWhole(group));
 
@@ -160,26 +87,16 @@
 		return progress.ranges.length > 0 && !rule.isFresh(progress.ranges, weightVersion);
 	}
 
-	function add(attempt: Attempt): void {
-		attempts.set(attempt.id, attempt);
-		streams.set(attempt.sample, streamsOf(attempt.sample) + 1);
-	}
-
-	function remove(attempt: Attempt): void {
-		attempts.delete(attempt.id);
-		streams.set(attempt.sample, streamsOf(attempt.sample) - 1);
-	}
-
 	/** Ends an attempt; its sample keeps the longest progress and waits again when no other attempt runs. */
 	function endAttempt(attempt: Attempt, change: Partial<SampleRecord>): void {
-		remove(attempt);
+		attempts.remove(attempt);
 		const record = table.get(attempt.sample);
 		if (record.state !== 'running') {
 			return;
 		}
 
 		const carried = [record.carried, attempt.progress].filter(progress => progress.isLabelled).toSorted((a, b) => b.tokens - a.tokens).at(0) ?? noProgress;
-		const state = streamsOf(attempt.sample) > 0 ? 'running' : 'pending';
+		const state = attempts.streamsOf(attempt.sample) > 0 ? 'running' : 'pending';
 		table.update(attempt.sample, {...change, carried, state});
 	}
 
@@ -189,7 +106,7 @@
 	}
 
 	function cancelUnwanted(isWanted: (group: number) => boolean): readonly CancelAction[] {
-		return [...attempts.values()]
+		return attempts.all()
 			.filter(attempt => {
 				const record = table.get(attempt.sample);
 				return record.state !== 'running' || !isWanted(record.group);
@@ -198,11 +115,11 @@
 	}
 
 	function cancelOld(weightVersion: number): readonly CancelAction[] {
-		return [...attempts.values()].filter(attempt => isTooOld(attempt.progress, weightVersion)).map(attempt => cancel(attempt, {}));
+		return attempts.all().filter(attempt => isTooOld(attempt.progress, weightVersion)).map(attempt => cancel(attempt, {}));
 	}
 
 	function cancelStalled(now: number): readonly CancelAction[] {
-		return [...attempts.values()].filter(attempt => policy.isStalled(attempt, now)).map(attempt => {
+		return attempts.all().filter(attempt => policy.isStalled(attempt, now)).map(attempt => {
 			const {avoided} = table.get(attempt.sample);
 			return cancel(attempt, attempt.serverId === undefined ? {} : {avoided: [...avoided, attempt.serverId].slice(-2)});
 		});
@@ -212,7 +129,7 @@
 		lastAttempt += 1;
 		const attemptId = `${options.attemptPrefix}.${record.index}.${lastAttempt}`;
 		const alone = record.deaths.length >= DEATHS_BEFORE_ALONE;
-		add({
+		attempts.add({
 			id: attemptId,
 			sample: record.index,
 			serverId: undefined,
@@ -260,27 +177,23 @@
 		return orderStarts(candidates.filter(({group}) => !surplus.has(group)), needed);
 	}
 
-	function countRunning(allowed: readonly string[]): number {
-		return [...attempts.values()].filter(({serverId}) => serverId === undefined || allowed.includes(serverId)).length;
-	}
-
 	function startPending(now: number, budget: Budget, isWanted: (group: number) => boolean): readonly StartAction[] {
-		const room = Math.max(0, budget.slots - countRunning(budget.allowed));
+		const room = Math.max(0, budget.slots - attempts.countRunning(budget.allowed));
 		return choosePending(now, isWanted).slice(0, room).map(record =>
 			start(record, keepable(record.carried, budget.weightVersion), {now, isHedge: false, excluded: record.avoided}));
 	}
 
 	function canBeHedged(attempt: Attempt, now: number): boolean {
-		const isOnly = !attempt.isHedge && !attempt.isAlone && streamsOf(attempt.sample) === 1;
+		const isOnly = !attempt.isHedge && !attempt.isAlone && attempts.streamsOf(attempt.sample) === 1;
 		// A second stream that was refused is not asked for again before its time to return.
 		return isOnly && attempt.serverId !== undefined && table.get(attempt.sample).notBefore <= now;
 	}
 
 	function startHedges(now: number, budget: Budget): readonly StartAction[] {
-		const room = Math.max(0, budget.slots + budget.spare - countRunning(budget.allowed));
+		const room = Math.max(0, budget.slots + budget.spare - attempts.countRunning(budget.allowed));
 		return room === 0
 			? []
-			: [...attempts.values()]
+			: attempts.all()
 				.filter(attempt => canBeHedged(attempt, now))
 				.map(attempt => ({attempt, savedMs: policy.savedByHedge(attempt, expectTokens(table.get(attempt.sample), attempt.progress.tokens), now)}))
 				.filter(({savedMs}) => savedMs > 0)
@@ -305,16 +218,12 @@
 			];
 		},
 		noteDispatched(attemptId, serverId) {
-			const attempt = attempts.get(attemptId);
-			if (attempt !== undefined) {
-				attempts.set(attemptId, {...attempt, serverId});
-			}
+			attempts.update(attemptId, {serverId});
 		},
 		noteChunk(attemptId, chunk, now) {
 			const attempt = attempts.get(attemptId);
 			if (attempt !== undefined) {
-				attempts.set(attemptId, {
-					...attempt,
+				attempts.update(attemptId, {
 					progress: addChunk(attempt.progress, chunk),
 					rate: updateRate(attempt, chunk.tokens, now),
 					firstTokenAt: attempt.firstTokenAt ?? now,
@@ -337,7 +246,7 @@
 
 			policy.noteEnd(attempt, now);
 			forecast.note(keyOf(record), text.tokens);
-			remove(attempt);
+			attempts.remove(attempt);
 			table.update(record.index, {state: 'whole', text, carried: noProgress});
 			return {sample: record.index, prompt: promptOf(record), text};
 		},
--- a/src/rollouts/test/rollout-world.ts
+++ b/src/rollouts/test/rollout-world.ts
@@ -12,7 +12,8 @@
 import {createStalenessRule} from '../common/staleness.js';
 import type {StepRequest} from '../common/step.js';
 import {createStepRun} from '../common/step-run.js';
-import {createStepSchedule, type ScheduleOptions} from '../common/step-schedule.js';
+import type {ScheduleOptions} from '../common/schedule-options.js';
+import {createStepSchedule} from '../common/step-schedule.js';
 import {createTrainerOwner, type TrainerOwner} from '../common/trainer-owner.js';
 import type {SeenAnswer} from './delivery-checker.js';
 
--- a/src/rollouts/test/step-schedule.test.ts
+++ b/src/rollouts/test/step-schedule.test.ts
@@ -2,9 +2,9 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {createLengthForecast} from '../common/length-forecast.js';
-import {
-	createStepSchedule, type Budget, type ScheduleAction, type ScheduleOptions, type StartAction,
-} from '../common/step-schedule.js';
+import type {ScheduleOptions} from '../common/schedule-options.js';
+import {createStepSchedule} from '../common/step-schedule.js';
+import type {Budget, ScheduleAction, StartAction} from '../common/stream-actions.js';
 
 const test = suite('step schedule');
 
