--- a/src/rollouts/test/rollout-world.ts
+++ b/src/rollouts/test/rollout-world.ts
@@ -90,7 +90,7 @@
 	const inFlight = new Map<string, number>();
 
 	const router: RunnerOptions['router'] = {
-		load: id => ({requests: inFlight.get(id) ?? 0, slots: SLOTS}),
+		load: id => ({requests: inFlight.get(id) ?? 0, likely: inFlight.get(id) ?? 0, slots: SLOTS}),
 		engine: server => engines.find(model => model.id === server.id)!.engine,
 		dispatch(request) {
 			const choice = engines.filter(model => (request.allowed ?? []).includes(model.id) && !request.excluded.includes(model.id))
