--- a/src/rollouts/test/rollout-world.ts
+++ b/src/rollouts/test/rollout-world.ts
@@ -12,7 +12,8 @@
 import {createStalenessRule} from '../common/staleness.js';
 import type {StepRequest} from '../common/step.js';
 import {createStepRun} from '../common/step-run.js';
-import {createStepSchedule, type ScheduleOptions} from '../common/step-schedule.js';
+import type {ScheduleOptions} from '../common/schedule-options.js';
+import {createStepSchedule} from '../common/step-schedule.js';
 import {createTrainerOwner, type TrainerOwner} from '../common/trainer-owner.js';
 import type {SeenAnswer} from './delivery-checker.js';
 
@@ -154,6 +155,7 @@
 				lastHeld = state.holding ?? lastHeld;
 				return broken.isEverHeld === true ? lastHeld : state.holding;
 			},
+			slotsPerEngine: SLOTS,
 			slots: () => ({slots: engines.length * SLOTS, spare: 0}),
 			allowed: (_request, version) => engines.filter(model => model.version('m') >= createStalenessRule(bound).oldestAllowed(version)).map(model => model.id),
 			createRun: (request, required) => createStepRun({
