--- a/test/scenario-runner.ts
+++ b/test/scenario-runner.ts
@@ -133,7 +133,10 @@
 
 	async function settle(names: readonly string[]): Promise<void> {
 		await waitUntil('daemons serve and hold all shards', async () => {
-			const views = await Promise.all(names.map(async name => ({name: bound.get(name) ?? name, view: statusSchema.parse(await callMember(find(name), 'GET /v1/status', undefined, operatorKey))})));
+			const views = await Promise.all(names.map(async name => {
+				const status = await callMember(find(name), 'GET /v1/status', undefined, operatorKey);
+				return {name: bound.get(name) ?? name, view: statusSchema.parse(status)};
+			}));
 			const held = views.flatMap(({name, view}) => view.shards.held.map(entry => ({name, shard: entry.shard})));
 			const count = views[0]?.view.shards.count ?? -1;
 			const isSettled = held.length === count && views.every(({view}) => view.configurationVersion > 0 && view.shards.withoutKnownOwner.length === 0);
@@ -159,7 +162,10 @@
 		});
 		calls.push({
 			daemon: bound.get(call.daemon) ?? call.daemon, route: call.route, key, body,
-			...answer.match(({status, headers, body: text}) => ({status, replayed: headers['idempotency-replayed'] === 'true', answer: new TextDecoder().decode(text)}), failure => ({status: 0, replayed: false, answer: failure.effect})),
+			...answer.match(
+				whole => ({status: whole.status, replayed: whole.headers['idempotency-replayed'] === 'true', answer: readText(whole)}),
+				failure => ({status: 0, replayed: false, answer: failure.effect}),
+			),
 		});
 	}
 
--- a/test/scenario-world.ts
+++ b/test/scenario-world.ts
@@ -94,7 +94,8 @@
 export async function callMember(member: Member, route: string, json?: unknown, key?: string): Promise<unknown> {
 	const [method = 'GET', path = '/'] = route.split(' ');
 	const answer = await createHttpClient(member.url).call({
-		step: route, method, path, timeoutMs: 10_000, headers: {'content-type': 'application/json', ...(key && {authorization: `Bearer ${key}`})}, ...(json !== undefined && {body: JSON.stringify(json)}),
+		step: route, method, path, timeoutMs: 10_000,
+		headers: {'content-type': 'application/json', ...(key && {authorization: `Bearer ${key}`})}, ...(json !== undefined && {body: JSON.stringify(json)}),
 	});
 	if (answer.isErr() || answer.value.status > 299) {
 		throw new Error(`${route} at ${member.url}: ${answer.isErr() ? answer.error.message : readText(answer.value)}`);
