Accept the refusal of a suspect under which two engines crashed

It was refused with 422 '2 backend servers died under this request', outcomeUnknown, as designed. Ruled out: blame of a neighbour (the try ran alone) and a lost answer. Change: the scenario's check accepts that refusal only where the engines' own records show two of them crashing with the request's stream; every other call must succeed as before. Conclusion: the case is allowed by the rule on suspects; the check names it.

--- a/test/checkers/edge-checkers.ts
+++ b/test/checkers/edge-checkers.ts
@@ -76,6 +76,16 @@
 /** Every call was answered with success. */
 export const checkAllSucceeded: Checker = ({calls}) => calls.filter(call => call.status !== 200).map(call => `${call.route} at ${call.daemon}: ${call.status} ${call.answer}`);
 
+/** Whether two engines crashed while they ran the prompt of a call, so that its refusal as a suspect is right. */
+function isCrashedTwice(record: EdgeRecord, call: CallEntry): boolean {
+	const prompt = promptOf(call);
+	const crashed = Object.values(record.standins).filter(({streams}) => streams.some(stream => stream.prompt === prompt && stream.outcome === 'crashed'));
+	return call.status === 422 && call.answer.includes('urn:rosemaryshore:suspect') && crashed.length >= 2;
+}
+
+/** Every call was answered with success, but for those that two engines crashed under. */
+export const checkAllSucceededUnlessSuspect: Checker = record => checkAllSucceeded({...record, calls: record.calls.filter(call => !isCrashedTwice(record, call))});
+
 function checkSample(sample: ReceivedSample, trainer: TrainerRecord, record: EdgeRecord, weightVersion: number): readonly string[] {
 	const prompt = trainer.step.prompts[Number(sample.group)] ?? '';
 	const oldest = Math.min(...sample.versions.map(range => range.version));
