--- a/bench/rollout-deployment.ts
+++ b/bench/rollout-deployment.ts
@@ -34,6 +34,8 @@
 	readonly concurrentLoads: number;
 	readonly division: SlotDivision;
 	readonly measure: 'idle' | 'staleness';
+	/** Whether trainers post their next step before they train, so that its samples can be generated meanwhile. */
+	readonly postsAhead: boolean;
 };
 
 export type TrainerPlan = {
@@ -247,11 +249,11 @@
 		return pulled.value.done ? sum : pullAll(trainer, request, pulled.value.batch, sum);
 	}
 
-	async function runTrainer(trainer: TrainerPlan, index: number, step: number): Promise<void> {
-		const request: StepRequest = {
+	function createRequest(trainer: TrainerPlan, step: number, weightVersion: number): StepRequest {
+		return {
 			trainer: trainer.name,
 			step,
-			weightVersion: step,
+			weightVersion,
 			samplesPerGroup: trainer.samplesPerGroup,
 			stalenessBound: undefined,
 			enough: deployment.enough,
@@ -260,11 +262,23 @@
 			// Prompts come again, as over the epochs of a training run.
 			prompts: Array.from({length: trainer.groups}, (_, group) => `${trainer.name} ${(step % 3)} ${group}`),
 		};
+	}
+
+	async function runTrainer(trainer: TrainerPlan, index: number, step: number): Promise<void> {
 		const begun = monotonic();
-		await owners.get(trainer.name)!.postStep(request);
-		const delivered = await pullAll(trainer, request, 0, {tokens: 0, longest: 0});
+		const owner = owners.get(trainer.name)!;
+		const isPosted = policy.postsAhead && step > 1;
+		if (!isPosted) {
+			await owner.postStep(createRequest(trainer, step, step));
+		}
+
+		const delivered = await pullAll(trainer, createRequest(trainer, step, step), 0, {tokens: 0, longest: 0});
 		idleMs += monotonic() - begun;
 		work[index]!.push(delivered);
+		if (policy.postsAhead) {
+			await owner.postStep(createRequest(trainer, step + 1, step));
+		}
+
 		await loop.sleep(trainer.trainMs);
 		published.set(`${trainer.name}/${step + 1}`, monotonic());
 		pool.setTargets([{model: trainer.name, version: step + 1}]);
--- a/bench/rollouts.bench.ts
+++ b/bench/rollouts.bench.ts
@@ -47,12 +47,13 @@
 };
 
 const baseline: Policy = {
-	isRoundRobin: true, canHedge: false, canResume: false, longestFirst: false, stallMs: Number.POSITIVE_INFINITY, waveShare: 1, concurrentLoads: 1000, division: new EqualDivision(), measure: 'idle',
+	isRoundRobin: true, canHedge: false, canResume: false, longestFirst: false, stallMs: Number.POSITIVE_INFINITY, waveShare: 1, concurrentLoads: 1000, division: new EqualDivision(), measure: 'idle', postsAhead: false,
 };
 
 function createPolicy(measure: Policy['measure']): Policy {
 	return {
-		isRoundRobin: false, canHedge: true, canResume: true, longestFirst: true, stallMs: 3000, waveShare: 0.34, concurrentLoads: 2, division: createSlotDivision(measure), measure,
+		isRoundRobin: false, canHedge: true, canResume: true, longestFirst: true, stallMs: 3000,
+		waveShare: 0.34, concurrentLoads: 2, division: createSlotDivision(measure), measure, postsAhead: false,
 	};
 }
 
@@ -62,6 +63,14 @@
 	readonly step: number;
 	readonly trainer: number;
 	readonly startsAt: number;
+	/** When the trainer begins to wait for it. */
+	readonly wantedAt: number;
+};
+
+type Run = {
+	readonly deployment: Deployment;
+	readonly outcome: Outcome;
+	readonly postsAhead: boolean;
 };
 
 type Fluid = {
@@ -70,42 +79,42 @@
 	readonly jobs: readonly Job[];
 };
 
-/** Ends the step of a job, and begins the trainer's next one after its training. */
-function endJob(fluid: Fluid, job: Job, deployment: Deployment, outcome: Outcome): Fluid {
-	const steps = outcome.work[job.trainer] ?? [];
+/** Ends the step of a job, and begins the trainer's next one, at once where it was posted ahead or else after its training. */
+function endJob(fluid: Fluid, job: Job, run: Run): Fluid {
+	const steps = run.outcome.work[job.trainer] ?? [];
 	const longestMs = (steps[job.step]?.longest ?? 0) * 1000 / STREAM_TOKENS_PER_SECOND;
-	const endsAt = Math.max(fluid.now, job.startsAt + longestMs);
+	const endsAt = Math.max(fluid.now, job.startsAt + longestMs, job.wantedAt);
 	const left = steps[job.step + 1]?.tokens;
-	const startsAt = endsAt + (deployment.trainers[job.trainer]?.trainMs ?? 0);
+	const wantedAt = endsAt + (run.deployment.trainers[job.trainer]?.trainMs ?? 0);
 	const next = left === undefined
 		? []
 		: [{
-			...job, left, step: job.step + 1, startsAt,
+			...job, left, step: job.step + 1, startsAt: run.postsAhead ? endsAt : wantedAt, wantedAt,
 		}];
-	return {...fluid, idleMs: fluid.idleMs + endsAt - job.startsAt, jobs: [...fluid.jobs.filter(other => other.trainer !== job.trainer), ...next]};
+	return {...fluid, idleMs: fluid.idleMs + endsAt - job.wantedAt, jobs: [...fluid.jobs.filter(other => other.trainer !== job.trainer), ...next]};
 }
 
 /** Serves the open job with the least work left until it ends or another one begins. */
-function serveFluid(fluid: Fluid, deployment: Deployment, outcome: Outcome): Fluid {
+function serveFluid(fluid: Fluid, run: Run): Fluid {
 	if (fluid.jobs.length === 0) {
 		return fluid;
 	}
 
-	const rate = tokenRateOf(deployment) / 1000;
+	const rate = tokenRateOf(run.deployment) / 1000;
 	const nextStart = Math.min(...fluid.jobs.map(job => job.startsAt).filter(startsAt => startsAt > fluid.now));
 	const first = fluid.jobs.filter(job => job.startsAt <= fluid.now).toSorted((a, b) => a.left - b.left).at(0);
 	if (first === undefined) {
-		return serveFluid({...fluid, now: nextStart}, deployment, outcome);
+		return serveFluid({...fluid, now: nextStart}, run);
 	}
 
 	const endsAt = fluid.now + (first.left / rate);
 	if (endsAt <= nextStart) {
-		return serveFluid(endJob({...fluid, now: endsAt}, first, deployment, outcome), deployment, outcome);
+		return serveFluid(endJob({...fluid, now: endsAt}, first, run), run);
 	}
 
 	const left = first.left - ((nextStart - fluid.now) * rate);
 	const jobs = fluid.jobs.map(job => job === first ? {...job, left} : job);
-	return serveFluid({...fluid, now: nextStart, jobs}, deployment, outcome);
+	return serveFluid({...fluid, now: nextStart, jobs}, run);
 }
 
 /**
@@ -113,11 +122,12 @@
  * work left: the tokens of the samples that were handed over at the engines' full rate, and no step before its longest
  * sample could have come at the rate of one stream.
  */
-function boundIdleMs(deployment: Deployment, outcome: Outcome): number {
+function boundIdleMs(run: Run): number {
+	const {deployment, outcome} = run;
 	const jobs = deployment.trainers.map((_, trainer) => ({
-		left: outcome.work[trainer]?.[0]?.tokens ?? 0, step: 0, trainer, startsAt: 0,
+		left: outcome.work[trainer]?.[0]?.tokens ?? 0, step: 0, trainer, startsAt: 0, wantedAt: 0,
 	}));
-	return serveFluid({now: 0, idleMs: 0, jobs}, deployment, outcome).idleMs / outcome.steps;
+	return serveFluid({now: 0, idleMs: 0, jobs}, run).idleMs / outcome.steps;
 }
 
 function percentile(values: readonly number[], share: number): number {
@@ -126,15 +136,16 @@
 
 const idlePerStep = (outcome: Outcome) => outcome.idleMs / outcome.steps;
 
-async function runOne(deployment: Deployment, measure: Policy['measure']): Promise<readonly Figure[]> {
-	const before = await runDeployment(deployment, baseline);
-	const after = await runDeployment(deployment, createPolicy(measure));
+async function runOne(deployment: Deployment, measure: Policy['measure'], postsAhead: boolean): Promise<readonly Figure[]> {
+	const before = await runDeployment(deployment, {...baseline, postsAhead});
+	const after = await runDeployment(deployment, {...createPolicy(measure), postsAhead});
+	const trainers = postsAhead ? 'steps posted ahead' : 'steps posted when wanted';
 	const figure = (name: string, value: number, unit: string, base?: number, baselinePolicy?: string): Figure => ({
-		name: `${deployment.name}: ${name}`, value, unit, ...(base !== undefined && {baseline: base}), ...(baselinePolicy !== undefined && {baselinePolicy}),
+		name: `${deployment.name}, ${trainers}: ${name}`, value, unit, ...(base !== undefined && {baseline: base}), ...(baselinePolicy !== undefined && {baselinePolicy}),
 	});
 	return [
 		figure('trainer idle time per step', idlePerStep(after), 'ms', idlePerStep(before), 'plain policy'),
-		figure('trainer idle time per step', idlePerStep(after), 'ms', boundIdleMs(deployment, after), 'engines at full rate'),
+		figure('trainer idle time per step', idlePerStep(after), 'ms', boundIdleMs({deployment, outcome: after, postsAhead}), 'engines at full rate'),
 		figure('staleness, 95th percentile', percentile(after.ages, 0.95), 's', percentile(before.ages, 0.95), 'plain policy'),
 		figure('samples over the staleness bound', after.overBound, 'samples'),
 		figure('steps ended', after.steps, 'steps', before.steps, 'plain policy'),
@@ -161,8 +172,10 @@
 
 export async function run(): Promise<readonly Figure[]> {
 	return [
-		...await runOne(kivotos, 'idle'),
-		...await runOne(anadolu, 'staleness'),
+		...await runOne(kivotos, 'idle', false),
+		...await runOne(kivotos, 'idle', true),
+		...await runOne(anadolu, 'staleness', false),
+		...await runOne(anadolu, 'staleness', true),
 		...await runDivision(kivotos, 'idle'),
 		...await runDivision(anadolu, 'staleness'),
 	];
--- a/src/rollouts/test/delivery.test.ts
+++ b/src/rollouts/test/delivery.test.ts
@@ -129,6 +129,19 @@
 	assert.equal(found, []);
 });
 
+test('delivers exactly once, labelled and fresh, when the trainer posts its next step ahead', async () => {
+	const found = await ['kill', 'pause', 'publish', 'crash'].reduce<Promise<readonly string[]>>(async (previous, name) => {
+		const before = await previous;
+		const problems = await runSeeds(Math.ceil(SEEDS / 8), [name, 'publish', name], {steps: 3, postsAhead: true, stalenessBound: 1});
+		return [...before, ...problems.map(problem => `${name}: ${problem}`)];
+	}, Promise.resolve([]));
+	assert.equal(found, []);
+});
+
+test('catches a step posted ahead that is handed over without the staleness rule', async () => {
+	await expectCaught(/over its staleness bound/, ['publish', 'publish'], {schedule: {rule: {isFresh: () => true, oldestAllowed: () => 1}}}, {steps: 3, postsAhead: true, stalenessBound: 0});
+});
+
 test('catches a ledger that is written without a condition, by a paused owner', async () => {
 	const write: LedgerWriter = async (store, written) => {
 		const found = await store.read(written);
--- a/src/rollouts/test/rollout-world.ts
+++ b/src/rollouts/test/rollout-world.ts
@@ -35,6 +35,8 @@
 	readonly stalenessBound?: number;
 	readonly maximumBatch?: number;
 	readonly steps?: number;
+	/** Whether the trainer posts the next step before it pulls the present one. */
+	readonly postsAhead?: boolean;
 	readonly broken?: BrokenMechanisms;
 };
 
@@ -256,13 +258,18 @@
 		await pullAll(request, isRestarted ? Math.floor(reached / 2) : reached);
 	}
 
-	async function runTrainer(step = 1): Promise<void> {
-		const request = createRequest(step);
-		await callOwner(async owner => owner.postStep(request), () => undefined);
+	async function postAll(requests: readonly StepRequest[]): Promise<void> {
+		await requests.reduce(async (previous, request) => {
+			await previous;
+			await callOwner(async owner => owner.postStep(request), () => undefined);
+		}, Promise.resolve());
+	}
+
+	async function runTrainer(step = 1, request = createRequest(1)): Promise<void> {
+		const next = step < (options.steps ?? 1) ? [createRequest(step + 1)] : [];
+		await postAll(options.postsAhead === true ? [request, ...next] : [request]);
 		await pullAll(request, 0);
-		if (step < (options.steps ?? 1)) {
-			await runTrainer(step + 1);
-		}
+		await next.reduce(async (previous, following) => previous.then(async () => runTrainer(step + 1, following)), Promise.resolve());
 	}
 
 	give(0);
