--- a/bench/rollouts.bench.ts
+++ b/bench/rollouts.bench.ts
@@ -47,7 +47,8 @@
 };
 
 const baseline: Policy = {
-	isRoundRobin: true, canHedge: false, canResume: false, longestFirst: false, stallMs: Number.POSITIVE_INFINITY, waveShare: 1, concurrentLoads: 1000, division: new EqualDivision(), measure: 'idle', postsAhead: false,
+	isRoundRobin: true, canHedge: false, canResume: false, longestFirst: false, stallMs: Number.POSITIVE_INFINITY,
+	waveShare: 1, concurrentLoads: 1000, division: new EqualDivision(), measure: 'idle', postsAhead: false,
 };
 
 function createPolicy(measure: Policy['measure']): Policy {
