Keep the failure codes in one place

Cause: the list of codes stood three times: in the type, in the operators' client and in the calls between owners of trainers (duplicates, 16 lines); a new code would have been read as unavailable by the two that nobody changed. Ruled out: casting the word, which would let unknown words through. Change: one list gives the type and readFailureCode. Conclusion: a new code is known everywhere at once.

--- a/src/base/common/failure.ts
+++ b/src/base/common/failure.ts
@@ -11,23 +11,32 @@
 		| 'outcomeUnknown';
 
 /** Stable words for the kinds of failure; callers may branch on them. */
-export type FailureCode
-	= | 'aborted'
-		| 'conflict'
-		| 'deadlineExceeded'
-		| 'fenced'
-		| 'incomplete'
-		| 'invalid'
-		| 'notFound'
-		| 'notOwner'
-		| 'overloaded'
-		| 'rejected'
-		| 'stale'
-		| 'suspect'
-		| 'unauthenticated'
-		| 'unauthorized'
-		| 'unavailable'
-		| 'unsupported';
+const failureCodes = [
+	'aborted',
+	'conflict',
+	'deadlineExceeded',
+	'fenced',
+	'incomplete',
+	'invalid',
+	'notFound',
+	'notOwner',
+	'overloaded',
+	'rejected',
+	'stale',
+	'suspect',
+	'unauthenticated',
+	'unauthorized',
+	'unavailable',
+	'unsupported',
+] as const;
+
+/** A kind of failure. */
+export type FailureCode = typeof failureCodes[number];
+
+/** Reads a code that came from another process; undefined for a word that this version does not know. */
+export function readFailureCode(word: string): FailureCode | undefined {
+	return failureCodes.find(code => code === word);
+}
 
 /** Where a failure arose. */
 export type Origin = {
--- a/src/code/node/operator-client.ts
+++ b/src/code/node/operator-client.ts
@@ -1,7 +1,9 @@
 /** The operators' side of a daemon's HTTP API. */
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
-import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import {
+	createNotRun, createOutcomeUnknown, type Failure, readFailureCode,
+} from '../../base/common/failure.js';
 import {listsSchema, type Lists, type VersionedLists} from '../../plans/common/lists.js';
 import {createHttpClient, type HttpAnswer} from '../../platform/node/http-client.js';
 
@@ -48,29 +50,6 @@
 /** Longest wait for an answer. */
 const TIMEOUT_MS = 10_000;
 
-const codes = new Set<string>([
-	'aborted',
-	'conflict',
-	'deadlineExceeded',
-	'fenced',
-	'incomplete',
-	'invalid',
-	'notFound',
-	'notOwner',
-	'overloaded',
-	'rejected',
-	'stale',
-	'suspect',
-	'unauthenticated',
-	'unauthorized',
-	'unavailable',
-	'unsupported',
-]);
-
-function isFailureCode(word: string): word is Failure['code'] {
-	return codes.has(word);
-}
-
 function parseBody(answer: HttpAnswer): unknown {
 	try {
 		const body: unknown = JSON.parse(new TextDecoder().decode(answer.body));
@@ -88,7 +67,7 @@
 
 	const {effect, detail, type} = parsed.data;
 	const word = type.replace(/^urn:rosemaryshore:/, '');
-	const code = isFailureCode(word) ? word : 'unavailable';
+	const code = readFailureCode(word) ?? 'unavailable';
 	const create = effect === 'notRun' ? createNotRun : createOutcomeUnknown;
 	return create(code, {step: `${step}: ${parsed.data.step}`, peer: parsed.data.peer}, detail);
 }
--- a/src/rollouts/node/rollouts-rpc.ts
+++ b/src/rollouts/node/rollouts-rpc.ts
@@ -1,7 +1,7 @@
 /** The rollout service between daemons: its served side and its client. */
 import type {MessageInitShape} from '@bufbuild/protobuf';
 import {err, ok, type Result} from 'neverthrow';
-import {type Failure, type FailureCode, createNotRun} from '../../base/common/failure.js';
+import {type Failure, createNotRun, readFailureCode} from '../../base/common/failure.js';
 import {callPeer} from '../../peers/common/peer-call.js';
 import type {PeerAddress, Peers} from '../../peers/common/peers.js';
 import {
@@ -24,25 +24,6 @@
 /** Time beyond the wait of a pull within which its owner must have answered. */
 const CALL_TIMEOUT_MS = 10_000;
 
-const codes: readonly FailureCode[] = [
-	'aborted',
-	'conflict',
-	'deadlineExceeded',
-	'fenced',
-	'incomplete',
-	'invalid',
-	'notFound',
-	'notOwner',
-	'overloaded',
-	'rejected',
-	'stale',
-	'suspect',
-	'unauthenticated',
-	'unauthorized',
-	'unavailable',
-	'unsupported',
-];
-
 function toFailureMessage(failure: Failure): MessageInitShape<typeof FailureSchema> {
 	const {code, effect, step, peer, message, retryAfterMs} = failure;
 	return {
@@ -52,7 +33,7 @@
 
 function fromFailureMessage(message: FailureMessage): Failure {
 	return {
-		code: codes.find(code => code === message.code) ?? 'unavailable',
+		code: readFailureCode(message.code) ?? 'unavailable',
 		effect: message.effect === 'notRun' ? 'notRun' : 'outcomeUnknown',
 		step: message.step,
 		peer: message.peer,
