--- a/test/checkers/edge-checkers.test.ts
+++ b/test/checkers/edge-checkers.test.ts
@@ -24,10 +24,10 @@
 };
 const run = {body: call.body, worker: 'worker-1'};
 const engine: StandinRecord = {
-	streams: [source], calls: [], runs: [], latest: {},
+	streams: [source], calls: [], runs: [], latest: {}, orders: [],
 };
 const worker: StandinRecord = {
-	streams: [], calls: [{body: call.body, route: 'POST /stock/count'}], runs: [run], latest: {},
+	streams: [], calls: [{body: call.body, route: 'POST /stock/count'}], runs: [run], latest: {}, orders: [],
 };
 
 function createRecord(samples: readonly ReceivedSample[], calls: readonly CallEntry[], runs = [run]): EdgeRecord {
--- a/test/scenario-runner.ts
+++ b/test/scenario-runner.ts
@@ -28,8 +28,8 @@
 	z.strictObject({do: z.literal('start'), member: z.string()}),
 	z.strictObject({do: z.literal('faults'), standin: z.string(), faults: z.record(z.string(), z.unknown())}),
 	z.strictObject({do: z.literal('crash'), engine: z.string()}),
-	/** Waits until engines have that many streams running, or have ended that many, or workers that many calls. */
-	z.strictObject({do: z.literal('waitFor'), what: z.enum(['running', 'ended', 'calls']), atLeast: z.int()}),
+	/** Waits until engines have that many streams running, or have ended that many, or workers that many calls, or all engines serve that version, or engines were ordered again that often. */
+	z.strictObject({do: z.literal('waitFor'), what: z.enum(['running', 'ended', 'calls', 'version', 'reorders']), atLeast: z.int()}),
 	z.strictObject({do: z.literal('sleep'), ms: z.int()}),
 	/** Waits for all background actions. */
 	z.strictObject({do: z.literal('join')}),
@@ -80,6 +80,8 @@
 	calls: z.union([z.array(z.object({body: z.string(), route: z.string()})), z.number()]).transform(calls => (typeof calls === 'number' ? [] : calls)).default([]),
 	runs: z.array(z.object({body: z.string(), worker: z.string()})).default([]),
 	latest: z.record(z.string(), z.number()).default({}),
+	orders: z.array(z.looseObject({version: z.int(), verdict: z.string()})).default([]),
+	status: z.looseObject({models: z.array(z.looseObject({version: z.int(), state: z.string()}))}).optional(),
 });
 
 /** What a stand-in recorded, as far as checkers read it. */
@@ -182,6 +184,14 @@
 	async function waitFor({what, atLeast}: Extract<Action, {do: 'waitFor'}>): Promise<void> {
 		await waitUntil(`${atLeast} ${what}`, async () => {
 			const records = await readRecords(what === 'calls' ? 'worker' : 'engine');
+			if (what === 'version') {
+				return records.every(record => record.status?.models.every(model => model.state === 'serving' && model.version >= atLeast));
+			}
+
+			if (what === 'reorders') {
+				return records.reduce((sum, record) => sum + Math.max(0, record.orders.length - 1), 0) >= atLeast;
+			}
+
 			const seen = what === 'calls' ? records.flatMap(record => record.calls).length : records.flatMap(record => record.streams).filter(stream => stream.outcome === what).length;
 			return seen >= atLeast;
 		});
--- a/test/scenarios-trainers.test.ts
+++ b/test/scenarios-trainers.test.ts
@@ -19,6 +19,11 @@
 addScenario(test, 'rolling-restart', [checkWholeSteps], record => {
 	assert.equal(record.exits.map(exit => exit.code), [0, 0, 0]);
 });
+addScenario(test, 'swap-failure', [checkAllSucceeded, checkWholeSteps], record => {
+	const engines = ['engine-1', 'engine-2', 'engine-3'].map(name => record.standins[name]!);
+	assert.ok(engines.flatMap(engine => engine.orders).length >= 5, 'failed swaps are ordered again');
+	assert.equal(engines.map(engine => engine.status?.models[0]?.version), [2, 2, 2]);
+});
 addScenario(test, 'engine-crash', [checkAllSucceededUnlessSuspect, checkWholeSteps]);
 
 test.run();
