Cut daemons from each other and deliver a late order on separate processes

Cause: the scenarios could freeze and kill daemons, but not cut two that both reach the store, and their pool ignored fencing numbers, so neither a partition nor the engines' check was tried on processes.

Change: scenarios with a `cut` send the daemons' calls through a relay in the test's process, which holds bytes back per link and delivers them late. New checks for all scenarios: no engine accepts an order after one with a higher fencing number; the configuration's version, asked ten times a second, never goes back at a daemon.

Ruled out: one relay per peer port, since daemons tell each other their own addresses and loopback connections all come from 127.0.0.1; the daemon's process names itself to the relay instead.

Found: a daemon that never held a share of a plan refuses the plan's calls (429, not run) while it is cut from the owner of the shares; listed under not proved.

--- a/test/checkers/edge-checkers.test.ts
+++ b/test/checkers/edge-checkers.test.ts
@@ -4,7 +4,7 @@
 import type {ReceivedSample, TrainerStep} from '../../src/standins/node/trainer-standin.js';
 import type {CallEntry, EdgeRecord, StandinRecord} from '../scenario-runner.js';
 import {
-	checkAllSucceededUnlessSuspect, checkAnswered, checkAtMostOnce, checkNotRun, checkOwnAnswers, checkSamples, checkWholeSteps, safetyCheckers, type Checker,
+	checkAllSucceededUnlessSuspect, checkAnswered, checkAtMostOnce, checkConfiguration, checkFencing, checkNotRun, checkOwnAnswers, checkSamples, checkWholeSteps, safetyCheckers, type Checker,
 } from './edge-checkers.js';
 
 const test = suite('edge checkers');
@@ -37,7 +37,7 @@
 	return {
 		calls, steps: [{
 			step, batches, done: true, errors: [], idleMs: 0,
-		}], exits: [], killed: [], standins: {'engine-1': engine, 'worker-1': {...worker, runs}}, logs: '',
+		}], exits: [], configurations: [], killed: [], standins: {'engine-1': engine, 'worker-1': {...worker, runs}}, logs: '',
 	};
 }
 
@@ -62,6 +62,12 @@
 	['an answer without a run', checkAtMostOnce, createRecord([], [call], [])],
 	['an answer to another request', checkOwnAnswers, createRecord([], [{...call, body: '{"order":"2"}'}])],
 	['a run that was said not to have happened', checkNotRun, createRecord([], [refused])],
+	['an order with an old fencing number', checkFencing, {
+		...createRecord([], []), standins: {'engine-1': {...engine, orders: [{version: 2, fencing: 5, verdict: 'accepted'}, {version: 2, fencing: 4, verdict: 'accepted'}]}},
+	}],
+	['a configuration that goes back', checkConfiguration, {
+		...createRecord([], []), configurations: [{daemon: 'entry-1', version: 2}, {daemon: 'entry-2', version: 1}, {daemon: 'entry-1', version: 1}],
+	}],
 	['a call that was cut off', checkAnswered, createRecord([], [{...call, status: 0, answer: 'outcomeUnknown'}])],
 ];
 const convicted: CallEntry = {
--- a/test/checkers/edge-checkers.ts
+++ b/test/checkers/edge-checkers.ts
@@ -115,5 +115,19 @@
 	return done && count === expected ? [] : [`step ${step.step}: ${count} of ${expected} samples, done ${done}; ${errors.slice(-3).join('; ')}`];
 });
 
+/** No engine accepts an order after one with a higher fencing number. */
+export const checkFencing: Checker = ({standins}) => Object.entries(standins).flatMap(([engine, {orders}]) => {
+	const accepted = orders.filter(order => order.verdict === 'accepted');
+	return accepted
+		.filter((order, index) => accepted.slice(0, index).some(earlier => earlier.fencing > order.fencing))
+		.map(order => `${engine} accepted an order of version ${order.version} with the old fencing number ${order.fencing}`);
+});
+
+/** The configuration's version never goes back at a daemon. */
+export const checkConfiguration: Checker = ({configurations}) => configurations.flatMap(({daemon, version}, index) => {
+	const before = configurations.slice(0, index).findLast(earlier => earlier.daemon === daemon)?.version ?? 0;
+	return version < before ? [`${daemon} went back from configuration ${before} to ${version}`] : [];
+});
+
 /** The checks that hold in every scenario. */
-export const safetyCheckers: readonly Checker[] = [checkOwnAnswers, checkAtMostOnce, checkNotRun, checkAnswered, checkSamples];
+export const safetyCheckers: readonly Checker[] = [checkOwnAnswers, checkAtMostOnce, checkNotRun, checkAnswered, checkSamples, checkFencing, checkConfiguration];
--- /dev/null
+++ b/test/scenario-redirect.ts
@@ -0,0 +1,17 @@
+/** Loaded into daemons of a scenario that cuts links: sends each outgoing connection through the runner's relay. */
+import {Agent, type ClientRequestArgs} from 'node:http';
+import {connect, type Socket} from 'node:net';
+import process from 'node:process';
+
+const relayPort = Number(process.env.SCENARIO_RELAY_PORT);
+const self = process.env.SCENARIO_MEMBER;
+
+Object.assign(Agent.prototype, {
+	createConnection({host, port}: ClientRequestArgs): Socket {
+		const socket = connect(relayPort, '127.0.0.1');
+		socket.write(`${self} ${host}:${port}\n`);
+		return socket;
+	},
+	// A connection per request: servers would close idle ones while their link is cut.
+	keepSocketAlive: () => false,
+});
--- a/test/scenario-suite.ts
+++ b/test/scenario-suite.ts
@@ -2,7 +2,8 @@
 import type {Test} from 'uvu';
 import * as assert from 'uvu/assert';
 import {safetyCheckers, type Checker} from './checkers/edge-checkers.js';
-import {readScenario, runScenario, type EdgeRecord} from './scenario-runner.js';
+import {runScenario, type EdgeRecord} from './scenario-runner.js';
+import {readScenario, type Scenario} from './scenario-schema.js';
 
 /** Adds a test that runs a scenario and expects the safety checks, the given checks and `check` to hold. */
 export function addScenario(test: Test, name: string, checkers: readonly Checker[], check?: (record: EdgeRecord) => void): void {
@@ -14,9 +15,9 @@
 	});
 }
 
-/** Adds a test that runs a scenario whose settings switch a mechanism off, and expects the check to catch it. */
-export function addCaught(test: Test, name: string, checker: Checker): void {
-	const scenario = readScenario(name);
+/** Adds a test that runs a scenario with a mechanism switched off, by its settings or by `change`, and expects the check to catch it. */
+export function addCaught(test: Test, name: string, checker: Checker, change: Partial<Scenario> = {}): void {
+	const scenario = {...readScenario(name), ...change};
 	test(scenario.name, async () => {
 		const record = await runScenario(scenario);
 		assert.ok(checker(record).length > 0, `nothing caught\n${record.logs}`);
--- a/test/scenario-world.ts
+++ b/test/scenario-world.ts
@@ -8,10 +8,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {hashToHex} from '../src/base/common/hash.js';
 import {createHttpClient, readText} from '../src/platform/node/http-client.js';
+import {createRelay, type Relay} from './scenario-relay.js';
 
 /** A process of the scenario. */
 export type Member = {
 	readonly url: string;
+	/** The `address:port` at which daemons call it. */
+	readonly called: string;
 	readonly start: () => void;
 	readonly signal: (name: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM') => void;
 	/** Resolves with the exit code once the process has ended; undefined when a signal ended it. */
@@ -22,6 +25,8 @@
 /** The processes by name; daemons are `entry-1` to `entry-3`. */
 export type World = {
 	readonly members: ReadonlyMap<string, Member>;
+	/** The links of the daemons; undefined unless they go through a relay. */
+	readonly relay: Relay | undefined;
 	readonly dispose: () => Promise<void>;
 };
 
@@ -57,13 +62,14 @@
 		: reservePorts((block + 1) % BLOCKS);
 }
 
-function createMember(url: string, args: readonly string[]): Member {
+function createMember(url: string, args: readonly string[], called = url.replace('http://', ''), environment: NodeJS.ProcessEnv = {}): Member {
 	const pieces: string[] = [];
 	let child: ChildProcess | undefined;
 	return {
 		url,
+		called,
 		start() {
-			child = spawn(process.execPath, ['--import', 'tsx', ...args], {cwd: root, stdio: ['ignore', 'pipe', 'pipe']});
+			child = spawn(process.execPath, ['--import', 'tsx', ...args], {cwd: root, stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...environment}});
 			[child.stdout, child.stderr].forEach(stream => {
 				stream?.on('data', piece => {
 					pieces.push(String(piece));
@@ -124,12 +130,13 @@
 	}
 }
 
-/** Starts all processes. `overrides` replaces sections of the daemons' settings. */
-export async function startWorld(overrides: Readonly<Record<string, unknown>>, engineOptions: Readonly<Record<string, unknown>>): Promise<World> {
+/** Starts all processes. `overrides` replaces sections of the daemons' settings; with `relayed` their calls can be cut. */
+export async function startWorld(overrides: Readonly<Record<string, unknown>>, engineOptions: Readonly<Record<string, unknown>>, relayed: boolean): Promise<World> {
 	const {base, release} = await reservePorts();
 	const folder = mkdtempSync(path.join(tmpdir(), 'rosemaryshore-scenario-'));
 	const members = new Map<string, Member>();
 	const address = '127.0.0.10';
+	const relay = relayed ? createRelay(base + 19) : undefined;
 	const urlOf = (offset: number) => `http://${address}:${base + offset}`;
 
 	function addStandin(name: string, kind: string, offset: number, options: unknown): void {
@@ -181,18 +188,25 @@
 			log: {level: 'warn'},
 			...overrides,
 		}));
-		members.set(entry.id, createMember(`http://${entry.address}:${entry.callerPort}`, ['src/code/node/main.ts', 'serve', '--settings', file]));
+		members.set(entry.id, createMember(
+			`http://${entry.address}:${entry.callerPort}`,
+			[...(relayed ? ['--import', './test/scenario-redirect.ts'] : []), 'src/code/node/main.ts', 'serve', '--settings', file],
+			`${entry.address}:${entry.peerPort}`,
+			{SCENARIO_RELAY_PORT: String(base + 19), SCENARIO_MEMBER: entry.id},
+		));
 	});
 	[...members.values()].forEach(member => {
 		member.start();
 	});
 	return {
 		members,
+		relay,
 		async dispose() {
 			await Promise.all([...members.values()].map(async member => {
 				member.signal('SIGKILL');
 				await member.ended();
 			}));
+			relay?.dispose();
 			release();
 			rmSync(folder, {recursive: true, force: true});
 		},
