Divide the HTTP client into calls, tries and answers

Change: http-exchange.ts carries out one try, http-answers.ts reads answers, http-client.ts calls. No change of behaviour.

--- a/src/platform/node/http-engine.ts
+++ b/src/platform/node/http-engine.ts
@@ -6,9 +6,8 @@
 import {
 	Engine, type Chunk, type Endpoint, type EngineOrder, type GenerationRequest,
 } from '../common/engine.js';
-import {
-	callJson, createHttpClient, createStatusFailure, readJson,
-} from './http-client.js';
+import {createStatusFailure, readJson} from './http-answers.js';
+import {callJson, createHttpClient} from './http-client.js';
 import {loadReport, REPORT_TIMEOUT_MS, urlOf} from './endpoint-protocol.js';
 import {createGenerationAssembler} from './generation-assembler.js';
 
--- a/src/platform/node/http-service.ts
+++ b/src/platform/node/http-service.ts
@@ -4,9 +4,9 @@
 import {createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
 import type {Endpoint} from '../common/engine.js';
 import {Service, type ServiceAnswer, type ServiceCall} from '../common/service.js';
-import {
-	callJson, createHttpClient, createStatusFailure, saysNotRun, type HttpAnswer,
-} from './http-client.js';
+import {createStatusFailure, saysNotRun} from './http-answers.js';
+import {callJson, createHttpClient} from './http-client.js';
+import type {HttpAnswer} from './http-exchange.js';
 import {loadReport, REPORT_TIMEOUT_MS, urlOf} from './endpoint-protocol.js';
 
 /** Creates the service worker at an endpoint. */
--- a/src/platform/node/http-store.ts
+++ b/src/platform/node/http-store.ts
@@ -9,9 +9,9 @@
 import {
 	Store, type ConditionalRemoval, type ConditionalWrite, type ObjectId, type ObjectKind, type StoredObject,
 } from '../common/store.js';
-import {
-	callJson, createHttpClient, readJson, readText, saysNotRun, type HttpAnswer,
-} from './http-client.js';
+import {readJson, readText, saysNotRun} from './http-answers.js';
+import {callJson, createHttpClient} from './http-client.js';
+import type {HttpAnswer} from './http-exchange.js';
 
 const objectKind = z.enum(['config', 'lease', 'claims', 'grants', 'ledger', 'weights', 'suspects', 'audit', 'status']);
 
--- a/src/platform/test/http-client.test.ts
+++ b/src/platform/test/http-client.test.ts
@@ -3,7 +3,8 @@
 import type {AddressInfo} from 'node:net';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {createHttpClient, type HttpCall} from '../node/http-client.js';
+import {createHttpClient} from '../node/http-client.js';
+import type {HttpCall} from '../node/http-exchange.js';
 
 const test = suite('http client');
 
--- a/src/standins/node/trainer-standin.ts
+++ b/src/standins/node/trainer-standin.ts
@@ -1,7 +1,9 @@
 /** Stand-in for a trainer: posts a step, pulls its samples by cursor, and publishes new weights on the way. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
-import {createHttpClient, type HttpAnswer, readText} from '../../platform/node/http-client.js';
+import {readText} from '../../platform/node/http-answers.js';
+import {createHttpClient} from '../../platform/node/http-client.js';
+import type {HttpAnswer} from '../../platform/node/http-exchange.js';
 
 const sample = z.object({
 	id: z.string(),
