Open a pool again after a time of slow answers

A daemon predicts the run time of a request from those that completed, and refuses what would be late. When answers had taken longer than callers wait, it refused everything; nothing ran any more, so nothing corrected the prediction, with idle servers and for good.

Ruled out: the pool's concurrency (the same with it unbounded) and avoided servers.

With nothing under way one request goes ahead whatever is predicted. If it was predicted to be late, the estimates start anew from its own time.

--- a/src/limits/common/pool-queue.ts
+++ b/src/limits/common/pool-queue.ts
@@ -74,7 +74,16 @@
 			: drainRate.waitMs(costAhead(request) + request.cost, queue.concurrency);
 	}
 
+	/**
+	 * With nothing under way, no run would ever correct a prediction that has become too long. So one request goes ahead
+	 * whatever is predicted.
+	 */
+	function isProbe(): boolean {
+		return running === 0 && waiting.size === 0;
+	}
+
 	function createPlace(request: QueueRequest, startedAt: number, release: () => void): Place {
+		const isDoubtful = startedAt + drainRate.runMs(request.cost) > request.deadline;
 		let open = true;
 		return {
 			end(now) {
@@ -85,6 +94,10 @@
 				open = false;
 				latest = Math.max(latest, now);
 				running -= 1;
+				if (isDoubtful) {
+					drainRate.restart();
+				}
+
 				drainRate.completed(request.cost, now - startedAt);
 				release();
 			},
@@ -93,7 +106,7 @@
 
 	async function run(entry: Waiting): Promise<void> {
 		waiting.delete(entry);
-		if (latest + drainRate.runMs(entry.cost) > entry.deadline) {
+		if (latest + drainRate.runMs(entry.cost) > entry.deadline && !isProbe()) {
 			entry.settle(err(refuse(drainRate.waitMs(costAhead(entry), queue.concurrency))));
 			return;
 		}
@@ -141,6 +154,10 @@
 				return err(createNotRun('aborted', {step: 'admit request', peer: pool}, 'the caller went away'));
 			}
 
+			if (isProbe()) {
+				return wait(request, signal);
+			}
+
 			const waitMs = predictWait(request);
 			const neededMs = waitMs + drainRate.runMs(request.cost);
 			return neededMs > DEADLINE_SHARE * (request.deadline - now) ? err(refuse(waitMs)) : wait(request, signal);
--- a/src/limits/test/pool-queue.test.ts
+++ b/src/limits/test/pool-queue.test.ts
@@ -13,7 +13,7 @@
 type Sender = {readonly plan: string; readonly weight: number; readonly perSecond: number};
 
 /** Runs senders against one pool; returns answers in time by plan, over the second half of the run. */
-async function runLoad(senders: readonly Sender[], toldDeadlineMs = DEADLINE_MS) {
+async function runLoad(senders: readonly Sender[], toldDeadlineMs = DEADLINE_MS, runMsAt: (now: number) => number = () => RUN_MS) {
 	const {clock, loop, advance} = createVirtualTime(createSeededRandom(1));
 	const queue = createPoolQueue('pool', createDrainRate(RUN_MS), createSeededRandom(2));
 	const inTime = new Map<string, number>();
@@ -29,7 +29,7 @@
 			return;
 		}
 
-		await loop.sleep(RUN_MS);
+		await loop.sleep(runMsAt(clock.monotonic()));
 		place.value.end(clock.monotonic());
 		if (clock.monotonic() - sentAt <= DEADLINE_MS && clock.monotonic() > 10_000) {
 			inTime.set(sender.plan, (inTime.get(sender.plan) ?? 0) + 1);
@@ -72,6 +72,11 @@
 	assert.ok(await goodput(3, 1_000_000) < 0.5 * peak);
 });
 
+test('gets its goodput back after a time in which all answers came too late', async () => {
+	const {inTime} = await runLoad([{plan: 'a', weight: 1, perSecond: 0.9 * CAPACITY}], DEADLINE_MS, now => now < 5000 ? 3 * DEADLINE_MS : RUN_MS);
+	assert.ok(inTime('a') / 10 >= 0.8 * CAPACITY, `${inTime('a') / 10} requests a second`);
+});
+
 test('divides capacity by weight, and gives an idle part to the others', async () => {
 	const both = await runLoad([{plan: 'a', weight: 3, perSecond: 2 * CAPACITY}, {plan: 'b', weight: 1, perSecond: 2 * CAPACITY}]);
 	const ratio = both.inTime('a') / both.inTime('b');
