Trust old load reports less, and look at more servers

p95 at half load was worse than round robin.

So reports of 300 to 800 ms of age were trusted too much for requests of 200 to 300 ms: now a share of e^(-age / mean run time) counts. Three candidates of the own region and two of others even out a daemon's own dispatches, and 3 instead of 5 ms a kilobyte keep the spill where it pays.

The tests of the choice now run with each part switched off as well: prefill or bytes that cost nothing, the same candidates at all daemons, reports at face value. Their checks are unchanged.

--- a/src/routing/common/dispatcher.ts
+++ b/src/routing/common/dispatcher.ts
@@ -1,6 +1,6 @@
 /**
- * Chooses backend servers. Two random servers of the own region, one of another region, and the holder of the prompt
- * prefix compete by expected cost, so that many daemons with the same lagging reports do not all pick the same server.
+ * Chooses backend servers. A few random servers of the own region and of others, and the holder of the prompt prefix
+ * compete by expected cost, so that many daemons with the same lagging reports do not all pick the same server.
  */
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
@@ -34,19 +34,22 @@
 
 /** Spread of costs, so that equal servers are not always chosen in the same order. */
 const COST_JITTER = 0.1;
+/** Random candidates of the own region, and of the others. */
+const NEAR_CANDIDATES = 3;
+const FAR_CANDIDATES = 2;
 const RETRY_AFTER_MS = 1000;
 const INITIAL_REQUEST_MS = 1000;
 /** Weight of the newest request in the running mean. */
 const MEAN_GAIN = 0.05;
 
-function pick<T>(candidates: readonly T[], random: Random): readonly T[] {
-	const index = Math.floor(random() * candidates.length);
-	return candidates.slice(index, index + 1);
-}
+/** Picks up to `count` different candidates at random. */
+function pick<T>(candidates: readonly T[], count: number, random: Random): readonly T[] {
+	if (count === 0 || candidates.length === 0) {
+		return [];
+	}
 
-function pickTwo<T>(candidates: readonly T[], random: Random): readonly T[] {
-	const first = pick(candidates, random);
-	return [...first, ...pick(candidates.filter(candidate => !first.includes(candidate)), random)];
+	const index = Math.floor(random() * candidates.length);
+	return [candidates[index]!, ...pick(candidates.toSpliced(index, 1), count - 1, random)];
 }
 
 /** Creates a dispatcher. */
@@ -76,7 +79,7 @@
 		const far = eligible.filter(server => server.region !== ownRegion);
 		const holderId = request.prefixKey === undefined ? undefined : prefixes.find(request.prefixKey);
 		const holder = eligible.filter(server => server.id === holderId);
-		return near.length === 0 ? [...holder, ...pickTwo(far, random)] : [...holder, ...pickTwo(near, random), ...pick(far, random)];
+		return [...holder, ...pick(near, NEAR_CANDIDATES, random), ...pick(far, near.length === 0 ? NEAR_CANDIDATES : FAR_CANDIDATES, random)];
 	}
 
 	function rate(server: BackendServer, request: RouteRequest, now: number): number {
--- a/src/routing/common/load-estimate.ts
+++ b/src/routing/common/load-estimate.ts
@@ -99,8 +99,8 @@
 			}
 
 			const requests = Math.max(own, correct(entry, entry.reported));
-			const trust = 0.5 ** (Math.max(0, now - entry.reportedAt) / entry.meanRunMs);
-			return {requests, likely: own + (trust * (requests - own)), slots: Math.max(1, entry.reported.slots)};
+			const stillRunning = Math.exp(-Math.max(0, now - entry.reportedAt) / entry.meanRunMs);
+			return {requests, likely: own + (stillRunning * (requests - own)), slots: Math.max(1, entry.reported.slots)};
 		},
 		inFlight: countInFlight,
 		forget(serverId) {
--- a/src/routing/common/server-cost.ts
+++ b/src/routing/common/server-cost.ts
@@ -25,7 +25,7 @@
 export const defaultCostWeights: CostWeights = {
 	prefillMsPerToken: 0.5,
 	crossRegionMs: 25,
-	crossRegionMsPerKilobyte: 5,
+	crossRegionMsPerKilobyte: 3,
 };
 
 /** Share of a request's time that each request already on a server adds, below saturation: engines slow down as batches grow. */
--- a/src/routing/test/routing.test.ts
+++ b/src/routing/test/routing.test.ts
@@ -2,11 +2,12 @@
 import * as assert from 'uvu/assert';
 import {createSeededRandom} from '../../../test/fakes/virtual-loop.js';
 import type {Vm} from '../../platform/common/vm-list.js';
+import type {Random} from '../../base/common/random.js';
 import {createDispatcher} from '../common/dispatcher.js';
-import {createLoadEstimate} from '../common/load-estimate.js';
+import {createLoadEstimate, type LoadEstimate} from '../common/load-estimate.js';
 import {createPrefixIndex} from '../common/prefix-index.js';
 import type {RouteRequest} from '../common/router.js';
-import {defaultCostWeights} from '../common/server-cost.js';
+import {defaultCostWeights, type CostWeights} from '../common/server-cost.js';
 import {createServerTable} from '../common/server-table.js';
 
 const test = suite('routing');
@@ -21,12 +22,26 @@
 	running, queued: 0, slots: 4, tokensPerSecond: 0, ageMs,
 });
 
-function createDaemon(vms: readonly Vm[], seed = 1) {
+/** Mechanisms that a scenario replaces by broken ones. */
+type Breakage = {
+	readonly random?: Random;
+	readonly weights?: Partial<CostWeights>;
+	readonly loads?: (loads: LoadEstimate) => LoadEstimate;
+};
+
+function createDaemon(vms: readonly Vm[], breakage: Breakage = {}) {
 	const table = createServerTable(zone => zone);
 	table.update(vms, 0);
-	const loads = createLoadEstimate(() => 4);
+	const estimate = createLoadEstimate(() => 4);
+	const loads = breakage.loads?.(estimate) ?? estimate;
 	const dispatcher = createDispatcher({
-		table, loads, prefixes: createPrefixIndex(100), weights: defaultCostWeights, ownRegion: 'near', random: createSeededRandom(seed), reservedElsewhere: () => false,
+		table,
+		loads,
+		prefixes: createPrefixIndex(100),
+		weights: {...defaultCostWeights, ...breakage.weights},
+		ownRegion: 'near',
+		random: breakage.random ?? createSeededRandom(1),
+		reservedElsewhere: () => false,
 	});
 	const send = (change: Partial<RouteRequest> = {}, now = 0) => dispatcher.dispatch({...request, ...change}, now);
 	const choose = (change: Partial<RouteRequest> = {}, now = 0) => {
@@ -80,29 +95,53 @@
 	assert.is(loads.read('a', 500).requests, 5, 'an older report changes nothing');
 });
 
-test('follows a prefix until the queue costs more than the prefill', () => {
-	const {loads, choose} = createDaemon(['a', 'b', 'c', 'd'].map(id => vm(id)));
+/** Choices of a group after its first request, with short queues and with a long one at the holder of its prefix. */
+function followPrefix(breakage: Breakage = {}) {
+	const ids = ['a', 'b', 'c', 'd'];
+	const {loads, choose} = createDaemon(ids.map(id => vm(id)), breakage);
+	ids.forEach(id => {
+		loads.report(id, report(1), 0);
+	});
 	const grouped = {prefixKey: 'group', prefixTokens: 2000};
 	const holder = choose(grouped);
-	assert.equal([...new Set(repeat(20, () => choose(grouped)))], [holder]);
+	const early = new Set(repeat(20, () => choose(grouped)));
 	loads.report(holder, report(20), 0);
-	assert.is.not(choose(grouped), holder);
+	return {follows: early.size === 1 && early.has(holder), leaves: choose(grouped) !== holder};
+}
+
+test('follows a prefix until the queue costs more than the prefill', () => {
+	assert.equal(followPrefix(), {follows: true, leaves: true});
 });
 
-test('stays in its region until the own queues cost more than the bytes', () => {
-	const {loads, choose} = createDaemon([vm('a'), vm('b'), vm('c', 'live', 'far')]);
-	assert.not.ok(repeat(50, choose).includes('c'));
+test('is caught when prefill costs nothing, or more than any queue', () => {
+	assert.not(followPrefix({weights: {prefillMsPerToken: 0}}).follows);
+	assert.not(followPrefix({weights: {prefillMsPerToken: 100}}).leaves);
+});
+
+/** Whether requests reach the other region: with idle own servers, with long own queues, and large answers with long queues. */
+function crossRegions(breakage: Breakage = {}): readonly boolean[] {
+	const {loads, choose} = createDaemon([vm('a'), vm('b'), vm('c', 'live', 'far')], breakage);
+	const crosses = (change: Partial<RouteRequest> = {}) => repeat(50, () => choose(change)).includes('c');
+	const idle = crosses();
 	['a', 'b'].forEach(id => {
 		loads.report(id, report(6), 0);
 	});
-	assert.ok(repeat(50, choose).includes('c'));
-	assert.not.ok(repeat(50, () => choose({expectedBytes: 1_000_000})).includes('c'), 'large answers stay');
+	return [idle, crosses(), crosses({expectedBytes: 1_000_000})];
+}
+
+test('stays in its region until the own queues cost more than the bytes', () => {
+	assert.equal(crossRegions(), [false, true, false]);
 });
 
-test('does not herd: daemons with the same stale reports spread over the servers', () => {
+test('is caught when bytes between regions cost nothing', () => {
+	assert.equal(crossRegions({weights: {crossRegionMsPerKilobyte: 0}}), [false, true, true]);
+});
+
+/** The most requests that one of ten servers gets of 80, sent by 20 daemons that all have the same stale report. */
+function countHerd(breakageOf: (daemon: number) => Breakage): number {
 	const ids = Array.from({length: 10}, (_, index) => `s${index}`);
 	const counts = new Map<string, number>();
-	Array.from({length: 20}, (_, seed) => createDaemon(ids.map(id => vm(id)), seed + 1)).forEach(({loads, send}) => {
+	Array.from({length: 20}, (_, daemon) => createDaemon(ids.map(id => vm(id)), breakageOf(daemon))).forEach(({loads, send}) => {
 		ids.forEach((id, index) => {
 			loads.report(id, report(index === 0 ? 0 : 1), 0);
 		});
@@ -111,7 +150,36 @@
 			counts.set(server.id, (counts.get(server.id) ?? 0) + 1);
 		});
 	});
-	assert.ok(Math.max(...counts.values()) <= 24, `one server got ${Math.max(...counts.values())} of 80`);
+	return Math.max(...counts.values());
+}
+
+const HERD = 24;
+
+test('does not herd: daemons with the same stale reports spread over the servers', () => {
+	const most = countHerd(daemon => ({random: createSeededRandom(daemon + 1)}));
+	assert.ok(most <= HERD, `one server got ${most} of 80`);
+});
+
+test('is caught when all daemons look at the same candidates', () => {
+	assert.ok(countHerd(() => ({random: () => 0})) > HERD);
+});
+
+/** The most requests that one of two servers gets of 8, sent by one daemon after a report that shows one as idle. */
+function countOwn(breakage: Breakage = {}): number {
+	const {loads, send} = createDaemon([vm('a'), vm('b')], breakage);
+	loads.report('a', report(0), 0);
+	loads.report('b', report(1), 0);
+	const chosen = repeat(8, () => send({}, 100)._unsafeUnwrap().server.id);
+	return Math.max(...['a', 'b'].map(id => chosen.filter(other => other === id).length));
+}
+
+test('counts its own dispatches since the report', () => {
+	assert.ok(countOwn() <= 5, `one server got ${countOwn()} of 8`);
+});
+
+test('is caught when reports are taken at face value', () => {
+	const faceValue = (loads: LoadEstimate): LoadEstimate => ({...loads, begin: () => () => undefined});
+	assert.is(countOwn({loads: faceValue}), 8);
 });
 
 test('reserves a server for a suspect, and leaks no dispatch', () => {
