Try the front, the drain and the shares with their mechanisms removed

Each scenario is now a function that also runs without its mechanism, and the check catches it: no bound of bodies, malformed requests left to the HTTP library, no bound of time, a route that is not told of a caller that left, a stop that does not wait, equal shares, shares that end after 4 s. The test of malformed and slow requests is split in two with the same checks; that of callers that leave now also asks that the route has ended.

New: a daemon without a share refuses as not run with a time to return, in an outage too.

--- a/src/limits/test/harness/share-world.ts
+++ b/src/limits/test/harness/share-world.ts
@@ -22,6 +22,8 @@
 	readonly store?: (store: Store) => Store;
 	readonly link?: (link: ShareLink) => ShareLink;
 	readonly fractionOf?: (client: ShareClient) => ShareClient['fractionOf'];
+	/** Time after which a share ends that is not renewed. */
+	readonly endMs?: number;
 };
 
 type Daemon = {readonly gate: Gate; readonly owner: ShareOwner; readonly admission: Admission; readonly tasks: readonly Disposable[]};
@@ -72,6 +74,7 @@
 	const demands = new Map<string, Disposable>();
 	const beliefs = new Map<string, {readonly until: number; readonly fencing: number}>();
 	const cut = new Set<string>();
+	const endMs = breakage.endMs ?? END_MS;
 	let holder: string | undefined = 'entry-1';
 	let fencing = 1;
 	let starts = 0;
@@ -130,7 +133,7 @@
 			shards: shardsOf(id),
 			store: breakage.store?.(delayed) ?? delayed,
 			clock,
-			endMs: END_MS,
+			endMs,
 			nextWriteId() {
 				sequence += 1;
 				return {writer: `${id}:${run}`, sequence: String(sequence)};
@@ -138,7 +141,7 @@
 		});
 		const link = createLink(id, gate);
 		const client = createShareClient({
-			daemonId: id, run, shards: shardsOf(id), link: breakage.link?.(link) ?? link, clock, endMs: END_MS,
+			daemonId: id, run, shards: shardsOf(id), link: breakage.link?.(link) ?? link, clock, endMs,
 		});
 		const admission = createAdmission({
 			grantOf: () => shared,
--- a/src/limits/test/shares.test.ts
+++ b/src/limits/test/shares.test.ts
@@ -5,7 +5,9 @@
 import {
 	forgetReservations, listExcesses, requestLimit, TOLERANCE,
 } from './harness/share-schedules.js';
-import {checkGrant, createShareWorld, grant} from './harness/share-world.js';
+import {
+	checkGrant, createShareWorld, grant, type Breakage, type ShareWorld,
+} from './harness/share-world.js';
 
 const test = suite('shares of grants');
 const SEEDS = 80 * Number(process.env.FUZZ_FACTOR ?? 1);
@@ -24,8 +26,15 @@
 	assert.ok(excesses.length > 0);
 });
 
-test('gives nearly all of a grant to the one daemon with demand', async () => {
-	const world = createShareWorld(createSeededRandom(1));
+/** The part of the grant that one daemon uses over a time, with three times as much demand. */
+async function measureUse(world: ShareWorld, daemonId: string, durationMs: number): Promise<number> {
+	const before = world.admittedBy(daemonId);
+	await world.time.advance(durationMs);
+	return (world.admittedBy(daemonId) - before) * 1000 / (durationMs * grant.requestsPerSecond);
+}
+
+async function moveAllDemand(breakage: Breakage = {}): Promise<number> {
+	const world = createShareWorld(createSeededRandom(1), breakage);
 	world.daemonIds.forEach(daemonId => {
 		world.setDemand(daemonId, 0.5);
 	});
@@ -35,25 +44,46 @@
 	});
 	world.setDemand('entry-3', 75);
 	await world.time.advance(10_000);
-	const before = world.admittedBy('entry-3');
-	await world.time.advance(20_000);
-	const usable = (world.admittedBy('entry-3') - before) / (20 * grant.requestsPerSecond);
+	return measureUse(world, 'entry-3', 20_000);
+}
+
+test('gives nearly all of a grant to the one daemon with demand', async () => {
+	const usable = await moveAllDemand();
 	assert.ok(usable >= 0.95, `only ${usable} of the grant was used`);
 });
 
-test('keeps the shares in force in an outage of the store', async () => {
-	const world = createShareWorld(createSeededRandom(2));
-	world.setDemand('entry-2', 50);
+test('is caught when shares do not follow demand', async () => {
+	assert.ok(await moveAllDemand({fractionOf: () => () => 0.25}) < 0.95);
+});
+
+async function loseStore(breakage: Breakage = {}): Promise<number> {
+	const world = createShareWorld(createSeededRandom(2), breakage);
+	world.setDemand('entry-2', 75);
 	await world.time.advance(10_000);
 	world.store.down = true;
 	world.moveLease(undefined, 0);
 	await world.time.advance(5000);
-	const before = world.admittedBy('entry-2');
-	await world.time.advance(60_000);
-	const usable = (world.admittedBy('entry-2') - before) / (60 * grant.requestsPerSecond);
+	return measureUse(world, 'entry-2', 60_000);
+}
+
+test('keeps the shares in force in an outage of the store', async () => {
+	const usable = await loseStore();
 	assert.ok(usable >= 0.95, `only ${usable} of the grant was used`);
 });
 
+test('is caught when shares end soon after their last renewal', async () => {
+	assert.ok(await loseStore({endMs: 4000}) < 0.95);
+});
+
+test('tells a daemon without a share when to return, in an outage as well', async () => {
+	const world = createShareWorld(createSeededRandom(4));
+	world.store.down = true;
+	world.setDemand('entry-2', 50);
+	await world.time.advance(10_000);
+	assert.equal([world.requests.length, world.refused.length > 0], [0, true]);
+	assert.ok(world.refused.every(({code, effect, retryAfterMs}) => code === 'rejected' && effect === 'notRun' && (retryAfterMs ?? 0) >= 250));
+});
+
 test('starts a new incarnation without a share and with an empty bucket', async () => {
 	const world = createShareWorld(createSeededRandom(3));
 	world.setDemand('entry-2', 50);
--- a/src/requests/test/front-server.test.ts
+++ b/src/requests/test/front-server.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
-import {request as startRequest} from 'node:http';
-import {connect} from 'node:net';
+import {createServer, request as startRequest} from 'node:http';
+import {connect, type AddressInfo} from 'node:net';
 import {ok} from 'neverthrow';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -17,7 +17,13 @@
 const address = '127.0.0.1';
 const fronts: FrontServer[] = [];
 
-async function open(options: Partial<FrontOptions> = {}) {
+type Change = {
+	readonly options?: Partial<FrontOptions>;
+	/** Signal that routes are given in place of the caller's own. */
+	readonly signal?: AbortSignal;
+};
+
+async function open({options, signal}: Change = {}) {
 	const clock = createSystemClock();
 	const front = createFrontServer({
 		address,
@@ -42,6 +48,7 @@
 	fronts.push(front);
 	const received: FrontRequest[] = [];
 	const held: Array<() => void> = [];
+	const ended: string[] = [];
 	front.register(createHealthRoute(front));
 	front.register({
 		method: 'POST',
@@ -60,16 +67,17 @@
 			received.push(request);
 			await new Promise<void>(resolve => {
 				held.push(resolve);
-				request.signal.addEventListener('abort', () => {
+				(signal ?? request.signal).addEventListener('abort', () => {
 					resolve();
 				});
 			});
+			ended.push(request.requestId);
 			sendJson(response, 200, {});
 		},
 	});
 	const port = await front.listen();
 	return {
-		front, port, received, held,
+		front, port, received, held, ended,
 	};
 }
 
@@ -93,9 +101,13 @@
 	});
 }
 
-async function sendRaw(port: number, text: string): Promise<string> {
+/** Sends text and returns all that comes back until the connection closes or `patienceMs` have passed. */
+async function sendRaw(port: number, text: string, patienceMs = 10_000): Promise<string> {
 	return new Promise(resolve => {
 		const socket = connect(port, address);
+		socket.setTimeout(patienceMs, () => {
+			socket.destroy();
+		});
 		const pieces: string[] = [];
 		socket.on('data', piece => {
 			pieces.push(String(piece));
@@ -133,36 +145,89 @@
 	assert.is(unsupported.json.type, 'urn:rosemaryshore:unsupported');
 });
 
-test('refuses oversized bodies, declared or chunked, before the route runs', async () => {
-	const {port, received, front} = await open();
+/** Sends a body that is too large as declared, and one in chunks; returns the answers, and how often the route ran. */
+async function sendOversized(change: Change = {}) {
+	const {port, received, front} = await open(change);
 	const declared = await call(port, 'POST', '/v1/echo/a/b', 'x'.repeat(1001));
+	const chunked = await sendRaw(port, `POST /v1/echo/a/b HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n5dc\r\n${'x'.repeat(1500)}\r\n0\r\n\r\n`);
+	await until(() => front.inProgress() === 0);
+	return {declared, chunked, runs: received.length};
+}
+
+test('refuses oversized bodies, declared or chunked, before the route runs', async () => {
+	const {declared, chunked, runs} = await sendOversized();
 	assert.is(declared.status, 400);
 	assert.is(declared.json.effect, 'notRun');
-	const chunked = await sendRaw(port, `POST /v1/echo/a/b HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n5dc\r\n${'x'.repeat(1500)}\r\n`);
 	assert.match(chunked, /400 Bad Request[\s\S]*larger than 1000 bytes/);
-	assert.is(received.length, 0);
-	await until(() => front.inProgress() === 0);
+	assert.is(runs, 0);
 });
 
-test('ends malformed and slow requests with a problem', async () => {
+test('is caught without a bound of bodies', async () => {
+	const {runs} = await sendOversized({options: {maximumBodyBytes: 1_000_000}});
+	assert.is(runs, 2);
+});
+
+const endsMalformed = async (port: number): Promise<boolean> => /400 Bad Request[\s\S]*notRun/.test(await sendRaw(port, 'NOT HTTP\r\n\r\n'));
+
+test('ends malformed requests with a problem', async () => {
 	const {port, front} = await open();
-	assert.match(await sendRaw(port, 'NOT HTTP\r\n\r\n'), /400 Bad Request[\s\S]*notRun/);
-	assert.match(await sendRaw(port, 'POST /v1/echo/a/b HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc'), /504 [\s\S]*did not arrive/);
-	assert.match(await sendRaw(port, 'POST /v1/echo/a/b HTTP/1.1\r\nhost'), /504 [\s\S]*headers did not arrive/);
+	assert.ok(await endsMalformed(port));
 	await until(() => front.inProgress() === 0);
 });
 
-test('tells the route that its caller has gone', async () => {
-	const {port, received, front} = await open();
+test('is caught on a server that leaves malformed requests to its library', async () => {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, address, resolve);
+	});
+	// The address is an object for sockets that listen on a port.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	const {port} = server.address() as AddressInfo;
+	assert.not(await endsMalformed(port));
+	server.close();
+});
+
+/** Sends a body and headers that never become whole; returns what comes back. */
+async function sendSlowly(change: Change = {}, patienceMs?: number): Promise<readonly string[]> {
+	const {port} = await open(change);
+	return Promise.all([
+		sendRaw(port, 'POST /v1/echo/a/b HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc', patienceMs),
+		sendRaw(port, 'POST /v1/echo/a/b HTTP/1.1\r\nhost', patienceMs),
+	]);
+}
+
+test('ends slow requests with a problem', async () => {
+	const [body = '', headers = ''] = await sendSlowly();
+	assert.match(body, /504 [\s\S]*did not arrive/);
+	assert.match(headers, /504 [\s\S]*headers did not arrive/);
+});
+
+test('is caught without a bound of time', async () => {
+	const options = {headerTimeoutMs: 60_000, deadlineMs: 60_000};
+	assert.equal(await sendSlowly({options}, 2000), ['', '']);
+});
+
+/** Leaves while the route runs; returns whether the route had ended when the front had forgotten the request. */
+async function leave(change: Change = {}): Promise<boolean> {
+	const {port, received, front, ended} = await open(change);
 	const socket = connect(port, address);
 	socket.write('GET /v1/held HTTP/1.1\r\nhost: a\r\n\r\n');
 	await until(() => received.length === 1);
 	socket.destroy();
 	await until(() => received[0]?.signal.aborted === true);
 	await until(() => front.inProgress() === 0);
+	return ended.length === 1;
+}
+
+test('ends the route of a caller that has gone', async () => {
+	assert.ok(await leave());
+});
+
+test('is caught when the route is not told', async () => {
+	assert.not(await leave({signal: new AbortController().signal}));
 });
 
-test('drains without cutting off a request in progress, and refuses new ones', async () => {
+test('refuses new requests while it drains', async () => {
 	const {port, front, held} = await open();
 	const inProgress = call(port, 'GET', '/v1/held');
 	await until(() => held.length === 1);
@@ -179,4 +244,25 @@
 	assert.is(answer.status, 200);
 });
 
+/** Drains and stops during a request; returns the status that its caller received, or undefined if it was cut off. */
+async function stopDuringRequest(change: Change = {}): Promise<number | undefined> {
+	const {port, front, held} = await open(change);
+	const status = call(port, 'GET', '/v1/held').then(answer => answer.status, () => undefined);
+	await until(() => held.length === 1);
+	const stopped = front.drain().then(front.dispose);
+	setTimeout(() => {
+		held[0]?.();
+	}, 200);
+	await stopped;
+	return status;
+}
+
+test('stops without cutting off a request in progress', async () => {
+	assert.is(await stopDuringRequest(), 200);
+});
+
+test('is caught when a stop does not wait', async () => {
+	assert.is(await stopDuringRequest({options: {drainMs: 0}}), undefined);
+});
+
 test.run();
