Measure retries in the bench of requests

- The model of servers and the policies move into modules of their own.
- Servers may break off requests, the more so when crowded.
The product runs with its own attempt runner, so its retry budget counts.
- Baselines: round robin with three attempts and no admission, and the product without a retry budget.
- Means of three seeds in place of one.

--- /dev/null
+++ b/bench/request-policies.ts
@@ -0,0 +1,124 @@
+/** The product's policy for requests, made of its own deciders, and plain policies to compare it with. */
+import {ok, err} from 'neverthrow';
+import {createOutcomeUnknown} from '../src/base/common/failure.js';
+import {createEmitter} from '../src/base/common/event.js';
+import type {Random} from '../src/base/common/random.js';
+import {silentMetrics} from '../src/kernel/common/metrics.js';
+import {limitConcurrency} from '../src/limits/common/concurrency.js';
+import {createDrainRate} from '../src/limits/common/drain-rate.js';
+import {createPoolQueue, type PoolQueue} from '../src/limits/common/pool-queue.js';
+import {trustingGuard} from '../src/requests/common/suspect-guard.js';
+import {createAttemptRunner, type AttemptRunner} from '../src/requests/node/attempt-runner.js';
+import {createDispatcher} from '../src/routing/common/dispatcher.js';
+import {createLoadEstimate, type LoadEstimate} from '../src/routing/common/load-estimate.js';
+import {createPrefixIndex} from '../src/routing/common/prefix-index.js';
+import {defaultCostWeights} from '../src/routing/common/server-cost.js';
+import {createServerTable} from '../src/routing/common/server-table.js';
+import type {VirtualTime} from '../test/fakes/virtual-loop.js';
+import {
+	BYTES, DAEMONS, regionOf, REPORT_AGE_MS, RUN_MS, SERVERS, SLOTS, type Arrival, type Policy,
+} from './request-model.js';
+
+const PREFIX_TOKENS = 200;
+const MAXIMUM_ATTEMPTS = 3;
+const RETRY_SHARE = 0.1;
+
+/** Each daemon sends to the servers in turn, as requests come, and tries up to `maximumAttempts` times. */
+export function createRoundRobin(maximumAttempts = 1): Policy {
+	const turns = Array.from({length: DAEMONS}, (_, daemon) => daemon);
+
+	async function attempt(arrival: Arrival, left: number): Promise<boolean> {
+		turns[arrival.daemon]! += 1;
+		const whole = await arrival.run(turns[arrival.daemon]! % SERVERS);
+		return whole || (left > 1 && attempt(arrival, left - 1));
+	}
+
+	return {
+		send: async arrival => attempt(arrival, maximumAttempts),
+		tick: () => undefined,
+		report: () => undefined,
+	};
+}
+
+type Daemon = {
+	readonly loads: LoadEstimate;
+	readonly runner: AttemptRunner;
+	readonly queue: PoolQueue;
+};
+
+const unused = (): never => {
+	throw new Error('not used');
+};
+
+function createDaemon(random: Random, time: VirtualTime, retryShare: number): Daemon {
+	const table = createServerTable(zone => zone);
+	table.update(Array.from({length: SERVERS}, (_, server) => ({
+		id: String(server), address: '127.0.0.1', port: 1, availabilityZone: regionOf(server), state: 'live', pool: 'pool',
+	})), 0);
+	const loads = createLoadEstimate(() => SLOTS);
+	const dispatcher = createDispatcher({
+		table, loads, prefixes: createPrefixIndex(10_000), weights: defaultCostWeights, ownRegion: 'near', random, reservedElsewhere: () => false,
+	});
+	const runner = createAttemptRunner({
+		router: {
+			dispatch: dispatcher.dispatch, servers: table.list, engine: unused, service: unused, onDidChangeServers: createEmitter<never>().event, inFlight: loads.inFlight, load: loads.read,
+		},
+		suspects: trustingGuard,
+		maximumAttempts: MAXIMUM_ATTEMPTS,
+		retryShare,
+		clock: time.clock,
+		loop: time.loop,
+		metrics: silentMetrics,
+	});
+	return {loads, runner, queue: createPoolQueue('pool', createDrainRate(RUN_MS), random)};
+}
+
+/** Admission, routing and retries of the product. */
+export function createProduct(random: Random, time: VirtualTime, retryShare = RETRY_SHARE): Policy {
+	const {clock} = time;
+	const daemons = Array.from({length: DAEMONS}, () => createDaemon(random, time, retryShare));
+	return {
+		async send({
+			id, daemon, group, deadline, run,
+		}) {
+			const {signal} = new AbortController();
+			const {queue, runner} = daemons[daemon]!;
+			const place = await queue.enter({
+				plan: 'plan', weight: 1, cost: 1, deadline,
+			}, clock.monotonic(), signal);
+			if (place.isErr()) {
+				return false;
+			}
+
+			const result = await runner.run({
+				requestId: id,
+				fingerprint: id,
+				repeatable: () => true,
+				deadline,
+				signal,
+				route: {
+					pool: 'pool', prefixKey: group, prefixTokens: PREFIX_TOKENS, expectedTokens: 1, expectedBytes: BYTES, allowed: undefined,
+				},
+			}, async ({attempt, server}) => {
+				attempt.sent();
+				return await run(Number(server.id)) ? ok(undefined) : err(createOutcomeUnknown('incomplete', {step: 'run', peer: server.id}, 'broken off'));
+			});
+			place.value.end(clock.monotonic());
+			return result.isOk();
+		},
+		tick(now) {
+			daemons.forEach(({queue, loads}) => {
+				const known = Array.from({length: SERVERS}, (_, server) => loads.read(String(server), now));
+				queue.setConcurrency(limitConcurrency({loads: known, running: queue.running(), daemons: DAEMONS}));
+				queue.tick(now);
+			});
+		},
+		report(server, requests, now) {
+			daemons.forEach(({loads}) => {
+				loads.report(String(server), {
+					running: Math.min(SLOTS, requests), queued: Math.max(0, requests - SLOTS), slots: SLOTS, tokensPerSecond: 0, ageMs: REPORT_AGE_MS,
+				}, now);
+			});
+		},
+	};
+}
--- a/bench/requests.bench.ts
+++ b/bench/requests.bench.ts
@@ -1,232 +1,44 @@
-/**
- * Requests under load: the deciders of admission, routing and shares against plain policies, in virtual time. The servers
- * of the model queue what exceeds their slots, keep the newest prefixes, and report their load late.
- */
-import {createSeededRandom, createVirtualTime} from '../test/fakes/virtual-loop.js';
+/** Requests under load: the deciders of admission, routing, retries and shares against plain policies, in virtual time. */
+import {createSeededRandom, type VirtualTime} from '../test/fakes/virtual-loop.js';
 import type {Random} from '../src/base/common/random.js';
-import {limitConcurrency} from '../src/limits/common/concurrency.js';
-import {createDrainRate} from '../src/limits/common/drain-rate.js';
-import {createPoolQueue} from '../src/limits/common/pool-queue.js';
 import {createShareWorld, grant, type Breakage} from '../src/limits/test/harness/share-world.js';
-import {createDispatcher} from '../src/routing/common/dispatcher.js';
-import {createLoadEstimate} from '../src/routing/common/load-estimate.js';
-import {createPrefixIndex, type PrefixIndex} from '../src/routing/common/prefix-index.js';
-import {defaultCostWeights} from '../src/routing/common/server-cost.js';
-import {createServerTable} from '../src/routing/common/server-table.js';
 import type {Figure} from './figure.js';
+import {
+	DAEMONS, DURATION_MS, simulate, type Load, type Outcome, type Policy,
+} from './request-model.js';
+import {createProduct, createRoundRobin} from './request-policies.js';
 
 export const title = 'Requests';
 
-const SERVERS = 6;
-const SLOTS = 8;
-const RUN_MS = 200;
-const PREFILL_MS = 100;
-const PREFIX_TOKENS = 200;
-const PREFIXES_PER_SERVER = 40;
-const GROUP_SIZE = 8;
-const DEADLINE_MS = 2000;
-const DAEMONS = 4;
-const DURATION_MS = 20_000;
-const REPORT_MS = 500;
-const REPORT_AGE_MS = 300;
-const BYTES = 4096;
-const SEED = 1;
-/** Requests per second that the servers complete at most, without any prefill. */
-const SATURATION = SERVERS * SLOTS * 1000 / RUN_MS;
+const SEEDS = [1, 2, 3];
+/** Shares of requests that servers break off, while few wait there and while many do. */
+const CROWDED_BREAKS = [0.1, 0.8] as const;
+const MANY_BREAKS = [0.4, 0.4] as const;
+const UNBOUNDED_RETRY_SHARE = 10;
 
-type Outcome = {
-	readonly goodput: number;
-	readonly p95Ms: number;
-	readonly crossRegionBytes: number;
-	readonly prefixHits: number;
-};
+type CreatePolicy = (random: Random, time: VirtualTime) => Policy;
 
-/** Where a daemon sends a request, and when; `done` is called when its answer is whole. */
-type Policy = {
-	readonly send: (daemon: number, group: string, run: (server: number) => Promise<void>, deadline: number) => Promise<boolean>;
-	readonly tick: (now: number) => void;
-	readonly report: (server: number, requests: number, now: number) => void;
-};
+const product: CreatePolicy = (random, time) => createProduct(random, time);
+const withoutBudget: CreatePolicy = (random, time) => createProduct(random, time, UNBOUNDED_RETRY_SHARE);
+const roundRobin: CreatePolicy = () => createRoundRobin();
+const stubbornRoundRobin: CreatePolicy = () => createRoundRobin(3);
 
-type Servers = {
-	readonly run: (server: number, group: string) => Promise<void>;
-	readonly load: (server: number) => number;
-	readonly hits: () => number;
-};
-
-const regionOf = (server: number): string => server < SERVERS * 2 / 3 ? 'near' : 'far';
-
-const CACHED = 'cached';
-
-function isCached(cache: PrefixIndex, group: string): boolean {
-	const {find: holderOf} = cache;
-	return holderOf(group) === CACHED;
-}
-
-function createServers(sleep: (durationMs: number) => Promise<void>): Servers {
-	const busy = Array.from({length: SERVERS}, () => 0);
-	const queues = Array.from({length: SERVERS}, (): Array<() => void> => []);
-	const caches = Array.from({length: SERVERS}, () => createPrefixIndex(PREFIXES_PER_SERVER));
-	let hits = 0;
-
-	async function enter(server: number): Promise<void> {
-		if (busy[server]! < SLOTS) {
-			busy[server]! += 1;
-			return;
-		}
-
-		await new Promise<void>(resolve => {
-			queues[server]!.push(resolve);
-		});
-	}
-
-	function leave(server: number): void {
-		const next = queues[server]!.shift();
-		if (next) {
-			next();
-			return;
-		}
-
-		busy[server]! -= 1;
-	}
-
-	return {
-		async run(server, group) {
-			await enter(server);
-			const cache = caches[server]!;
-			const hit = isCached(cache, group);
-			hits += hit ? 1 : 0;
-			cache.remember(group, CACHED);
-			await sleep(RUN_MS + (hit ? 0 : PREFILL_MS));
-			leave(server);
-		},
-		load: server => busy[server]! + queues[server]!.length,
-		hits: () => hits,
-	};
-}
-
-function createRoundRobin(): Policy {
-	let turn = 0;
-	return {
-		async send(_daemon, _group, run) {
-			turn += 1;
-			await run(turn % SERVERS);
-			return true;
-		},
-		tick: () => undefined,
-		report: () => undefined,
-	};
-}
-
-function createDaemon(random: Random) {
-	const table = createServerTable(zone => zone);
-	table.update(Array.from({length: SERVERS}, (_, server) => ({
-		id: String(server), address: '127.0.0.1', port: 1, availabilityZone: regionOf(server), state: 'live', pool: 'pool',
-	})), 0);
-	const loads = createLoadEstimate(() => SLOTS);
-	const dispatcher = createDispatcher({
-		table, loads, prefixes: createPrefixIndex(10_000), weights: defaultCostWeights, ownRegion: 'near', random, reservedElsewhere: () => false,
-	});
-	return {loads, dispatcher, queue: createPoolQueue('pool', createDrainRate(RUN_MS), random)};
-}
-
-function createProduct(random: Random, clock: () => number): Policy {
-	const daemons = Array.from({length: DAEMONS}, () => createDaemon(random));
-	const never = new AbortController().signal;
+/** Means over the seeds. */
+async function measure(load: Omit<Load, 'seed'>, createPolicy: CreatePolicy): Promise<Outcome> {
+	const outcomes = await SEEDS.reduce<Promise<readonly Outcome[]>>(async (previous, seed) => [...await previous, await simulate({...load, seed}, createPolicy)], Promise.resolve([]));
+	const mean = (read: (outcome: Outcome) => number) => outcomes.reduce((sum, outcome) => sum + read(outcome), 0) / outcomes.length;
 	return {
-		async send(daemon, group, run, deadline) {
-			const {queue, dispatcher} = daemons[daemon]!;
-			const place = await queue.enter({
-				plan: 'plan', weight: 1, cost: 1, deadline,
-			}, clock(), never);
-			if (place.isErr()) {
-				return false;
-			}
-
-			const dispatched = dispatcher.dispatch({
-				pool: 'pool', prefixKey: group, prefixTokens: PREFIX_TOKENS, expectedTokens: 1, expectedBytes: BYTES, excluded: [], allowed: undefined, alone: false,
-			}, clock())._unsafeUnwrap();
-			await run(Number(dispatched.server.id));
-			dispatched.end(clock(), 'done');
-			place.value.end(clock());
-			return true;
-		},
-		tick(now) {
-			daemons.forEach(({queue, loads}) => {
-				const known = Array.from({length: SERVERS}, (_, server) => loads.read(String(server), now));
-				queue.setConcurrency(limitConcurrency({loads: known, running: queue.running(), daemons: DAEMONS}));
-				queue.tick(now);
-			});
-		},
-		report(server, requests, now) {
-			daemons.forEach(({loads}) => {
-				loads.report(String(server), {
-					running: Math.min(SLOTS, requests), queued: Math.max(0, requests - SLOTS), slots: SLOTS, tokensPerSecond: 0, ageMs: REPORT_AGE_MS,
-				}, now);
-			});
-		},
-	};
-}
-
-async function simulate(load: number, createPolicy: (random: Random, clock: () => number) => Policy): Promise<Outcome> {
-	const random = createSeededRandom(SEED);
-	const {clock, loop, advance} = createVirtualTime(random);
-	const now = () => clock.monotonic();
-	const servers = createServers(loop.sleep);
-	const policy = createPolicy(random, now);
-	const latencies: number[] = [];
-	let crossRegionBytes = 0;
-	let sent = 0;
-	let run = 0;
-
-	async function sendOne(): Promise<void> {
-		sent += 1;
-		const startedAt = now();
-		const group = `group ${Math.floor(sent / GROUP_SIZE)}`;
-		const answered = await policy.send(sent % DAEMONS, group, async server => {
-			run += 1;
-			crossRegionBytes += regionOf(server) === 'near' ? 0 : BYTES;
-			await servers.run(server, group);
-		}, startedAt + DEADLINE_MS);
-		if (answered && now() - startedAt <= DEADLINE_MS) {
-			latencies.push(now() - startedAt);
-		}
-	}
-
-	const arrivals = loop.every({
-		name: 'arrivals',
-		periodMs: 1000 / (load * SATURATION),
-		jitterShare: 1,
-		run() {
-			void sendOne();
-		},
-	});
-	loop.every({name: 'tick', periodMs: 20, run: policy.tick});
-	loop.every({
-		name: 'reports',
-		periodMs: REPORT_MS,
-		run() {
-			Array.from({length: SERVERS}, (_, server) => ({server, requests: servers.load(server)})).forEach(({server, requests}) => {
-				loop.after(REPORT_AGE_MS, at => {
-					policy.report(server, requests, at);
-				});
-			});
-		},
-	});
-	await advance(DURATION_MS);
-	arrivals.dispose();
-	const sorted = latencies.toSorted((a, b) => a - b);
-	return {
-		goodput: latencies.length * 1000 / DURATION_MS,
-		p95Ms: sorted[Math.floor(sorted.length * 0.95)] ?? Number.NaN,
-		crossRegionBytes: crossRegionBytes / Math.max(1, run),
-		prefixHits: servers.hits() / Math.max(1, run),
+		goodput: mean(outcome => outcome.goodput),
+		p95Ms: mean(outcome => outcome.p95Ms),
+		crossRegionBytes: mean(outcome => outcome.crossRegionBytes),
+		prefixHits: mean(outcome => outcome.prefixHits),
+		attempts: mean(outcome => outcome.attempts),
 	};
 }
 
 /** Measures what one daemon with all the demand can use of a grant. */
 async function measureUsableShare(breakage: Breakage = {}): Promise<number> {
-	const world = createShareWorld(createSeededRandom(SEED), breakage);
+	const world = createShareWorld(createSeededRandom(1), breakage);
 	world.daemonIds.forEach(daemonId => {
 		world.setDemand(daemonId, 0.5);
 	});
@@ -247,16 +59,36 @@
 	};
 }
 
+/** Servers that break off requests, with and without bounds on retries. */
+async function measureRetries(): Promise<readonly Figure[]> {
+	const crowded = {factor: 3, broken: CROWDED_BREAKS};
+	const bounded = await measure(crowded, product);
+	const storm = await measure(crowded, stubbornRoundRobin);
+	const unbudgeted = await measure(crowded, withoutBudget);
+	const failing = {factor: 0.5, broken: MANY_BREAKS};
+	const few = await measure(failing, product);
+	const many = await measure(failing, withoutBudget);
+	const name = 'goodput at 3x saturation, crowded servers break off';
+	return [
+		compare(name, 'requests/s', bounded.goodput, storm.goodput, 'round robin, 3 attempts, no admission'),
+		compare(name, 'requests/s', bounded.goodput, unbudgeted.goodput, 'the same without a retry budget'),
+		compare('attempts per request, half load, 40% broken off', 'attempts', few.attempts, many.attempts, 'the same without a retry budget'),
+		compare('goodput, half load, 40% broken off', 'requests/s', few.goodput, many.goodput, 'the same without a retry budget'),
+	];
+}
+
 /** Runs the bench. */
 export async function run(): Promise<readonly Figure[]> {
 	const plain = 'round robin, no admission';
-	const half = await simulate(0.5, createProduct);
-	const halfPlain = await simulate(0.5, createRoundRobin);
-	const once = await simulate(1, createProduct);
-	const oncePlain = await simulate(1, createRoundRobin);
-	const thrice = await simulate(3, createProduct);
-	const thricePlain = await simulate(3, createRoundRobin);
-	const peak = Math.max(half.goodput, once.goodput, thrice.goodput);
+	const half = await measure({factor: 0.5}, product);
+	const halfPlain = await measure({factor: 0.5}, roundRobin);
+	const high = await measure({factor: 0.7}, product);
+	const highPlain = await measure({factor: 0.7}, roundRobin);
+	const once = await measure({factor: 1}, product);
+	const oncePlain = await measure({factor: 1}, roundRobin);
+	const thrice = await measure({factor: 3}, product);
+	const thricePlain = await measure({factor: 3}, roundRobin);
+	const peak = Math.max(half.goodput, high.goodput, once.goodput, thrice.goodput);
 	const usable = await measureUsableShare();
 	const usablePlain = await measureUsableShare({fractionOf: () => () => 1 / DAEMONS});
 	return [
@@ -264,9 +96,11 @@
 		compare('goodput at 3x saturation', 'requests/s', thrice.goodput, thricePlain.goodput, plain),
 		{name: 'goodput at 3x saturation, share of its peak', value: thrice.goodput / peak, unit: 'share'},
 		compare('p95 latency at half load', 'ms', half.p95Ms, halfPlain.p95Ms, plain),
+		compare('p95 latency at 0.7 of saturation', 'ms', high.p95Ms, highPlain.p95Ms, plain),
 		compare('p95 latency of answers in time, 3x saturation', 'ms', thrice.p95Ms, thricePlain.p95Ms, plain),
 		compare('bytes across regions per request, half load', 'B', half.crossRegionBytes, halfPlain.crossRegionBytes, plain),
 		compare('prefix hits, half load', 'share', half.prefixHits, halfPlain.prefixHits, plain),
+		...await measureRetries(),
 		compare('usable share of a grant, all demand at one daemon', 'share', usable, usablePlain, 'static equal shares'),
 	];
 }
