Share the front that tests of requests open

Both tests over real sockets built the same front, clock, loop and HTTP call. One module has them now; the checks are unchanged.

--- a/src/requests/test/front-server.test.ts
+++ b/src/requests/test/front-server.test.ts
@@ -1,20 +1,14 @@
-import {Buffer} from 'node:buffer';
-import {createServer, request as startRequest} from 'node:http';
+import {createServer} from 'node:http';
 import {connect, type AddressInfo} from 'node:net';
-import {ok} from 'neverthrow';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {createSystemClock} from '../../base/node/system-clock.js';
-import {silentLog} from '../../kernel/common/log.js';
-import {silentMetrics} from '../../kernel/common/metrics.js';
-import {createTimerLoop} from '../../kernel/node/timer-loop.js';
 import type {FrontRequest} from '../common/front.js';
-import {createFrontServer, type FrontOptions, type FrontServer} from '../node/front-server.js';
+import type {FrontOptions, FrontServer} from '../node/front-server.js';
 import {createHealthRoute} from '../node/health.js';
 import {sendJson} from '../node/respond.js';
+import {address, callFront, createOpenFront} from './harness/open-front.js';
 
 const test = suite('front server');
-const address = '127.0.0.1';
 const fronts: FrontServer[] = [];
 
 type Change = {
@@ -24,27 +18,7 @@
 };
 
 async function open({options, signal}: Change = {}) {
-	const clock = createSystemClock();
-	const front = createFrontServer({
-		address,
-		port: 0,
-		maximumBodyBytes: 1000,
-		headerTimeoutMs: 300,
-		deadlineMs: 5000,
-		drainMs: 3000,
-		authenticate: access => ok(access === 'customer'
-			? {
-				kind: 'customer', plan: {
-					name: 'p', customer: 'c', weight: 1, keyHashes: [], trainers: [],
-				},
-			}
-			: {kind: 'anyone'}),
-		clock,
-		loop: createTimerLoop(clock, () => 0.5, silentLog),
-		log: silentLog,
-		metrics: silentMetrics,
-		...options,
-	});
+	const front = createOpenFront(options);
 	fronts.push(front);
 	const received: FrontRequest[] = [];
 	const held: Array<() => void> = [];
@@ -82,23 +56,9 @@
 }
 
 async function call(port: number, method: string, path: string, body = '') {
-	return new Promise<{readonly status: number; readonly json: Record<string, unknown>; readonly requestId: unknown; readonly retryAfter: unknown}>((resolve, reject) => {
-		const request = startRequest({
-			host: address, port, method, path, agent: false,
-		}, response => {
-			const pieces: Uint8Array[] = [];
-			response.on('data', (piece: Uint8Array) => {
-				pieces.push(piece);
-			});
-			response.on('end', () => {
-				resolve({
-					status: response.statusCode ?? 0, json: JSON.parse(Buffer.concat(pieces).toString()), requestId: response.headers['request-id'], retryAfter: response.headers['retry-after'],
-				});
-			});
-		});
-		request.on('error', reject);
-		request.end(body);
-	});
+	const {status, text, headers} = await callFront(port, method, path, body);
+	const json: Readonly<Record<string, unknown>> = JSON.parse(text);
+	return {status, json, headers};
 }
 
 /** Sends text and returns all that comes back until the connection closes or `patienceMs` have passed. */
@@ -138,7 +98,7 @@
 	const {port} = await open();
 	const answer = await call(port, 'POST', '/v1/echo/a%20b/c/d', 'body');
 	assert.equal(answer.json, {name: 'a b', rest: 'c/d', size: 4});
-	assert.type(answer.requestId, 'string');
+	assert.type(answer.headers['request-id'], 'string');
 	const missing = await call(port, 'GET', '/v1/nothing');
 	assert.is(missing.status, 404);
 	const unsupported = await call(port, 'GET', '/v1/echo/a/b');
@@ -235,7 +195,7 @@
 	const refused = await call(port, 'POST', '/v1/echo/a/b');
 	assert.is(refused.status, 503);
 	assert.is(refused.json.effect, 'notRun');
-	assert.is(refused.retryAfter, '1');
+	assert.is(refused.headers['retry-after'], '1');
 	const health = await call(port, 'GET', '/v1/health');
 	assert.equal([health.status, health.json], [503, {state: 'draining'}]);
 	held[0]?.();
--- a/src/requests/test/routes.test.ts
+++ b/src/requests/test/routes.test.ts
@@ -1,14 +1,10 @@
 import {Buffer} from 'node:buffer';
-import {request as startRequest} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {createEmitter} from '../../base/common/event.js';
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
-import {createSystemClock} from '../../base/node/system-clock.js';
-import {silentLog} from '../../kernel/common/log.js';
 import {silentMetrics} from '../../kernel/common/metrics.js';
-import {createTimerLoop} from '../../kernel/node/timer-loop.js';
 import {
 	Engine, type Chunk, type Generation, type GenerationRequest, type LoadReport,
 } from '../../platform/common/engine.js';
@@ -19,8 +15,9 @@
 import {createAttemptRunner} from '../node/attempt-runner.js';
 import {createClaimedRuns} from '../node/claimed-runs.js';
 import {createCompletionRoute} from '../node/completions.js';
-import {createFrontServer, type FrontServer} from '../node/front-server.js';
+import type {FrontServer} from '../node/front-server.js';
 import {createServiceRoute} from '../node/services.js';
+import {callFront, createOpenFront, realTime} from './harness/open-front.js';
 
 const test = suite('routes');
 const fronts: FrontServer[] = [];
@@ -61,8 +58,7 @@
 }
 
 async function open(parts: {readonly generate?: Generate; readonly call?: Call}) {
-	const clock = createSystemClock();
-	const loop = createTimerLoop(clock, () => 0.5, silentLog);
+	const {clock, loop} = realTime;
 	const counts = {tickets: 0, dispatches: 0};
 	const router: Router = {
 		dispatch({pool, excluded}: RouteRequest) {
@@ -94,23 +90,7 @@
 			});
 		},
 	};
-	const front = createFrontServer({
-		address: '127.0.0.1',
-		port: 0,
-		maximumBodyBytes: 10_000,
-		headerTimeoutMs: 1000,
-		deadlineMs: 5000,
-		drainMs: 1000,
-		authenticate: () => ok({
-			kind: 'customer', plan: {
-				name: 'p', customer: 'c', weight: 1, keyHashes: [], trainers: [],
-			},
-		}),
-		clock,
-		loop,
-		log: silentLog,
-		metrics: silentMetrics,
-	});
+	const front = createOpenFront({maximumBodyBytes: 10_000, headerTimeoutMs: 1000});
 	fronts.push(front);
 	const runner = createAttemptRunner({
 		router, suspects: trustingGuard, maximumAttempts: 3, retryShare: 1, clock, loop, metrics: silentMetrics,
@@ -129,21 +109,8 @@
 }
 
 async function call(port: number, method: string, path: string, body: unknown, headers: Readonly<Record<string, string>> = {}) {
-	return new Promise<{readonly status: number; readonly text: string}>((resolve, reject) => {
-		const request = startRequest({
-			host: '127.0.0.1', port, method, path, headers, agent: false,
-		}, response => {
-			const pieces: Uint8Array[] = [];
-			response.on('data', (piece: Uint8Array) => {
-				pieces.push(piece);
-			});
-			response.on('end', () => {
-				resolve({status: response.statusCode ?? 0, text: Buffer.concat(pieces).toString()});
-			});
-		});
-		request.on('error', reject);
-		request.end(body === undefined ? '' : JSON.stringify(body));
-	});
+	const {status, text} = await callFront(port, method, path, body === undefined ? '' : JSON.stringify(body), headers);
+	return {status, text};
 }
 
 const completions = '/v1/models/llm/completions';
