--- a/src/limits/test/harness/share-world.ts
+++ b/src/limits/test/harness/share-world.ts
@@ -1,4 +1,4 @@
-/** Several daemons that share one grant under virtual time, with a record of every admitted request. */
+/** Several daemons that share one grant under virtual time, with a record of what was admitted. */
 import {err, type Result} from 'neverthrow';
 import {
 	createDelayedStore, createGate, type Gate, type StoreControl,
@@ -14,28 +14,34 @@
 import {createGate as createAdmission, type Gate as Admission} from '../../common/gate.js';
 import type {ShareAnswer} from '../../common/share-holder.js';
 import type {ShareLink} from '../../common/share-link.js';
+import {createVanishedDaemons, type PortState} from '../../common/vanished-daemons.js';
 import {createShareClient, type ShareClient} from '../../node/share-client.js';
 import {createShareOwner, type ShareOwner} from '../../node/share-owner.js';
+import type {Admitted, Use} from './share-check.js';
 
 /** Mechanisms that a scenario replaces by broken ones. */
 export type Breakage = {
 	readonly store?: (store: Store) => Store;
 	readonly link?: (link: ShareLink) => ShareLink;
 	readonly fractionOf?: (client: ShareClient) => ShareClient['fractionOf'];
+	/** Time after which a share ends that is not renewed. */
+	readonly endMs?: number;
+	/** What a connection to a silent daemon's port seems to show. */
+	readonly probe?: (state: PortState) => PortState;
 };
 
 type Daemon = {readonly gate: Gate; readonly owner: ShareOwner; readonly admission: Admission; readonly tasks: readonly Disposable[]};
 
-export type ShareWorld = {
+export type ShareWorld = Admitted & {
 	readonly time: VirtualTime;
-	/** Times at which requests were admitted, over all daemons. */
-	readonly admitted: number[];
 	readonly refused: Failure[];
 	readonly store: StoreControl;
 	readonly daemonIds: readonly string[];
 	/** Sends requests at a rate to one daemon until the demand is set anew. */
 	readonly setDemand: (daemonId: string, perSecond: number) => void;
 	readonly pause: (daemonId: string, durationMs: number) => void;
+	/** Kills a daemon; nothing runs at its address until it is restarted. */
+	readonly stop: (daemonId: string) => void;
 	readonly restart: (daemonId: string) => void;
 	readonly moveLease: (daemonId: string | undefined, overlapMs: number) => void;
 	/** Cuts a daemon off from the others, or joins it again. */
@@ -46,22 +52,29 @@
 export const grant: Grant = {
 	plan: 'plan', pool: 'pool', requestsPerSecond: 25, burstSeconds: 1,
 };
+/** A grant whose tokens are used up before its requests. */
+export const tokenGrant: Grant = {...grant, requestsPerSecond: 1000, tokensPerSecond: 5000};
+/** Most tokens that one request reserves under a grant of tokens. */
+export const LARGEST_TOKENS = 400;
 const END_MS = 3_600_000;
 const LINK_TIMEOUT_MS = 1000;
 
-export function createShareWorld(random: Random, breakage: Breakage = {}): ShareWorld {
+export function createShareWorld(random: Random, breakage: Breakage = {}, shared: Grant = grant): ShareWorld {
 	const time = createVirtualTime(random);
 	const {clock, loop} = time;
 	const memory = createMemoryStore();
 	const control: StoreControl = {down: false, lostShare: 0, random};
 	const daemons = new Map<string, Daemon>();
 	const daemonIds = ['entry-1', 'entry-2', 'entry-3', 'entry-4'];
-	const admitted: number[] = [];
+	const requests: Use[] = [];
+	const tokens: Use[] = [];
 	const byDaemon = new Map<string, number>();
 	const refused: Failure[] = [];
 	const demands = new Map<string, Disposable>();
 	const beliefs = new Map<string, {readonly until: number; readonly fencing: number}>();
 	const cut = new Set<string>();
+	const stopped = new Set<string>();
+	const endMs = breakage.endMs ?? END_MS;
 	let holder: string | undefined = 'entry-1';
 	let fencing = 1;
 	let starts = 0;
@@ -110,8 +123,27 @@
 		};
 	}
 
+	function probe(id: string): PortState {
+		// The system of a paused process still accepts connections.
+		const state = cut.has(id) ? 'unknown' : 'open';
+		const seen = stopped.has(id) ? 'refused' : state;
+		return breakage.probe?.(seen) ?? seen;
+	}
+
+	/** Frees the shares of silent daemons that do not run any more. */
+	function createCleanup(owner: ShareOwner): (now: number) => void {
+		const vanished = createVanishedDaemons(id => id);
+		return now => {
+			owner.silent().forEach(id => {
+				vanished.probed(id, probe(id), now);
+			});
+			owner.silent().filter(id => vanished.isGone(id, now)).forEach(owner.forget);
+		};
+	}
+
 	function start(id: string): void {
 		starts += 1;
+		stopped.delete(id);
 		const run = starts;
 		const gate = createGate(time);
 		let sequence = 0;
@@ -120,7 +152,7 @@
 			shards: shardsOf(id),
 			store: breakage.store?.(delayed) ?? delayed,
 			clock,
-			endMs: END_MS,
+			endMs,
 			nextWriteId() {
 				sequence += 1;
 				return {writer: `${id}:${run}`, sequence: String(sequence)};
@@ -128,10 +160,10 @@
 		});
 		const link = createLink(id, gate);
 		const client = createShareClient({
-			daemonId: id, run, shards: shardsOf(id), link: breakage.link?.(link) ?? link, clock, endMs: END_MS,
+			daemonId: id, run, shards: shardsOf(id), link: breakage.link?.(link) ?? link, clock, endMs,
 		});
 		const admission = createAdmission({
-			grantOf: () => grant,
+			grantOf: () => shared,
 			weightOf: () => 1,
 			fractionOf: breakage.fractionOf?.(client) ?? client.fractionOf,
 			concurrencyOf: () => 1000,
@@ -159,23 +191,34 @@
 				}),
 				every('divide', 200, owner.tick),
 				every('renew', 1000, async () => client.renew(admission.demands(clock.monotonic()))),
+				every('clean up', 1000, createCleanup(owner)),
 				every('unmet', 200, async () => client.renewUnmet(admission.demands(clock.monotonic()))),
 			],
 		});
 	}
 
+	function stop(id: string): void {
+		daemons.get(id)?.gate.kill();
+		beliefs.delete(id);
+		stopped.add(id);
+	}
+
 	async function sendOne(id: string): Promise<void> {
 		const daemon = daemons.get(id);
 		await daemon?.gate.pass();
 		const now = clock.monotonic();
+		const reserved = shared.tokensPerSecond === undefined ? 0 : 1 + Math.floor(random() * LARGEST_TOKENS);
 		const result = await daemon?.admission.admit({
-			plan: 'plan', pool: 'pool', tokens: 0, deadline: now + 5000,
+			plan: 'plan', pool: 'pool', tokens: reserved, deadline: now + 5000,
 		}, now, new AbortController().signal);
 		result?.match(ticket => {
-			admitted.push(clock.monotonic());
+			const generated = Math.floor(random() * (reserved + 1));
+			requests.push({at: clock.monotonic(), units: 1});
+			tokens.push({at: clock.monotonic(), units: reserved});
 			byDaemon.set(id, (byDaemon.get(id) ?? 0) + 1);
 			loop.after(50, at => {
-				ticket.release(at, 0);
+				tokens.push({at, units: generated - reserved});
+				ticket.release(at, generated);
 			});
 		}, failure => {
 			refused.push(failure);
@@ -185,7 +228,9 @@
 	daemonIds.forEach(start);
 	return {
 		time,
-		admitted,
+		grant: shared,
+		requests,
+		tokens,
 		refused,
 		store: control,
 		daemonIds,
@@ -204,9 +249,9 @@
 		pause(daemonId, durationMs) {
 			daemons.get(daemonId)?.gate.pause(durationMs);
 		},
+		stop,
 		restart(daemonId) {
-			daemons.get(daemonId)?.gate.kill();
-			beliefs.delete(daemonId);
+			stop(daemonId);
 			start(daemonId);
 		},
 		moveLease(daemonId, overlapMs) {
@@ -228,16 +273,3 @@
 		admittedBy: daemonId => byDaemon.get(daemonId) ?? 0,
 	};
 }
-
-/**
- * Checks from the admissions alone that no window of time holds more than the grant: a bucket of the whole grant, filled
- * at the start, must never run dry. Returns the largest excess, in requests.
- */
-export function checkGrant(admitted: readonly number[]): number {
-	const {requestsPerSecond, burstSeconds} = grant;
-	const capacity = requestsPerSecond * burstSeconds;
-	return admitted.toSorted((a, b) => a - b).reduce((state, at) => {
-		const level = Math.min(capacity, state.level + ((at - state.at) * requestsPerSecond / 1000)) - 1;
-		return {at, level, excess: Math.max(state.excess, -level)};
-	}, {at: 0, level: capacity, excess: 0}).excess;
-}
--- a/src/requests/test/front-server.test.ts
+++ b/src/requests/test/front-server.test.ts
@@ -1,47 +1,28 @@
-import {Buffer} from 'node:buffer';
-import {request as startRequest} from 'node:http';
-import {connect} from 'node:net';
-import {ok} from 'neverthrow';
+import {createServer} from 'node:http';
+import {connect, type AddressInfo} from 'node:net';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {createSystemClock} from '../../base/node/system-clock.js';
-import {silentLog} from '../../kernel/common/log.js';
-import {silentMetrics} from '../../kernel/common/metrics.js';
-import {createTimerLoop} from '../../kernel/node/timer-loop.js';
 import type {FrontRequest} from '../common/front.js';
-import {createFrontServer, type FrontOptions, type FrontServer} from '../node/front-server.js';
+import type {FrontOptions, FrontServer} from '../node/front-server.js';
 import {createHealthRoute} from '../node/health.js';
 import {sendJson} from '../node/respond.js';
+import {address, callFront, createOpenFront} from './harness/open-front.js';
 
 const test = suite('front server');
-const address = '127.0.0.1';
 const fronts: FrontServer[] = [];
 
-async function open(options: Partial<FrontOptions> = {}) {
-	const clock = createSystemClock();
-	const front = createFrontServer({
-		address,
-		port: 0,
-		maximumBodyBytes: 1000,
-		headerTimeoutMs: 300,
-		deadlineMs: 5000,
-		drainMs: 3000,
-		authenticate: access => ok(access === 'customer'
-			? {
-				kind: 'customer', plan: {
-					name: 'p', customer: 'c', weight: 1, keyHashes: [], trainers: [],
-				},
-			}
-			: {kind: 'anyone'}),
-		clock,
-		loop: createTimerLoop(clock, () => 0.5, silentLog),
-		log: silentLog,
-		metrics: silentMetrics,
-		...options,
-	});
+type Change = {
+	readonly options?: Partial<FrontOptions>;
+	/** Signal that routes are given in place of the caller's own. */
+	readonly signal?: AbortSignal;
+};
+
+async function open({options, signal}: Change = {}) {
+	const front = createOpenFront(options);
 	fronts.push(front);
 	const received: FrontRequest[] = [];
 	const held: Array<() => void> = [];
+	const ended: string[] = [];
 	front.register(createHealthRoute(front));
 	front.register({
 		method: 'POST',
@@ -60,42 +41,33 @@
 			received.push(request);
 			await new Promise<void>(resolve => {
 				held.push(resolve);
-				request.signal.addEventListener('abort', () => {
+				(signal ?? request.signal).addEventListener('abort', () => {
 					resolve();
 				});
 			});
+			ended.push(request.requestId);
 			sendJson(response, 200, {});
 		},
 	});
 	const port = await front.listen();
 	return {
-		front, port, received, held,
+		front, port, received, held, ended,
 	};
 }
 
 async function call(port: number, method: string, path: string, body = '') {
-	return new Promise<{readonly status: number; readonly json: Record<string, unknown>; readonly requestId: unknown; readonly retryAfter: unknown}>((resolve, reject) => {
-		const request = startRequest({
-			host: address, port, method, path, agent: false,
-		}, response => {
-			const pieces: Uint8Array[] = [];
-			response.on('data', (piece: Uint8Array) => {
-				pieces.push(piece);
-			});
-			response.on('end', () => {
-				resolve({
-					status: response.statusCode ?? 0, json: JSON.parse(Buffer.concat(pieces).toString()), requestId: response.headers['request-id'], retryAfter: response.headers['retry-after'],
-				});
-			});
-		});
-		request.on('error', reject);
-		request.end(body);
-	});
+	const {status, text, headers} = await callFront(port, method, path, body);
+	const json: Readonly<Record<string, unknown>> = JSON.parse(text);
+	return {status, json, headers};
 }
 
-async function sendRaw(port: number, text: string): Promise<string> {
+/** Sends text and returns all that comes back until the connection closes or `patienceMs` have passed. */
+async function sendRaw(port: number, text: string, patienceMs = 10_000): Promise<string> {
 	return new Promise(resolve => {
 		const socket = connect(port, address);
+		socket.setTimeout(patienceMs, () => {
+			socket.destroy();
+		});
 		const pieces: string[] = [];
 		socket.on('data', piece => {
 			pieces.push(String(piece));
@@ -126,43 +98,96 @@
 	const {port} = await open();
 	const answer = await call(port, 'POST', '/v1/echo/a%20b/c/d', 'body');
 	assert.equal(answer.json, {name: 'a b', rest: 'c/d', size: 4});
-	assert.type(answer.requestId, 'string');
+	assert.type(answer.headers['request-id'], 'string');
 	const missing = await call(port, 'GET', '/v1/nothing');
 	assert.is(missing.status, 404);
 	const unsupported = await call(port, 'GET', '/v1/echo/a/b');
 	assert.is(unsupported.json.type, 'urn:rosemaryshore:unsupported');
 });
 
-test('refuses oversized bodies, declared or chunked, before the route runs', async () => {
-	const {port, received, front} = await open();
+/** Sends a body that is too large as declared, and one in chunks; returns the answers, and how often the route ran. */
+async function sendOversized(change: Change = {}) {
+	const {port, received, front} = await open(change);
 	const declared = await call(port, 'POST', '/v1/echo/a/b', 'x'.repeat(1001));
+	const chunked = await sendRaw(port, `POST /v1/echo/a/b HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n5dc\r\n${'x'.repeat(1500)}\r\n0\r\n\r\n`);
+	await until(() => front.inProgress() === 0);
+	return {declared, chunked, runs: received.length};
+}
+
+test('refuses oversized bodies, declared or chunked, before the route runs', async () => {
+	const {declared, chunked, runs} = await sendOversized();
 	assert.is(declared.status, 400);
 	assert.is(declared.json.effect, 'notRun');
-	const chunked = await sendRaw(port, `POST /v1/echo/a/b HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n5dc\r\n${'x'.repeat(1500)}\r\n`);
 	assert.match(chunked, /400 Bad Request[\s\S]*larger than 1000 bytes/);
-	assert.is(received.length, 0);
-	await until(() => front.inProgress() === 0);
+	assert.is(runs, 0);
 });
 
-test('ends malformed and slow requests with a problem', async () => {
+test('is caught without a bound of bodies', async () => {
+	const {runs} = await sendOversized({options: {maximumBodyBytes: 1_000_000}});
+	assert.is(runs, 2);
+});
+
+const endsMalformed = async (port: number): Promise<boolean> => /400 Bad Request[\s\S]*notRun/.test(await sendRaw(port, 'NOT HTTP\r\n\r\n'));
+
+test('ends malformed requests with a problem', async () => {
 	const {port, front} = await open();
-	assert.match(await sendRaw(port, 'NOT HTTP\r\n\r\n'), /400 Bad Request[\s\S]*notRun/);
-	assert.match(await sendRaw(port, 'POST /v1/echo/a/b HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc'), /504 [\s\S]*did not arrive/);
-	assert.match(await sendRaw(port, 'POST /v1/echo/a/b HTTP/1.1\r\nhost'), /504 [\s\S]*headers did not arrive/);
+	assert.ok(await endsMalformed(port));
 	await until(() => front.inProgress() === 0);
 });
 
-test('tells the route that its caller has gone', async () => {
-	const {port, received, front} = await open();
+test('is caught on a server that leaves malformed requests to its library', async () => {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, address, resolve);
+	});
+	// The address is an object for sockets that listen on a port.
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+	const {port} = server.address() as AddressInfo;
+	assert.not(await endsMalformed(port));
+	server.close();
+});
+
+/** Sends a body and headers that never become whole; returns what comes back. */
+async function sendSlowly(change: Change = {}, patienceMs?: number): Promise<readonly string[]> {
+	const {port} = await open(change);
+	return Promise.all([
+		sendRaw(port, 'POST /v1/echo/a/b HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc', patienceMs),
+		sendRaw(port, 'POST /v1/echo/a/b HTTP/1.1\r\nhost', patienceMs),
+	]);
+}
+
+test('ends slow requests with a problem', async () => {
+	const [body = '', headers = ''] = await sendSlowly();
+	assert.match(body, /504 [\s\S]*did not arrive/);
+	assert.match(headers, /504 [\s\S]*headers did not arrive/);
+});
+
+test('is caught without a bound of time', async () => {
+	const options = {headerTimeoutMs: 60_000, deadlineMs: 60_000};
+	assert.equal(await sendSlowly({options}, 2000), ['', '']);
+});
+
+/** Leaves while the route runs; returns whether the route had ended when the front had forgotten the request. */
+async function leave(change: Change = {}): Promise<boolean> {
+	const {port, received, front, ended} = await open(change);
 	const socket = connect(port, address);
 	socket.write('GET /v1/held HTTP/1.1\r\nhost: a\r\n\r\n');
 	await until(() => received.length === 1);
 	socket.destroy();
 	await until(() => received[0]?.signal.aborted === true);
 	await until(() => front.inProgress() === 0);
+	return ended.length === 1;
+}
+
+test('ends the route of a caller that has gone', async () => {
+	assert.ok(await leave());
 });
 
-test('drains without cutting off a request in progress, and refuses new ones', async () => {
+test('is caught when the route is not told', async () => {
+	assert.not(await leave({signal: new AbortController().signal}));
+});
+
+test('refuses new requests while it drains', async () => {
 	const {port, front, held} = await open();
 	const inProgress = call(port, 'GET', '/v1/held');
 	await until(() => held.length === 1);
@@ -170,7 +195,7 @@
 	const refused = await call(port, 'POST', '/v1/echo/a/b');
 	assert.is(refused.status, 503);
 	assert.is(refused.json.effect, 'notRun');
-	assert.is(refused.retryAfter, '1');
+	assert.is(refused.headers['retry-after'], '1');
 	const health = await call(port, 'GET', '/v1/health');
 	assert.equal([health.status, health.json], [503, {state: 'draining'}]);
 	held[0]?.();
@@ -179,4 +204,25 @@
 	assert.is(answer.status, 200);
 });
 
+/** Drains and stops during a request; returns the status that its caller received, or undefined if it was cut off. */
+async function stopDuringRequest(change: Change = {}): Promise<number | undefined> {
+	const {port, front, held} = await open(change);
+	const status = call(port, 'GET', '/v1/held').then(answer => answer.status, () => undefined);
+	await until(() => held.length === 1);
+	const stopped = front.drain().then(front.dispose);
+	setTimeout(() => {
+		held[0]?.();
+	}, 200);
+	await stopped;
+	return status;
+}
+
+test('stops without cutting off a request in progress', async () => {
+	assert.is(await stopDuringRequest(), 200);
+});
+
+test('is caught when a stop does not wait', async () => {
+	assert.is(await stopDuringRequest({options: {drainMs: 0}}), undefined);
+});
+
 test.run();
