Fit the time of a request to its cost, not its proportion

Ruled out: shares of the grant (the refusal is of the queue), engines that were full (no stream ran). Change: time is fitted as a common part and a part that grows with cost, by running variance and covariance; from requests of one cost nothing follows for others. The work ahead is counted in requests and cost.

--- a/src/limits/common/drain-rate.ts
+++ b/src/limits/common/drain-rate.ts
@@ -1,4 +1,14 @@
-/** Measures how fast a pool works off requests: the work completed per second and the time that one request takes. */
+/**
+ * Measures how fast a pool works off requests. The time that a request takes is a part that all have in common and a part
+ * that grows with its cost, fitted to those that completed; from requests of one cost nothing follows for another cost.
+ */
+
+/** Requests to be worked off. */
+export type Work = {
+	readonly requests: number;
+	/** Their costs together. */
+	readonly cost: number;
+};
 
 /** The measured speed of a pool. */
 export type DrainRate = {
@@ -7,8 +17,8 @@
 	readonly restart: () => void;
 	/** Time within which most requests of the given cost run, in milliseconds. */
 	readonly runMs: (cost: number) => number;
-	/** Expected time until `costAhead` is worked off by `concurrency` requests at once, in milliseconds. */
-	readonly waitMs: (costAhead: number, concurrency: number) => number;
+	/** Expected time until the work is done by `concurrency` requests at once, in milliseconds. */
+	readonly waitMs: (work: Work, concurrency: number) => number;
 };
 
 /** Weight of the newest request in the running means. */
@@ -23,6 +33,9 @@
 	let meanRunMs = initialRunMs;
 	let meanCost = 1;
 	let deviationMs = 0;
+	/** Running variance of the cost, and covariance of cost and time. */
+	let costVariance = 0;
+	let covariance = 0;
 	let count = 0;
 	let isStale = false;
 
@@ -31,6 +44,26 @@
 		count = 0;
 		meanRunMs = runMs;
 		deviationMs = 0;
+		costVariance = 0;
+		covariance = 0;
+	}
+
+	/** Time per unit of cost; at most what all of the time would come to. */
+	function slope(): number {
+		return costVariance === 0 ? 0 : Math.min(meanRunMs / meanCost, Math.max(0, covariance / costVariance));
+	}
+
+	function expectRunMs(cost: number): number {
+		return meanRunMs + (slope() * (cost - meanCost));
+	}
+
+	function fit(cost: number, runMs: number, gain: number): void {
+		const costError = cost - meanCost;
+		const runError = runMs - meanRunMs;
+		costVariance += gain * (((1 - gain) * (costError ** 2)) - costVariance);
+		covariance += gain * (((1 - gain) * costError * runError) - covariance);
+		meanRunMs += gain * runError;
+		meanCost += gain * costError;
 	}
 
 	return {
@@ -41,14 +74,16 @@
 
 			count += 1;
 			const gain = Math.max(GAIN, 1 / Math.min(count, WARM_UP));
-			deviationMs += gain * (Math.abs(runMs - meanRunMs) - deviationMs);
-			meanRunMs += gain * (runMs - meanRunMs);
-			meanCost += gain * (cost - meanCost);
+			deviationMs += gain * (Math.abs(runMs - expectRunMs(cost)) - deviationMs);
+			fit(cost, runMs, gain);
 		},
 		restart() {
 			isStale = true;
 		},
-		runMs: cost => count === 0 ? initialRunMs : (meanRunMs + (DEVIATIONS * deviationMs)) * cost / meanCost,
-		waitMs: (costAhead, concurrency) => (count === 0 ? initialRunMs * Math.sign(costAhead) : meanRunMs * costAhead / meanCost) / Math.max(1, concurrency),
+		runMs: cost => count === 0 ? initialRunMs : expectRunMs(cost) + (DEVIATIONS * deviationMs),
+		waitMs({requests, cost}, concurrency) {
+			const total = count === 0 ? initialRunMs * Math.sign(requests) : requests * expectRunMs(cost / Math.max(1, requests));
+			return total / Math.max(1, concurrency);
+		},
 	};
 }
--- a/src/limits/common/pool-queue.ts
+++ b/src/limits/common/pool-queue.ts
@@ -6,7 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import {jitter, type Random} from '../../base/common/random.js';
-import type {DrainRate} from './drain-rate.js';
+import type {DrainRate, Work} from './drain-rate.js';
 import {VirtualFinishQueue, type FairOptions} from './virtual-finish-queue.js';
 
 /** A request for a place. */
@@ -46,6 +46,14 @@
 /** Distrust of the predicted wait: refusals begin when the prediction exceeds this share of the time left. */
 const DEADLINE_SHARE = 0.9;
 
+function addRequest(work: Work, request: QueueRequest): Work {
+	return {requests: work.requests + 1, cost: work.cost + request.cost};
+}
+
+function sumWork(requests: readonly QueueRequest[]): Work {
+	return requests.reduce(addRequest, {requests: 0, cost: 0});
+}
+
 /** Creates an empty queue for the pool. The present time passes in with each call; `tick` moves it on in between. */
 export function createPoolQueue(pool: string, drainRate: DrainRate, random: Random): PoolQueue {
 	const queue = new PQueue<VirtualFinishQueue, FairOptions>({queueClass: VirtualFinishQueue, concurrency: 1});
@@ -59,19 +67,19 @@
 	}
 
 	/** Work that goes before a new request of the plan: its own backlog at the plan's share, at most the whole backlog. */
-	function costAhead(request: QueueRequest): number {
+	function workAhead(request: QueueRequest): Work {
 		const all = [...waiting];
-		const own = all.filter(other => other.plan === request.plan).reduce((sum, other) => sum + other.cost, 0);
-		const total = all.reduce((sum, other) => sum + other.cost, 0);
+		const own = sumWork(all.filter(other => other.plan === request.plan));
+		const total = sumWork(all);
 		const weights = new Map([...all, request].map(other => [other.plan, other.weight]));
 		const share = request.weight / [...weights.values()].reduce((sum, weight) => sum + weight, 0);
-		return Math.min(total, own / share);
+		return total.cost <= own.cost / share ? total : {requests: own.requests / share, cost: own.cost / share};
 	}
 
 	function predictWait(request: QueueRequest): number {
 		return running < queue.concurrency && waiting.size === 0
 			? 0
-			: drainRate.waitMs(costAhead(request) + request.cost, queue.concurrency);
+			: drainRate.waitMs(addRequest(workAhead(request), request), queue.concurrency);
 	}
 
 	/**
@@ -107,7 +115,7 @@
 	async function run(entry: Waiting): Promise<void> {
 		waiting.delete(entry);
 		if (latest + drainRate.runMs(entry.cost) > entry.deadline && !isProbe()) {
-			entry.settle(err(refuse(drainRate.waitMs(costAhead(entry), queue.concurrency))));
+			entry.settle(err(refuse(drainRate.waitMs(workAhead(entry), queue.concurrency))));
 			return;
 		}
 
--- a/src/limits/test/pool-queue.test.ts
+++ b/src/limits/test/pool-queue.test.ts
@@ -77,6 +77,27 @@
 	assert.ok(inTime('a') / 10 >= 0.8 * CAPACITY, `${inTime('a') / 10} requests a second`);
 });
 
+test('does not predict long requests from short ones', async () => {
+	const rate = createDrainRate(RUN_MS);
+	const queue = createPoolQueue('pool', rate, createSeededRandom(1));
+	queue.setConcurrency(SLOTS);
+	rate.completed(1, 60);
+	const places = await Promise.all(Array.from({length: SLOTS}, async () => queue.enter({
+		plan: 'a', weight: 1, cost: 300, deadline: 10_000,
+	}, 0, new AbortController().signal)));
+	assert.equal(places.map(place => place.isOk()), places.map(() => true));
+});
+
+test('learns how time grows with cost', () => {
+	const rate = createDrainRate(RUN_MS);
+	Array.from({length: 200}).forEach((_, index) => {
+		const cost = 10 + (index % 50);
+		rate.completed(cost, 500 + (10 * cost));
+	});
+	assert.ok(Math.abs(rate.runMs(100) - 1500) < 100, `${rate.runMs(100)} ms`);
+	assert.ok(Math.abs(rate.waitMs({requests: 20, cost: 20 * 100}, 10) - 3000) < 200);
+});
+
 test('divides capacity by weight, and gives an idle part to the others', async () => {
 	const both = await runLoad([{plan: 'a', weight: 3, perSecond: 2 * CAPACITY}, {plan: 'b', weight: 1, perSecond: 2 * CAPACITY}]);
 	const ratio = both.inTime('a') / both.inTime('b');
