Let daemons that are cut from the store say so

Cause: only the first three members in rendezvous order watch a shard's lease. If all three were cut from the store while their peers reached them, they kept their places and nobody took the shard.

Ruled out: letting all daemons watch all leases at a slow period (the store's rate would grow with the fleet); excluding daemons that are cut (in an outage for everyone no candidate would be left, so they are put last instead).

Change: a daemon whose lease calls have failed three times in a row over two renewals spreads a rumor and is put after all others in the order of preference; it takes the word back after five seconds with answers only. Safety still rests on the lease alone.

Conclusion: the shard gets an owner, and without the word the same scenario is caught.

--- a/src/leases/common/shard-placement.ts
+++ b/src/leases/common/shard-placement.ts
@@ -4,8 +4,8 @@
 
 /** Preference of live members for shards. */
 export type ShardPlacement = {
-	/** Takes in the members; a suspect keeps its place until it is declared dead. */
-	readonly update: (members: readonly Member[], now: number) => void;
+	/** Takes in the members; a suspect keeps its place until it is declared dead. Those in `cut` come after all others. */
+	readonly update: (members: readonly Member[], cut: ReadonlySet<string>, now: number) => void;
 	/** The place of a member in a shard's order; undefined for one that must not take duties. */
 	readonly rank: (shard: number, daemonId: string) => number | undefined;
 	/** The preferred member of a shard, once it has been so for `stableMs`. */
@@ -21,6 +21,7 @@
 type Candidate = {
 	readonly id: string;
 	readonly weights: Uint32Array;
+	readonly isCut: boolean;
 };
 
 /** Places that are told apart; every later place counts as the next one. */
@@ -34,6 +35,7 @@
 export function createShardPlacement(count: number): ShardPlacement {
 	const weights = new Map<string, Uint32Array>();
 	let eligible: ReadonlyMap<string, Member> = new Map();
+	let candidates: readonly Candidate[] = [];
 	let orders: readonly Order[] = [];
 
 	/** Hashing is the costly part, so the weights of a member are kept while it is in the fleet. */
@@ -49,6 +51,10 @@
 	}
 
 	function isBefore(shard: number, a: Candidate, b: Candidate): boolean {
+		if (a.isCut !== b.isCut) {
+			return b.isCut;
+		}
+
 		const difference = (a.weights[shard] ?? 0) - (b.weights[shard] ?? 0);
 		return difference > 0 || (difference === 0 && a.id < b.id);
 	}
@@ -65,7 +71,7 @@
 		return [...first.slice(0, index), candidate, ...first.slice(index)].slice(0, PLACES);
 	}
 
-	function computeOrder(shard: number, candidates: readonly Candidate[], now: number): Order {
+	function computeOrder(shard: number, now: number): Order {
 		const first = candidates.reduce<readonly Candidate[]>((known, candidate) => insert(shard, known, candidate), []);
 		const ids = first.map(candidate => candidate.id);
 		const previous = orders[shard];
@@ -73,19 +79,18 @@
 	}
 
 	return {
-		update(members, now) {
-			const next = new Map(members.filter(mayOwn).map(member => [member.id, member]));
-			const isSameSet = next.size === eligible.size && [...next.keys()].every(id => eligible.has(id));
-			eligible = next;
-			if (isSameSet) {
+		update(members, cut, now) {
+			eligible = new Map(members.filter(mayOwn).map(member => [member.id, member]));
+			const isSame = eligible.size === candidates.length && candidates.every(({id, isCut}) => eligible.has(id) && cut.has(id) === isCut);
+			if (isSame) {
 				return;
 			}
 
-			[...weights.keys()].filter(id => !next.has(id)).forEach(id => {
+			[...weights.keys()].filter(id => !eligible.has(id)).forEach(id => {
 				weights.delete(id);
 			});
-			const candidates = [...next.keys()].map(id => ({id, weights: weightsOf(id)}));
-			orders = Array.from({length: count}, (_, shard) => computeOrder(shard, candidates, now));
+			candidates = [...eligible.keys()].map(id => ({id, weights: weightsOf(id), isCut: cut.has(id)}));
+			orders = Array.from({length: count}, (_, shard) => computeOrder(shard, now));
 		},
 		rank(shard, daemonId) {
 			const place = orders[shard]?.ids.indexOf(daemonId) ?? -1;
--- a/src/leases/common/shards-service.ts
+++ b/src/leases/common/shards-service.ts
@@ -16,6 +16,7 @@
 import {createOwnerBeliefs, createOwnerRumor} from './owner-beliefs.js';
 import {createShardPlacement} from './shard-placement.js';
 import type {Holding, Shards} from './shards.js';
+import {createStoreReach} from './store-reach.js';
 
 /** What the shards of a daemon run on. */
 export type ShardsOptions = {
@@ -30,6 +31,8 @@
 	readonly log: Log;
 	/** Creates the decider of one shard. */
 	readonly createDecider?: typeof createLeaseDecider;
+	/** Creates the judgement of who reaches the store. */
+	readonly createReach?: typeof createStoreReach;
 };
 
 /** Shards with the controls of their daemon. */
@@ -54,16 +57,21 @@
 /** Reads in one tick from which on one listing replaces them. */
 const LISTING_THRESHOLD = 3;
 
+/** Renewals that must fail before a daemon says that it is cut off from the store. */
+const CUT_RENEWALS = 2;
+
 /** Rounds, one per tick, for which a leaving daemon tries to release its leases. */
 const RELEASE_ROUNDS = 20;
 
 /** Creates the shards of one daemon and starts to contend for their leases. */
 export function createShardsService(options: ShardsOptions): ShardsService {
-	const {self, count, store, membership, loop, clock, log} = options;
+	const {self, count, membership, loop, clock, log} = options;
 	const writer = `${self.daemonId}@${self.incarnation}`;
 	const createDecider = options.createDecider ?? createLeaseDecider;
 	const deciders: readonly LeaseDecider[] = Array.from({length: count}, () => createDecider(self, options.times));
 	const placement = createShardPlacement(count);
+	const reach = (options.createReach ?? createStoreReach)({membership, clock, cutAfterMs: CUT_RENEWALS * options.times.renewMs});
+	const store = reach.judge(options.store);
 	const beliefs = createOwnerBeliefs();
 	const acquired = createEmitter<Holding>();
 	const lost = createEmitter<number>();
@@ -208,10 +216,11 @@
 
 	function tick(): void {
 		const now = clock.monotonic();
-		placement.update(membership.members(), now);
+		placement.update(membership.members(), reach.cut(), now);
 		startTransfer(now);
 		const wanted = deciders.flatMap((decider, shard) => (runDecider(decider, shard, now) ? [shard] : []));
-		const reads = new Set([...wanted, ...requestedReads]);
+		const probed = wanted.length === 0 && reach.mustProbe(now) ? [sequence % count] : [];
+		const reads = new Set([...wanted, ...requestedReads, ...probed]);
 		requestedReads.clear();
 		if (reads.size > 0) {
 			void readMany([...reads]);
@@ -233,6 +242,7 @@
 		beliefs.hear(rumor);
 	});
 	const running = joinDisposables([
+		reach,
 		membership.onDidHear(rumor => {
 			beliefs.hear(rumor);
 		}),
--- a/test/lease-faults.test.ts
+++ b/test/lease-faults.test.ts
@@ -1,7 +1,9 @@
 import process from 'node:process';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {createLeaseDecider, type LeaseDecider} from '../src/leases/common/lease-decider.js';
+import {CANDIDATES_PER_SHARD, createLeaseDecider, type LeaseDecider} from '../src/leases/common/lease-decider.js';
+import {createShardPlacement} from '../src/leases/common/shard-placement.js';
+import {createStoreReach} from '../src/leases/common/store-reach.js';
 import {createDaemonFleet, type DaemonProfile} from './fakes/daemon-fleet.js';
 import {
 	createShardEffects, findOvertakenEffects, findSharedNumbers, longestGap,
@@ -12,6 +14,9 @@
 const SEEDS = 3 * Number(process.env.FUZZ_FACTOR ?? 1);
 const SHARDS = 8;
 
+/** Longest time without an owner when all candidates are cut from the store. */
+const CUT_GAP_MS = 12_000;
+
 const zones = ['attica-pireas', 'attica-marousi', 'macedonia-kalamaria'];
 
 type DeciderFactory = typeof createLeaseDecider;
@@ -53,15 +58,18 @@
 	readonly daemons?: number;
 	readonly checksFencing?: boolean;
 	readonly createDecider?: DeciderFactory;
+	readonly createReach?: typeof createStoreReach;
 	readonly rates?: readonly number[];
 };
 
-async function start({seed, daemons = 5, checksFencing = false, createDecider, rates = []}: Scenario) {
+async function start({
+	seed, daemons = 5, checksFencing = false, createDecider = createLeaseDecider, createReach = createStoreReach, rates = [],
+}: Scenario) {
 	const fleet = createDaemonFleet(seed);
 	const effects = createShardEffects(fleet, checksFencing);
 	const ids = Array.from({length: daemons}, (_, index) => `entry-${index + 1}`);
 	const profiles = ids.map((id, index): DaemonProfile => ({
-		id, zone: zones[index % zones.length]!, rate: rates[index] ?? 1, ...(createDecider && {shards: {createDecider}}),
+		id, zone: zones[index % zones.length]!, rate: rates[index] ?? 1, shards: {createDecider, createReach},
 	}));
 	function launch(profile: DaemonProfile): void {
 		fleet.start(profile, ids);
@@ -211,6 +219,42 @@
 	});
 });
 
+/** Cuts all three candidates of the first shard from the store; their peers still reach them. */
+async function runCutCandidates(scenario: Scenario): Promise<Started & {readonly cutAt: number}> {
+	const started = await start({...scenario, daemons: 6});
+	const placement = createShardPlacement(SHARDS);
+	placement.update(started.fleet.get('entry-1').membership.members(), new Set(), 0);
+	const candidates = new Set(started.profiles.map(profile => profile.id).filter(id => placement.rank(0, id)! < CANDIDATES_PER_SHARD));
+	started.fleet.faults.store = daemonId => (candidates.has(daemonId) ? 'down' : 'none');
+	const cutAt = started.now();
+	await started.fleet.time.advance(60_000);
+	return {...started, cutAt};
+}
+
+test('all three candidates of a shard cut from the store: others take it over, and it goes back when they return', async () => {
+	await eachSeed(async seed => {
+		const started = await runCutCandidates({seed});
+		assertOwned(started, started.cutAt, CUT_GAP_MS);
+		const owner = holderOf(started, 0);
+		started.fleet.faults.store = () => 'none';
+		const returnedAt = started.now();
+		await started.fleet.time.advance(60_000);
+		assertSafe(started);
+		assertOwned(started, returnedAt, 1000);
+		assert.is.not(holderOf(started, 0), owner);
+	});
+});
+
+/** A reach by which no daemon ever counts as cut off. */
+const trustingReach: typeof createStoreReach = options => ({...createStoreReach(options), cut: () => new Set()});
+
+test('without word of who is cut from the store, the shard stays without an owner and is caught', async () => {
+	await eachSeed(async seed => {
+		const started = await runCutCandidates({seed, createReach: trustingReach});
+		assert.ok(longestGap(started.effects.record, 0, started.cutAt, started.now()) > CUT_GAP_MS);
+	});
+});
+
 test('clocks at different rates: holders cut from the store stop before others take over', async () => {
 	await eachSeed(async seed => {
 		const started = await runClockRates({seed, createDecider: prompt});
