Write lone audit entries soon, and bound what a kill loses

Cause: entries other than configuration changes wait up to 2.6 s; a daemon killed in that time loses them, and one failed write at a stop in order lost them as well.

Change: an entry after two quiet seconds is written 100 ms later; a stop tries three times and logs a loss.

--- a/src/audit/audit.contribution.ts
+++ b/src/audit/audit.contribution.ts
@@ -1,4 +1,5 @@
 /** Provides the daemon's audit trail. */
+import {formatFailure} from '../base/common/failure.js';
 import {registerContribution} from '../kernel/common/registry.js';
 import {storeKey} from '../platform/common/store.js';
 import {settingsKey} from '../settings/common/settings.js';
@@ -19,7 +20,10 @@
 		context.provide(auditKey, service);
 		return {
 			async drain() {
-				await service.flush();
+				const drained = await service.drain();
+				if (drained.isErr()) {
+					context.log.error('audit entries lost', {failure: formatFailure(drained.error)});
+				}
 			},
 			dispose() {
 				service.dispose();
--- a/src/audit/common/audit-service.ts
+++ b/src/audit/common/audit-service.ts
@@ -27,6 +27,13 @@
 /** Time between two writes of the queue. */
 const FLUSH_MS = 2000;
 
+/** Wait of the first entry after a quiet time, so that the entries of one step share a write. */
+const LINGER_MS = 100;
+
+/** Tries of the last flush, and the wait between them. */
+const LAST_FLUSH_TRIES = 3;
+const LAST_FLUSH_WAIT_MS = 500;
+
 /** How long entries are kept. */
 export const RETENTION_MS = 48 * 3_600_000;
 
@@ -73,16 +80,24 @@
 		.slice(0, query.limit);
 }
 
+/** The audit trail with the controls of its daemon. */
+export type AuditService = Audit & Disposable & {
+	/** Writes what is queued before the daemon ends, with a few tries. */
+	readonly drain: () => Promise<Result<void, Failure>>;
+};
+
 /** Creates the audit trail of one daemon. */
-export function createAuditService(options: AuditOptions): Audit & Disposable {
+export function createAuditService(options: AuditOptions): AuditService {
 	const {daemonId, store, clock, loop, log} = options;
 	const writer = `${daemonId}@${clock.wall()}`;
 	const queue = createAuditQueue(writer.replace('@', '.'));
 	const sources: Array<() => readonly AuditEntry[]> = [];
 	let lastEntry = 0;
 	let reportedDropped = 0;
+	let triedAt = Number.NEGATIVE_INFINITY;
 
 	async function writeBatch(batch: AuditBatch): Promise<Result<void, Failure>> {
+		triedAt = clock.monotonic();
 		const written = await writeSettled(store, {
 			kind: 'audit',
 			name: batch.name,
@@ -119,6 +134,26 @@
 		}
 	}
 
+	/** Writes soon after a quiet time, so that only the entries of a busy one wait for the period. */
+	function flushSoon(): void {
+		if (clock.monotonic() - triedAt >= FLUSH_MS) {
+			triedAt = clock.monotonic();
+			loop.after(LINGER_MS, () => {
+				void flushPeriodically();
+			});
+		}
+	}
+
+	async function drain(triesLeft: number): Promise<Result<void, Failure>> {
+		const flushed = await flush();
+		if (flushed.isOk() || triesLeft <= 1) {
+			return flushed;
+		}
+
+		await loop.sleep(LAST_FLUSH_WAIT_MS);
+		return drain(triesLeft - 1);
+	}
+
 	/** Lists hour by hour until enough entries are found. */
 	async function readHours(hours: readonly string[], limit: number): Promise<Result<readonly AuditEntry[], Failure>> {
 		const [hour, ...others] = hours;
@@ -159,6 +194,7 @@
 		record(entry) {
 			lastEntry += 1;
 			queue.add([{...entry, id: `${writer}.${lastEntry}`, at: clock.wall()}]);
+			flushSoon();
 		},
 		copy(entries) {
 			queue.add(entries);
@@ -167,6 +203,7 @@
 			sources.push(source);
 		},
 		flush,
+		drain: async () => drain(LAST_FLUSH_TRIES),
 		async read(query) {
 			const now = clock.wall();
 			const hours = listHours(Math.max(query.since, now - RETENTION_MS), now);
