Log a VM list that is not read by its changes only

Cause: each poll of a list that could not be read wrote a warning, one a second per daemon.

Change: a line at the first failure, one a minute while it lasts with the number of failures, and one at the return.

Conclusion: an operator sees when it began, that it lasts, and when it ended.

--- a/src/routing/routing.contribution.ts
+++ b/src/routing/routing.contribution.ts
@@ -4,6 +4,7 @@
 import {joinDisposables} from '../base/common/disposable.js';
 import type {Failure} from '../base/common/failure.js';
 import type {Context, Contribution} from '../kernel/common/contribution.js';
+import {createFailureLog} from '../kernel/common/failure-log.js';
 import {registerContribution} from '../kernel/common/registry.js';
 import {capacityKey} from '../limits/common/capacity.js';
 import {membershipKey} from '../membership/common/membership.js';
@@ -41,6 +42,7 @@
 	const loads = createLoadEstimate(serverId => slotsOf(settings.pools, table.find(serverId)));
 	const reservations = createReservations(membership, () => context.clock.monotonic());
 	const changes = createEmitter<readonly BackendServer[]>();
+	const vmListLog = createFailureLog(context.log, 'VM list');
 	const polls = createLoadPolls(LOADS_PER_POLL);
 	const dispatcher = createDispatcher({
 		table,
@@ -62,12 +64,14 @@
 
 	async function pollVmList(): Promise<void> {
 		const listed = await directory.list.list();
+		const now = context.clock.monotonic();
 		if (listed.isErr()) {
-			context.log.warn('VM list not read', {failure: listed.error});
+			vmListLog.fail(listed.error, now);
 			return;
 		}
 
-		const changed = table.update(listed.value, context.clock.monotonic());
+		vmListLog.succeed(now);
+		const changed = table.update(listed.value, now);
 		changed.filter(server => !table.knows(server.id)).forEach(server => {
 			loads.forget(server.id);
 			adapters.forget(server);
