--- a/src/membership/common/membership-service.ts
+++ b/src/membership/common/membership-service.ts
@@ -24,6 +24,8 @@
 	/** Time from the first unanswered probe to the death of a member that does not refute. */
 	readonly deadAfterMs: number;
 	readonly isNear: (member: Member) => boolean;
+	/** Periods that may pass between two rounds before this daemon counts itself as having been paused; 4 unless given. */
+	readonly pausePeriods?: number;
 	/** Addresses from settings, from the VM list and from a snapshot, contacted while no live member has them. */
 	readonly candidates: () => readonly PeerAddress[];
 	readonly link: GossipLink;
@@ -45,7 +47,6 @@
 /** Helpers asked to contact a member that did not answer. */
 const PROBE_HELPERS = 2;
 
-/** Periods that may pass between two rounds before this daemon counts itself as having been paused. */
 const PAUSE_PERIODS = 4;
 
 /** Time between two pulls of differing buckets. */
@@ -154,7 +155,7 @@
 	}
 
 	function noteRound(now: number): void {
-		if (now - lastRoundAt > PAUSE_PERIODS * options.periodMs) {
+		if (now - lastRoundAt > (options.pausePeriods ?? PAUSE_PERIODS) * options.periodMs) {
 			pauses += 1;
 			gossip.restartSuspicions(now);
 		}
--- a/src/membership/test/membership-faults.test.ts
+++ b/src/membership/test/membership-faults.test.ts
@@ -4,9 +4,11 @@
 import {GossipSchema} from '../../peers/common/gen/rosemaryshore/membership/v1/gossip_pb.js';
 import {createDaemonFleet, type DaemonProfile} from '../../../test/fakes/daemon-fleet.js';
 import {createSeededRandom} from '../../../test/fakes/virtual-loop.js';
-import {createGossip} from '../common/gossip.js';
+import type {PeerAddress} from '../../peers/common/peers.js';
+import {createGossip, type GossipMessage} from '../common/gossip.js';
 import {GossipLink} from '../common/gossip-link.js';
 import {encodeGossip} from '../common/gossip-wire.js';
+import type {MemberRecord} from '../common/member-record.js';
 import type {Member, MemberState} from '../common/membership.js';
 
 const test = suite('membership faults');
@@ -14,6 +16,9 @@
 const ids = ['entry-1', 'entry-2', 'entry-3', 'entry-4', 'entry-5'];
 const MAXIMUM_MESSAGE_BYTES = 1600;
 
+/** The incarnation of daemons that start at the beginning of virtual time. */
+const FIRST_INCARNATION = 1_700_000_000_000;
+
 async function start(seed: number, profile: Partial<DaemonProfile> = {}) {
 	const fleet = createDaemonFleet(seed);
 	const seen: Array<{readonly by: string; readonly id: string; readonly state: MemberState | 'gone'}> = [];
@@ -95,18 +100,77 @@
 	assert.ok(seen.some(sight => sight.id === 'entry-2' && sight.state === 'suspect'));
 });
 
-test('a frozen daemon is declared dead, and on waking refutes and holds nobody for dead', async () => {
-	const {fleet, seen} = await start(2);
+async function runFrozen(profile?: Partial<DaemonProfile>) {
+	const {fleet, seen} = await start(2, profile);
 	fleet.get('entry-3').process.freeze();
 	await fleet.time.advance(20_000);
 	assert.ok(fleet.all().filter(daemon => daemon.id !== 'entry-3').every(daemon => daemon.membership.find('entry-3')?.state === 'dead'));
 	seen.splice(0);
 	fleet.get('entry-3').process.thaw();
 	await fleet.time.advance(10_000);
-	assert.equal(seen.filter(sight => sight.by === 'entry-3' && sight.state === 'gone'), []);
-	fleet.all().forEach(daemon => {
-		assert.is(daemon.membership.members().filter(member => member.state === 'alive').length, ids.length);
-	});
+	return {fleet, seen};
+}
+
+/** How many members each daemon sees alive. */
+function countAlive({fleet}: Awaited<ReturnType<typeof runFrozen>>): readonly number[] {
+	return fleet.all().map(daemon => daemon.membership.members().filter(member => member.state === 'alive').length);
+}
+
+test('a frozen daemon is declared dead, and on waking refutes and holds nobody for dead', async () => {
+	const frozen = await runFrozen();
+	assert.equal(frozen.seen.filter(sight => sight.by === 'entry-3' && sight.state === 'gone'), []);
+	assert.equal(countAlive(frozen), ids.map(() => ids.length));
+});
+
+/** A link over which no incarnation is higher than that of the first starts. */
+function withoutRefutations(link: GossipLink): GossipLink {
+	const clamp = (record: MemberRecord): MemberRecord => ({...record, incarnation: Math.min(record.incarnation, FIRST_INCARNATION)});
+	const clampMessage = (message: GossipMessage): GossipMessage => ({...message, sender: clamp(message.sender), members: message.members.map(clamp)});
+	return new (class extends GossipLink {
+		override async exchange(peer: PeerAddress, message: GossipMessage) {
+			const answer = await link.exchange(peer, clampMessage(message));
+			return answer.map(clampMessage);
+		}
+
+		override async pull(peer: PeerAddress, bucket: number, page: number) {
+			const answer = await link.pull(peer, bucket, page);
+			return answer.map(pulled => ({...pulled, members: pulled.members.map(clamp)}));
+		}
+
+		override probe: GossipLink['probe'] = async (helper, peer) => link.probe(helper, peer);
+	})();
+}
+
+test('without raised incarnations, a daemon that woke stays dead for the others and is caught', async () => {
+	const frozen = await runFrozen({wrapLink: withoutRefutations});
+	assert.ok(countAlive(frozen).some(alive => alive < ids.length));
+});
+
+/** Freezes a daemon while it suspects another one, which is well again when the first one wakes. */
+async function runFrozenSuspecting(profile?: Partial<DaemonProfile>) {
+	const {fleet, seen} = await start(5, profile);
+	fleet.get('entry-2').process.freeze();
+	await fleet.time.advance(5000);
+	assert.is(fleet.get('entry-3').membership.find('entry-2')?.state, 'suspect');
+	fleet.get('entry-3').process.freeze();
+	// Due timers run before messages on waking, as in Node's event loop, so none wait here.
+	fleet.faults.isCut = (_, to) => to === 'entry-3';
+	fleet.get('entry-2').process.thaw();
+	await fleet.time.advance(20_000);
+	seen.splice(0);
+	fleet.faults.isCut = () => false;
+	fleet.get('entry-3').process.thaw();
+	await fleet.time.advance(10_000);
+	return seen.filter(sight => sight.by === 'entry-3' && sight.state === 'gone');
+}
+
+test('a daemon frozen while it suspects another holds nobody for dead on waking', async () => {
+	assert.equal(await runFrozenSuspecting(), []);
+});
+
+test('without notice of its own pause, the woken daemon declares the other dead and is caught', async () => {
+	const gone = await runFrozenSuspecting({membership: {pausePeriods: Number.POSITIVE_INFINITY}});
+	assert.ok(gone.some(sight => sight.id === 'entry-2'));
 });
 
 test('a restarted daemon replaces its former start', async () => {
--- a/src/membership/test/vm-directory.test.ts
+++ b/src/membership/test/vm-directory.test.ts
@@ -92,6 +92,16 @@
 	assert.is(zone.state.reads, 3);
 });
 
+test('without readers that answer, every daemon of the zone reads the platform', async () => {
+	const zone = createZone();
+	zone.state.vms = [live];
+	zone.readers.forEach(id => {
+		zone.state.cut.add(id);
+	});
+	await Promise.all([...zone.readers, ...zone.followers].map(zone.list));
+	assert.is(zone.state.reads, zone.state.members.length);
+});
+
 test('a follower confirms an old list, and reads the platform itself when no reader answers', async () => {
 	const zone = createZone();
 	zone.state.vms = [live];
--- a/src/persistence/node/file-snapshots.ts
+++ b/src/persistence/node/file-snapshots.ts
@@ -13,13 +13,16 @@
 /** Characters of the checksum line: 64 hexadecimal digits and a line feed. */
 const CHECKSUM_LINE_LENGTH = 65;
 
-function encode(text: string): string {
-	return `${hashToHex(text)}\n${text}`;
+/** Computes the checksum of a text: 64 hexadecimal digits. */
+export type Checksum = (text: string) => string;
+
+function encode(text: string, checksum: Checksum): string {
+	return `${checksum(text)}\n${text}`;
 }
 
-function decode(content: string): string | undefined {
+function decode(content: string, checksum: Checksum): string | undefined {
 	const text = content.slice(CHECKSUM_LINE_LENGTH);
-	return content.slice(0, CHECKSUM_LINE_LENGTH) === `${hashToHex(text)}\n` ? text : undefined;
+	return content.slice(0, CHECKSUM_LINE_LENGTH) === `${checksum(text)}\n` ? text : undefined;
 }
 
 function syncPath(target: string): void {
@@ -50,7 +53,7 @@
 }
 
 /** Creates snapshots in a folder, which is made when it is missing. */
-export function createFileSnapshots(folder: string, log: Log): Snapshots {
+export function createFileSnapshots(folder: string, log: Log, checksum: Checksum = hashToHex): Snapshots {
 	mkdirSync(folder, {recursive: true});
 	const fileOf = (name: string) => path.join(folder, `${name}.snapshot`);
 
@@ -58,7 +61,7 @@
 		read(name) {
 			const file = fileOf(name);
 			try {
-				const text = decode(readFileSync(file, 'utf8'));
+				const text = decode(readFileSync(file, 'utf8'), checksum);
 				if (text === undefined) {
 					log.error('snapshot damaged and passed over', {step: 'read snapshot', peer: file});
 				}
@@ -75,7 +78,7 @@
 		write(name, text) {
 			const file = fileOf(name);
 			try {
-				replaceFile(folder, file, encode(text));
+				replaceFile(folder, file, encode(text, checksum));
 			} catch (error) {
 				log.error('snapshot not written', {step: 'write snapshot', peer: file, error: String(error)});
 			}
--- a/src/plans/test/versions-side-by-side.test.ts
+++ b/src/plans/test/versions-side-by-side.test.ts
@@ -31,7 +31,8 @@
 	assert.is(parseConfiguration(5, '{"lists":{"plans":"none"}}'), undefined);
 });
 
-test('a lease keeps fields of a newer version when another daemon takes it', () => {
+/** Takes a lease whose record has a field of a newer version, and returns that field as it is written. */
+function takeLease(read: typeof readLease): unknown {
 	const times = {
 		durationMs: 6000, renewMs: 2000, marginMs: 1000, standbyDelayMs: 1000,
 	};
@@ -42,11 +43,30 @@
 	const record = {
 		...self, daemonId: 'entry-2', durationMs: 6000, released: true, weight: 3,
 	};
-	decider.observe(readLease({
+	decider.observe(read({
 		kind: 'lease', name: 'shard-0', version: 4, value: JSON.stringify(record), writeId: {writer: 'entry-2@1', sequence: '1'},
 	}, 'entry-1@1'), 0);
 	const action = decider.decide({rank: 0, yields: false}, '1', 0);
-	assert.is(action.kind === 'write' && action.write.record.weight, 3);
+	return action.kind === 'write' ? action.write.record.weight : 'not written';
+}
+
+test('a lease keeps fields of a newer version when another daemon takes it', () => {
+	assert.is(takeLease(readLease), 3);
+});
+
+/** Reads the fields of this version only. */
+const readNarrowly: typeof readLease = (object, writer) => {
+	const {record, ...snapshot} = readLease(object, writer);
+	return {
+		...snapshot,
+		record: record && {
+			daemonId: record.daemonId, incarnation: record.incarnation, address: record.address, peerPort: record.peerPort, durationMs: record.durationMs, released: record.released,
+		},
+	};
+};
+
+test('without keeping unknown fields, the field of the newer version is cut and caught', () => {
+	assert.is(takeLease(readNarrowly), undefined);
 });
 
 test('the check names each problem of the lists', () => {
