--- a/src/leases/leases.contribution.ts
+++ b/src/leases/leases.contribution.ts
@@ -1,13 +1,12 @@
 /** Starts the daemon's part in the shard leases. */
 import {registerContribution} from '../kernel/common/registry.js';
 import {membershipKey} from '../membership/common/membership.js';
-import {LeaseService} from '../peers/common/gen/rosemaryshore/leases/v1/leases_pb.js';
 import {peersKey} from '../peers/common/peers.js';
 import {storeKey} from '../platform/common/store.js';
 import {settingsKey} from '../settings/common/settings.js';
 import {shardsKey} from './common/shards.js';
 import {createShardsService} from './common/shards-service.js';
-import {createConnectLeaseLink} from './node/connect-lease-link.js';
+import {createConnectLeaseLink, serveLeases} from './node/connect-lease-link.js';
 
 /** Delay per place in the order of preference before a daemon takes a free lease. */
 const STANDBY_DELAY_MS = 1000;
@@ -33,15 +32,7 @@
 			clock: context.clock,
 			log: context.log,
 		});
-		peers.serve(LeaseService, {
-			async prepare(request) {
-				return {ready: await service.prepare(request.shard)};
-			},
-			async offer(request) {
-				await service.takeOffer(request.shard);
-				return {};
-			},
-		});
+		serveLeases(peers, service);
 		context.provide(shardsKey, service);
 		return {
 			drain: async () => service.releaseAll(),
--- a/src/leases/node/connect-lease-link.ts
+++ b/src/leases/node/connect-lease-link.ts
@@ -5,6 +5,7 @@
 import {callPeer} from '../../peers/common/peer-call.js';
 import type {PeerAddress, Peers} from '../../peers/common/peers.js';
 import {LeaseLink} from '../common/lease-link.js';
+import type {ShardsService} from '../common/shards-service.js';
 
 /** Time for one call; a lost one costs no more than the wait for the next look at the lease. */
 const OFFER_TIMEOUT_MS = 1000;
@@ -25,3 +26,16 @@
 		}
 	})();
 }
+
+/** Offers the receiving side to peers. */
+export function serveLeases(peers: Peers, service: Pick<ShardsService, 'prepare' | 'takeOffer'>): void {
+	peers.serve(LeaseService, {
+		async prepare(request) {
+			return {ready: await service.prepare(request.shard)};
+		},
+		async offer(request) {
+			await service.takeOffer(request.shard);
+			return {};
+		},
+	});
+}
--- a/src/plans/node/connect-configuration-link.ts
+++ b/src/plans/node/connect-configuration-link.ts
@@ -20,7 +20,7 @@
 }
 
 /** Offers the receiving side to peers. */
-export function serveConfiguration(peers: Peers, service: ConfigurationService): void {
+export function serveConfiguration(peers: Peers, service: Pick<ConfigurationService, 'serve'>): void {
 	peers.serve(ConfigurationRpc, {
 		async fetch(request) {
 			const body = await service.serve(Number(request.wantedVersion), Number(request.ownVersion));
