--- a/test/scenario-runner.ts
+++ b/test/scenario-runner.ts
@@ -227,6 +227,7 @@
 		ended: async containing => countStreams(['ended'], containing),
 		async calls(containing) {
 			const records = await readRecords('worker');
+			return records.flatMap(record => record.calls).filter(call => call.body !== '{}' && call.body.includes(containing)).length;
 		},
 		async version() {
 			const records = await readRecords('engine');
