--- a/bench/slopes.bench.ts
+++ b/bench/slopes.bench.ts
@@ -74,9 +74,13 @@
 
 async function describeVmLists(): Promise<readonly Figure[]> {
 	const costs = await runInTurn(VM_COUNTS, measureVmList);
-	return costs.flatMap(({bytes, cpuUs}, index) => [
-		{name: `read of the VM list, ${VM_COUNTS[index]} VMs`, value: bytes, unit: 'B'},
-		{name: `processor time of it, both ends, ${VM_COUNTS[index]} VMs`, value: cpuUs, unit: 'µs'},
+	return costs.flatMap(({whole, unchanged, digestUs, changeBytes}, index) => [
+		{name: `read of a changed VM list, ${VM_COUNTS[index]} VMs`, value: whole.bytes, unit: 'B'},
+		{name: `processor time of it, both ends, ${VM_COUNTS[index]} VMs`, value: whole.cpuUs, unit: 'µs'},
+		{name: `read of an unchanged VM list, ${VM_COUNTS[index]} VMs`, value: unchanged.bytes, unit: 'B'},
+		{name: `processor time of it, both ends, ${VM_COUNTS[index]} VMs`, value: unchanged.cpuUs, unit: 'µs'},
+		{name: `digest of the VM list, ${VM_COUNTS[index]} VMs`, value: digestUs, unit: 'µs'},
+		{name: `answer between daemons with one changed VM, ${VM_COUNTS[index]} VMs`, value: changeBytes, unit: 'B'},
 	]);
 }
 
--- a/src/membership/common/vm-directory.ts
+++ b/src/membership/common/vm-directory.ts
@@ -1,7 +1,7 @@
 /**
  * The VM list shared within an availability zone: a few daemons of each zone read it from the platform and spread a
- * digest when it changes; the others fetch the list from them. So neither the platform's calls nor a daemon's bytes grow
- * with the number of daemons.
+ * digest when it changes; the others fetch what changed from them. So neither the platform's calls nor a daemon's bytes
+ * grow with the number of daemons.
  */
 import {ok, type Result} from 'neverthrow';
 import {createEmitter, type Event} from '../../base/common/event.js';
@@ -11,12 +11,16 @@
 import type {PeerAddress} from '../../peers/common/peers.js';
 import {VmList, type Vm} from '../../platform/common/vm-list.js';
 import type {Member, Membership} from './membership.js';
+import {
+	applyVmChanges, findVmChanges, rowOfVm, type VmChanges,
+} from './vm-changes.js';
 
-/** A reader's answer; `vms` is undefined when the caller's digest is current. */
-export type VmPage = {
-	readonly digest: string;
-	readonly vms: readonly Vm[] | undefined;
-};
+/** A reader's answer: that the caller's list is current, what changed since it, or the whole list. */
+export type VmPage = {readonly digest: string} & (
+	| {readonly kind: 'unchanged'}
+	| ({readonly kind: 'changes'} & VmChanges)
+	| {readonly kind: 'whole'; readonly vms: readonly Vm[]}
+);
 
 /** Fetches the list from a reader. */
 export abstract class VmLink {
@@ -27,7 +31,7 @@
 export type VmDirectory = {
 	readonly list: VmList;
 	/** Answers another daemon of the zone; undefined while this daemon has not read the list itself. */
-	readonly serve: (digest: string, now: number) => VmPage | undefined;
+	readonly serve: (digest: string, acceptsChanges: boolean, now: number) => VmPage | undefined;
 	/** Fires when a reader of the zone has announced another list: read it now. */
 	readonly onDidHearChange: Event<void>;
 	readonly dispose: () => void;
@@ -55,6 +59,9 @@
 /** Age up to which a daemon passes on a list that it has read itself. */
 const SERVED_AGE_MS = 10_000;
 
+/** Earlier lists that a reader keeps to find out what changed since. */
+const KEPT_LISTS = 4;
+
 const TOPIC = 'vm-list';
 
 type Cached = {
@@ -68,8 +75,7 @@
 
 /** Digests a list; the order of the VMs does not matter. */
 export function digestVms(vms: readonly Vm[]): string {
-	const rows = vms.map(vm => JSON.stringify([vm.id, vm.address, vm.port, vm.availabilityZone, vm.state, vm.pool]));
-	return hashToHex(rows.toSorted().join('\n')).slice(0, 16);
+	return hashToHex(vms.map(vm => rowOfVm(vm)).toSorted().join('\n')).slice(0, 16);
 }
 
 /** Ranks the daemons of a zone that read the list for it. */
@@ -83,6 +89,7 @@
 	const {membership, direct, link} = parts;
 	const changes = createEmitter<void>();
 	let cached: Cached | undefined;
+	let earlier: readonly Cached[] = [];
 	let announced = '';
 	let version = 0;
 
@@ -106,13 +113,23 @@
 		});
 	}
 
+	/** Replaces the cached list and keeps the earlier one if it differs. */
+	function keep(vms: readonly Vm[], digest: string, isDirect: boolean): void {
+		if (cached !== undefined && cached.digest !== digest) {
+			earlier = [cached, ...earlier.filter(list => list.digest !== digest)].slice(0, KEPT_LISTS);
+		}
+
+		cached = {
+			vms, digest, at: parts.monotonic(), isDirect,
+		};
+	}
+
 	async function readDirect(): Promise<Result<readonly Vm[], Failure>> {
 		const listed = await direct.list();
 		return listed.map(vms => {
-			const digest = digestVms(vms);
-			cached = {
-				vms, digest, at: parts.monotonic(), isDirect: true,
-			};
+			// An adapter gives the same list again when the platform says that nothing changed.
+			const digest = vms === cached?.vms ? cached.digest : digestVms(vms);
+			keep(vms, digest, true);
 			if (isReader()) {
 				announce(digest);
 			}
@@ -121,12 +138,34 @@
 		});
 	}
 
-	function accept(page: VmPage): readonly Vm[] | undefined {
-		const vms = page.vms ?? (page.digest === cached?.digest ? cached.vms : undefined);
+	/** The list that a page stands for; undefined when the page does not fit the list that it was asked with. */
+	function resolve(page: VmPage, known: Cached | undefined): readonly Vm[] | undefined {
+		if (page.kind === 'whole') {
+			return page.vms;
+		}
+
+		if (known === undefined || page.kind === 'unchanged') {
+			return page.digest === known?.digest ? known.vms : undefined;
+		}
+
+		const vms = applyVmChanges(known.vms, page);
+		return digestVms(vms) === page.digest ? vms : undefined;
+	}
+
+	/** Asks one reader; once more for the whole list if its changes do not fit. */
+	async function fetchPage(reader: Member, known: Cached | undefined): Promise<readonly Vm[] | undefined> {
+		const page = await link.fetch(reader, known?.digest ?? '');
+		if (page.isErr()) {
+			return undefined;
+		}
+
+		const vms = resolve(page.value, known);
+		if (vms === undefined && known !== undefined) {
+			return fetchPage(reader, undefined);
+		}
+
 		if (vms !== undefined) {
-			cached = {
-				vms, digest: page.digest, at: parts.monotonic(), isDirect: false,
-			};
+			keep(vms, page.value.digest, false);
 		}
 
 		return vms;
@@ -139,8 +178,7 @@
 			return readDirect();
 		}
 
-		const page = await link.fetch(reader, cached?.digest ?? '');
-		const vms = page.isOk() ? accept(page.value) : undefined;
+		const vms = await fetchPage(reader, cached);
 		return vms === undefined ? fetchFrom(others) : ok(vms);
 	}
 
@@ -179,12 +217,20 @@
 				return list();
 			}
 		})(),
-		serve(digest, now) {
+		serve(digest, acceptsChanges, now) {
 			if (cached === undefined || !cached.isDirect || now - cached.at > SERVED_AGE_MS) {
 				return undefined;
 			}
 
-			return {digest: cached.digest, vms: digest === cached.digest ? undefined : cached.vms};
+			const current = cached;
+			if (digest === current.digest) {
+				return {kind: 'unchanged', digest};
+			}
+
+			const base = acceptsChanges ? earlier.find(list => list.digest === digest) : undefined;
+			return base === undefined
+				? {kind: 'whole', digest: current.digest, vms: current.vms}
+				: {kind: 'changes', digest: current.digest, ...findVmChanges(base.vms, current.vms)};
 		},
 		onDidHearChange: changes.event,
 		dispose: hearing.dispose,
--- a/src/membership/node/connect-vm-link.ts
+++ b/src/membership/node/connect-vm-link.ts
@@ -1,10 +1,10 @@
 /** The shared VM list over Connect. */
 import {Code, ConnectError} from '@connectrpc/connect';
-import {VmDirectoryService} from '../../peers/common/gen/rosemaryshore/membership/v1/vm_directory_pb.js';
+import {VmDirectoryService, type ReadVmsResponse} from '../../peers/common/gen/rosemaryshore/membership/v1/vm_directory_pb.js';
 import {callPeer} from '../../peers/common/peer-call.js';
 import type {PeerAddress, Peers} from '../../peers/common/peers.js';
 import type {Vm} from '../../platform/common/vm-list.js';
-import {VmLink, type VmDirectory} from '../common/vm-directory.js';
+import {VmLink, type VmDirectory, type VmPage} from '../common/vm-directory.js';
 
 /** Time for one fetch. */
 const FETCH_TIMEOUT_MS = 1000;
@@ -14,12 +14,25 @@
 	return new (class extends VmLink {
 		override async fetch(peer: PeerAddress, digest: string) {
 			const answer = await callPeer('fetch VM list', peer, async () =>
-				peers.client(VmDirectoryService, peer, FETCH_TIMEOUT_MS).readVms({digest}));
-			return answer.map(page => ({digest: page.digest, vms: page.unchanged ? undefined : page.vms.map(({leaving, ...vm}) => readVm(vm, leaving))}));
+				peers.client(VmDirectoryService, peer, FETCH_TIMEOUT_MS).readVms({digest, acceptsChanges: true}));
+			return answer.map(response => readPage(response));
 		}
 	})();
 }
 
+function readPage({digest, unchanged, changesOnly, vms, removed}: ReadVmsResponse): VmPage {
+	if (unchanged) {
+		return {kind: 'unchanged', digest};
+	}
+
+	const read = vms.map(({leaving, ...vm}) => readVm(vm, leaving));
+	return changesOnly
+		? {
+			kind: 'changes', digest, changed: read, removed,
+		}
+		: {kind: 'whole', digest, vms: read};
+}
+
 function readVm(vm: Omit<Vm, 'state'>, leaving: boolean): Vm {
 	const {id, address, port, availabilityZone, pool} = vm;
 	return {
@@ -27,17 +40,33 @@
 	};
 }
 
+function writeVm({state, ...vm}: Vm) {
+	return {...vm, leaving: state === 'leaving'};
+}
+
+function writePage(page: VmPage) {
+	const {digest} = page;
+	if (page.kind === 'unchanged') {
+		return {digest, unchanged: true};
+	}
+
+	return page.kind === 'whole'
+		? {digest, vms: page.vms.map(vm => writeVm(vm))}
+		: {
+			digest, changesOnly: true, vms: page.changed.map(vm => writeVm(vm)), removed: [...page.removed],
+		};
+}
+
 /** Offers the list to other daemons of the zone. */
 export function serveVmDirectory(peers: Peers, directory: VmDirectory, monotonic: () => number): void {
 	peers.serve(VmDirectoryService, {
 		readVms(request) {
-			const page = directory.serve(request.digest, monotonic());
+			const page = directory.serve(request.digest, request.acceptsChanges, monotonic());
 			if (page === undefined) {
 				throw new ConnectError('this daemon has not read the VM list lately', Code.NotFound);
 			}
 
-			const vms = (page.vms ?? []).map(({state, ...vm}) => ({...vm, leaving: state === 'leaving'}));
-			return {digest: page.digest, unchanged: page.vms === undefined, vms};
+			return writePage(page);
 		},
 	});
 }
--- a/src/membership/test/vm-directory.test.ts
+++ b/src/membership/test/vm-directory.test.ts
@@ -7,7 +7,7 @@
 import {VmList, type Vm} from '../../platform/common/vm-list.js';
 import type {Member, Rumor} from '../common/membership.js';
 import {
-	chooseReaders, createVmDirectory, VmLink, type VmDirectory,
+	chooseReaders, createVmDirectory, VmLink, type VmDirectory, type VmPage,
 } from '../common/vm-directory.js';
 
 const test = suite('vm directory');
@@ -27,7 +27,7 @@
 	const heard = createEmitter<Rumor>();
 	const rumors = new Map<string, Rumor>();
 	const state = {
-		vms: [] as readonly Vm[], reads: 0, cut: new Set<string>(), members,
+		vms: [] as readonly Vm[], reads: 0, cut: new Set<string>(), members, pages: [] as VmPage[], spoil: (page: VmPage) => page,
 	};
 	const direct = new (class extends VmList {
 		override async list() {
@@ -49,8 +49,14 @@
 		direct,
 		link: new (class extends VmLink {
 			override async fetch(peer: {readonly address: string}, digest: string) {
-				const page = state.cut.has(peer.address) ? undefined : directories.get(peer.address)?.serve(digest, time.clock.monotonic());
-				return page ? ok(page) : err(lost);
+				const served = state.cut.has(peer.address) ? undefined : directories.get(peer.address)?.serve(digest, true, time.clock.monotonic());
+				if (served === undefined) {
+					return err(lost);
+				}
+
+				const page = state.spoil(served);
+				state.pages.push(page);
+				return ok(page);
 			}
 		})(),
 		monotonic: time.clock.monotonic,
@@ -72,6 +78,10 @@
 	id: 'vm-1', address: '127.0.0.9', port: 1, availabilityZone: 'konya-a', state: 'live', pool: 'kalip-llm',
 };
 
+function sortVms(vms: readonly Vm[]): readonly Vm[] {
+	return vms.toSorted((a, b) => a.id < b.id ? -1 : 1);
+}
+
 test('two daemons of a zone read the platform, the others follow their announcements', async () => {
 	const zone = createZone();
 	zone.state.vms = [live];
@@ -118,4 +128,43 @@
 	assert.equal(await zone.list(next[0]!), ['leaving']);
 });
 
+test('a follower that has the list before is sent only what changed', async () => {
+	const zone = createZone();
+	const others = Array.from({length: 50}, (_, index): Vm => ({...live, id: `vm-${index + 2}`}));
+	zone.state.vms = [live, ...others];
+	await Promise.all([...zone.readers, ...zone.followers].map(zone.list));
+	zone.state.pages.splice(0);
+	zone.state.vms = [{...live, state: 'leaving'}, ...others.slice(1), {...live, id: 'vm-new'}];
+	await zone.list(zone.readers[0]!);
+	const shown = await zone.directories.get(zone.followers[0]!)!.list.list();
+	assert.equal(sortVms(shown._unsafeUnwrap()), sortVms(zone.state.vms));
+	const [page] = zone.state.pages;
+	assert.ok(page?.kind === 'changes');
+	assert.equal([page.changed.map(vm => vm.id), page.removed], [['vm-1', 'vm-new'], ['vm-2']]);
+});
+
+test('changes that do not give the announced list are replaced by the whole list', async () => {
+	const zone = createZone();
+	zone.state.vms = [live];
+	await Promise.all([...zone.readers, ...zone.followers].map(zone.list));
+	zone.state.pages.splice(0);
+	zone.state.spoil = page => page.kind === 'changes' ? {...page, changed: []} : page;
+	zone.state.vms = [{...live, state: 'leaving'}];
+	await zone.list(zone.readers[0]!);
+	assert.equal(await zone.list(zone.followers[0]!), ['leaving']);
+	assert.equal(zone.state.pages.map(page => page.kind), ['changes', 'whole']);
+});
+
+test('a caller that cannot apply changes is sent the whole list', async () => {
+	const zone = createZone();
+	zone.state.vms = [live];
+	const reader = zone.readers[0]!;
+	await zone.list(reader);
+	const before = zone.directories.get(reader)!.serve('', false, zone.time.clock.monotonic())!;
+	zone.state.vms = [{...live, state: 'leaving'}];
+	await zone.list(reader);
+	const {serve} = zone.directories.get(reader)!;
+	assert.equal([true, false].map(accepts => serve(before.digest, accepts, zone.time.clock.monotonic())?.kind), ['changes', 'whole']);
+});
+
 test.run();
