--- a/src/code/common/lists-diff.ts
+++ b/src/code/common/lists-diff.ts
@@ -4,7 +4,7 @@
 /** One difference. */
 export type ListChange = {
 	readonly kind: 'added' | 'removed' | 'changed';
-	/** The plan, or the plan and the pool of a grant, such as `grant monday on kalip-llm`. */
+	/** The plan, or the plan and the pool of a grant, such as `grant workshops on models`. */
 	readonly subject: string;
 	readonly from?: unknown;
 	readonly to?: unknown;
