Measure ticks, moving shares, swaps of 110 engines and the front

Cause: docs/CAPACITY.md named these as not measured.

Change: four slopes, each with the real deciders or whole daemons over sockets, in npm run bench -- slopes.

--- a/bench/slopes.bench.ts
+++ b/bench/slopes.bench.ts
@@ -7,6 +7,10 @@
 import {measurePeerCall, type PeerCallCost} from './slopes/peer-calls.js';
 import {measureChunks, measureStep} from './slopes/steps.js';
 import {measureVmList} from './slopes/vm-list.js';
+import {measureFront} from './slopes/front.js';
+import {measureShares} from './slopes/shares.js';
+import {measureSwaps} from './slopes/swaps.js';
+import {measureAdmissionTick, measureLoadPoll} from './slopes/ticks.js';
 import {measureWholeDaemons} from './slopes/whole-daemons.js';
 
 export const title = 'Slopes of each role';
@@ -84,6 +88,49 @@
 	]);
 }
 
+const TICK_PLANS = [1, 10, 100, 1000];
+const TICK_WORKERS = 1100;
+
+async function describeTicks(): Promise<readonly Figure[]> {
+	const ticks = await runInTurn(TICK_PLANS, async plans => measureAdmissionTick(plans, TICK_WORKERS));
+	const polls = await runInTurn(WORKERS, measureLoadPoll);
+	return [
+		...ticks.map((cpuUs, index) => ({name: `tick of admission, ${TICK_PLANS[index]} plans, ${TICK_WORKERS} workers`, value: cpuUs, unit: 'µs'})),
+		...polls.map((cpuUs, index) => ({name: `poll of loads without the reads, ${WORKERS[index]} workers`, value: cpuUs, unit: 'µs'})),
+	];
+}
+
+const MOVE_MS = 10_000;
+
+async function describeShares(): Promise<readonly Figure[]> {
+	const costs = await runInTurn(FLEET_SIZES, async daemons => measureShares(daemons, MOVE_MS));
+	return costs.flatMap(({renewals, writes, dividedShare}, index) => {
+		const size = `demand that moves every 10 s, ${FLEET_SIZES[index]} daemons`;
+		return [
+			{name: `renewals of the shares of one grant by a daemon, ${size}`, value: renewals, unit: 'calls/s'},
+			{name: `writes for one grant, ${size}`, value: writes, unit: 'writes/s'},
+			{name: `part of the grant that is divided, ${size}`, value: dividedShare, unit: ''},
+		];
+	});
+}
+
+const SWAPPED_ENGINES = 110;
+
+async function describeSwaps(): Promise<readonly Figure[]> {
+	const swaps = await measureSwaps(SWAPPED_ENGINES);
+	const size = `${SWAPPED_ENGINES} engines, loads of 3 s`;
+	return [
+		{name: `new weights on all engines, ${size}`, value: swaps.spreadMs, unit: 'ms'},
+		{name: `least part of the engines in use meanwhile, ${size}`, value: swaps.leastUsable, unit: ''},
+		{name: `processor time of a swap, all ends, ${size}`, value: swaps.cpuUsPerEngine, unit: 'µs'},
+	];
+}
+
+async function describeFront(): Promise<readonly Figure[]> {
+	const front = await measureFront();
+	return [{name: 'service call at the front: processor time beyond a call straight to the service', value: front.cpuUsPerRequest, unit: 'µs'}];
+}
+
 const WHOLE_DAEMONS = 9;
 
 async function describeWhole(): Promise<readonly Figure[]> {
@@ -102,6 +149,10 @@
 	const decisions = await describeDecisions();
 	const owners = await describeOwners();
 	const vmLists = await describeVmLists();
+	const ticks = await describeTicks();
+	const shares = await describeShares();
+	const swaps = await describeSwaps();
+	const front = await describeFront();
 	const whole = await describeWhole();
 	const fleets = await runInTurn(FLEET_SIZES, measureFleet);
 	return [
@@ -110,6 +161,10 @@
 		...decisions,
 		...owners,
 		...vmLists,
+		...ticks,
+		...shares,
+		...swaps,
+		...front,
 		...whole,
 		...fleets.flatMap(cost => describeFleet(cost, call)),
 	];
--- /dev/null
+++ b/bench/slopes/shares.ts
@@ -0,0 +1,105 @@
+/** Shares of one grant whose demand moves from daemon to daemon, over virtual time. */
+import type {Shards} from '../../src/leases/common/shards.js';
+import type {ShareLink} from '../../src/limits/common/share-link.js';
+import {createShareClient} from '../../src/limits/node/share-client.js';
+import {createShareOwner} from '../../src/limits/node/share-owner.js';
+import {createMemoryStore} from '../../src/platform/common/memory-store.js';
+import {createSeededRandom, createVirtualTime} from '../../test/fakes/virtual-loop.js';
+import {createDefaultSettings} from './default-settings.js';
+import {measureCpuUs} from './measure.js';
+
+/** What one grant costs per second of virtual time. */
+export type ShareCost = {
+	/** Renewals that one daemon sends. */
+	readonly renewals: number;
+	/** Writes of the owner. */
+	readonly writes: number;
+	/** Processor time of the owner and all holders together, without HTTP. */
+	readonly cpuUs: number;
+	/** Part of the grant that was divided. */
+	readonly dividedShare: number;
+};
+
+const SETTLE_MS = 30_000;
+const MEASURED_MS = 60_000;
+const SAMPLE_MS = 1000;
+const DIVIDE_MS = 200;
+const UNMET_MS = 200;
+const HOP_MS = 2;
+const MEAN_OF_OTHERS = 0.5;
+const {shareMs, renewMs} = createDefaultSettings().limits;
+
+/** Measures a grant; every `moveMs` another daemon has half of the demand. Undefined keeps it where it is. */
+export async function measureShares(daemons: number, moveMs: number | undefined): Promise<ShareCost> {
+	const random = createSeededRandom(1);
+	const time = createVirtualTime(random);
+	const {clock, loop} = time;
+	const memory = createMemoryStore();
+	let renewals = 0;
+	let sequence = 0;
+	const shards: Pick<Shards, 'count' | 'holding' | 'owner' | 'reportWrongOwner'> = {
+		count: 1,
+		holding: (shard, now) => ({shard, fencing: 1, validUntil: now + 10_000}),
+		owner: shard => ({
+			shard, daemonId: 'entry-0', address: '127.0.0.1', peerPort: 1,
+		}),
+		reportWrongOwner: () => undefined,
+	};
+	const owner = createShareOwner({
+		shards,
+		store: memory.open(),
+		clock,
+		endMs: shareMs,
+		nextWriteId() {
+			sequence += 1;
+			return {writer: 'bench', sequence: String(sequence)};
+		},
+	});
+	const link: ShareLink = {
+		async renew(target, renewal) {
+			renewals += 1;
+			await loop.sleep(HOP_MS);
+			return owner.renew(target.shard, renewal);
+		},
+	};
+	const clients = Array.from({length: daemons}, (_, index) => createShareClient({
+		daemonId: `entry-${index}`, run: 1, shards, link, clock, endMs: shareMs,
+	}));
+	const demandsOf = (index: number, now: number) => {
+		const hot = moveMs === undefined ? 0 : Math.floor(now / moveMs) % daemons;
+		return [{
+			plan: 'plan', pool: 'pool', fraction: index === hot ? MEAN_OF_OTHERS : MEAN_OF_OTHERS / daemons, inDebt: false,
+		}];
+	};
+
+	const period = {jitterShare: 0.1};
+	loop.every({
+		...period, name: 'divide', periodMs: DIVIDE_MS, run: owner.tick,
+	});
+	clients.forEach((client, index) => {
+		loop.every({
+			...period, name: 'renew', periodMs: renewMs, run: async now => client.renew(demandsOf(index, now)),
+		});
+		loop.every({
+			...period, name: 'renew unmet', periodMs: UNMET_MS, run: async now => client.renewUnmet(demandsOf(index, now)),
+		});
+	});
+	await time.advance(SETTLE_MS);
+	const before = {renewals, calls: memory.calls()};
+	const divided: number[] = [];
+	const cpuUs = await measureCpuUs(async () => {
+		await Array.from({length: MEASURED_MS / SAMPLE_MS}).reduce<Promise<void>>(async previous => {
+			await previous;
+			await time.advance(SAMPLE_MS);
+			const now = clock.monotonic();
+			divided.push(clients.reduce((sum, client) => sum + client.fractionOf('plan', 'pool', now), 0));
+		}, Promise.resolve());
+	});
+	const seconds = MEASURED_MS / 1000;
+	return {
+		renewals: (renewals - before.renewals) / daemons / seconds,
+		writes: (memory.calls() - before.calls) / seconds,
+		cpuUs: cpuUs / seconds,
+		dividedShare: divided.reduce((sum, value) => sum + value, 0) / divided.length,
+	};
+}
