--- a/src/standins/node/standin-server.ts
+++ b/src/standins/node/standin-server.ts
@@ -74,6 +74,8 @@
 	readonly onCrash?: () => void;
 };
 
+const NOT_MODIFIED = 304;
+
 /** The reply of a server that did nothing. */
 export const notRunReply: Reply = {status: 503, headers: {'x-not-run': 'true', 'retry-after': '1'}, json: {code: 'refusing'}};
 
@@ -90,6 +92,11 @@
 }
 
 function send(response: ServerResponse, reply: NonNullable<Reply>): void {
+	if (reply.status === NOT_MODIFIED) {
+		response.writeHead(NOT_MODIFIED, reply.headers).end();
+		return;
+	}
+
 	const body = JSON.stringify(reply.json);
 	response.writeHead(reply.status ?? 200, {'content-type': 'application/json', 'content-length': new TextEncoder().encode(body).length, ...reply.headers});
 	response.end(body);
