Say plainly what a settings value must be, and that lists are alike

Cause: settings check printed 'found nothing; allowed: expected number, received undefined', and a conflict whose file says the same as the version in force ended with a heading and no lines. Both were seen when the commands of docs/OPERATIONS.md were run as written.

Change: the first reads 'found nothing; allowed: a value of type number', the second says that the file says the same. The test of a wrong type expects the new words to the end of the line, where it accepted any end before.

--- a/src/code/node/commands/plans.ts
+++ b/src/code/node/commands/plans.ts
@@ -77,8 +77,9 @@
 	const version = newer.isOk() ? `version ${newer.value.version} is in force` : 'the version in force cannot be read';
 	printError(`conflict: the lists were read at version ${ifVersion}, but ${version} now; nothing was applied (${failure.message})`);
 	if (newer.isOk()) {
-		printError('differences from the version in force to the file:');
-		compareLists(newer.value.lists, document.lists).forEach(change => {
+		const changes = compareLists(newer.value.lists, document.lists);
+		printError(changes.length === 0 ? 'the file says the same as the version in force' : 'differences from the version in force to the file:');
+		changes.forEach(change => {
 			printError(formatListChange(change));
 		});
 	}
--- a/src/settings/common/problem.ts
+++ b/src/settings/common/problem.ts
@@ -49,13 +49,18 @@
 	return allowedKeys(typeof segment === 'number' ? schema.items : valueAt(schema, ['properties', segment]), rest);
 }
 
+/** What the schema allows; what it received is told as found. */
+function formatAllowed(message: string): string {
+	return message.replace(/^Invalid input: /, '').replace(/^expected (\w+), received .*$/, 'a value of type $1');
+}
+
 function describe(issue: z.core.$ZodIssue, document: unknown, jsonSchema: unknown): string {
 	if (issue.code === 'unrecognized_keys') {
 		const unknownKeys = issue.keys.map(key => `"${key}"`).join(', ');
 		return `unknown key ${unknownKeys}; allowed: ${[...new Set(allowedKeys(jsonSchema, issue.path))].join(', ')}`;
 	}
 
-	return `found ${formatFound(valueAt(document, issue.path))}; allowed: ${issue.message.replace(/^Invalid input: /, '')}`;
+	return `found ${formatFound(valueAt(document, issue.path))}; allowed: ${formatAllowed(issue.message)}`;
 }
 
 /** Turns the issues that the schema found in a document into problems. `jsonSchema` names the allowed keys. */
--- a/src/settings/test/check.test.ts
+++ b/src/settings/test/check.test.ts
@@ -43,7 +43,7 @@
 	['a missing address', ['daemon', 'address'], undefined, /^f: \$\.daemon\.address: found nothing; allowed: an IPv4 or IPv6 address/],
 	['a host name in place of an address', ['store', 'url'], 'http://store.local', /^f: \$\.store\.url: found "http:\/\/store\.local"; allowed: an http or https URL whose host is an IP number/],
 	['a port out of range', ['daemon', 'peerPort'], 70_000, /^f: \$\.daemon\.peerPort: found 70000; allowed: .*65535/],
-	['text in place of a number', ['daemon', 'callerPort'], '8080', /^f: \$\.daemon\.callerPort: found "8080"; allowed: expected (number|int)/],
+	['text in place of a number', ['daemon', 'callerPort'], '8080', /^f: \$\.daemon\.callerPort: found "8080"; allowed: a value of type (number|int)$/],
 	['an unknown kind of pool', ['pools', 1, 'kind'], 'queue', /^f: \$\.pools\[1]\.kind: found "queue"; allowed: .*engine.*service/],
 	['an unknown fencing word', ['pools', 0, 'fencing'], 'yes', /^f: \$\.pools\[0]\.fencing: found "yes"; allowed: .*checked.*ignored/],
 	['an unknown availability zone', ['daemon', 'availabilityZone'], 'konya-b', /^f: \$\.daemon\.availabilityZone: found "konya-b"; allowed: konya-a$/],
