--- a/bench/slopes.bench.ts
+++ b/bench/slopes.bench.ts
@@ -1,7 +1,7 @@
 /** Slopes: what one unit of each role costs on this machine. docs/CAPACITY.md works out the planned size from them. */
 import process from 'node:process';
 import type {Figure} from './figure.js';
-import {measureClaims} from './slopes/claims.js';
+import {measureClaims, measureClaimWrites} from './slopes/claims.js';
 import {measureAdmission, measureRouting} from './slopes/decisions.js';
 import {measureFleet, type FleetCost} from './slopes/fleet.js';
 import {measurePeerCall, type PeerCallCost} from './slopes/peer-calls.js';
@@ -57,13 +57,18 @@
 	];
 }
 
+/** A tenth of 1,200 requests a second over 32 shards, all of them, and as many on one shard. */
+const CLAIM_RATES = [3.75, 37.5, 300];
+
 async function describeOwners(): Promise<readonly Figure[]> {
 	const claims = await measureClaims();
+	const claimWrites = await runInTurn(CLAIM_RATES, measureClaimWrites);
 	const step = await measureStep();
 	const chunksUs = await measureChunks();
 	return [
 		{name: 'claims that one shard grants, writes of 4 ms', value: claims.claimsPerSecond, unit: 'claims/s'},
 		{name: 'claims in one write', value: claims.claimsPerWrite, unit: ''},
+		...claimWrites.map((value, index) => ({name: `writes for a claim and its outcome, ${CLAIM_RATES[index]} claims/s to a shard, writes of 4 ms`, value, unit: ''})),
 		{name: 'processor time of a claim at the owner', value: claims.cpuUsPerClaim, unit: 'µs'},
 		{name: 'bytes written per claim', value: claims.bytesPerClaim, unit: 'B'},
 		{name: 'heap per remembered claim', value: claims.heapBytesPerClaim, unit: 'B'},
--- a/bench/slopes/claims.ts
+++ b/bench/slopes/claims.ts
@@ -3,7 +3,9 @@
 import {createSystemClock} from '../../src/base/node/system-clock.js';
 import {createMemoryStore} from '../../src/platform/common/memory-store.js';
 import {Store} from '../../src/platform/common/store.js';
+import type {ClaimRequest} from '../../src/requests/common/claims.js';
 import {createClaimOwner} from '../../src/requests/node/claim-owner.js';
+import {createSeededRandom} from '../../test/fakes/virtual-loop.js';
 import {measureCpuUs, readHeapBytes} from './measure.js';
 
 /** Cost of claims. */
@@ -20,20 +22,19 @@
 const CLAIMS = 3000;
 const CONCURRENT = 100;
 
-/** Measures an owner whose store answers in milliseconds. */
-export async function measureClaims(): Promise<ClaimCost> {
+/** Creates an owner of every shard over a store that answers in milliseconds and is counted. */
+function createOwner() {
 	const memory = createMemoryStore();
 	const inner = memory.open();
-	let writes = 0;
-	let bytes = 0;
+	const counted = {writes: 0, bytes: 0};
 	const store = new (class extends Store {
 		override read: Store['read'] = async id => inner.read(id);
 		override remove: Store['remove'] = async removal => inner.remove(removal);
 		override list: Store['list'] = async (kind, prefix) => inner.list(kind, prefix);
 		override watch: Store['watch'] = (kind, listener) => inner.watch(kind, listener);
 		override write: Store['write'] = async write => {
-			writes += 1;
-			bytes += write.value.length;
+			counted.writes += 1;
+			counted.bytes += write.value.length;
 			await sleep(WRITE_MS);
 			return inner.write(write);
 		};
@@ -50,14 +51,50 @@
 			return {writer: 'bench', sequence: String(sequence)};
 		},
 	});
+	return {owner, clock, counted};
+}
+
+function createRequest(number: number): ClaimRequest {
+	return {
+		key: String(number).padStart(64, '0'), bodyDigest: 'd'.repeat(64), claimId: `claim-${number}`, runForMs: 30_000,
+	};
+}
+
+const PACED_CLAIMS = 400;
+const PACED_RUN_MS = 50;
+
+/** Returns the writes per claim, its outcome included, when claims come to one shard at a steady rate by chance. */
+export async function measureClaimWrites(perSecond: number): Promise<number> {
+	const {owner, counted} = createOwner();
+	const random = createSeededRandom(1);
+	const runOne = async (number: number) => {
+		const request = createRequest(number);
+		const claimed = await owner.claim(0, request);
+		claimed._unsafeUnwrap();
+		await sleep(PACED_RUN_MS);
+		const settled = await owner.settle(0, request.key, request.claimId, undefined);
+		settled._unsafeUnwrap();
+	};
+
+	const running: Array<Promise<void>> = [];
+	await Array.from({length: PACED_CLAIMS}).reduce<Promise<void>>(async (previous, _, index) => {
+		await previous;
+		await sleep(-Math.log(1 - random()) * 1000 / perSecond);
+		running.push(runOne(index));
+	}, Promise.resolve());
+	await Promise.all(running);
+	return counted.writes / PACED_CLAIMS;
+}
+
+/** Measures an owner that is asked as fast as it answers. */
+export async function measureClaims(): Promise<ClaimCost> {
+	const {owner, clock, counted} = createOwner();
 
 	async function claimInTurn(first: number): Promise<void> {
 		await Array.from({length: CLAIMS / CONCURRENT}).reduce<Promise<void>>(async (previous, _, index) => {
 			await previous;
 			const number = first + (index * CONCURRENT);
-			const claimed = await owner.claim(0, {
-				key: String(number).padStart(64, '0'), bodyDigest: 'd'.repeat(64), claimId: `claim-${number}`, runForMs: 30_000,
-			});
+			const claimed = await owner.claim(0, createRequest(number));
 			claimed._unsafeUnwrap();
 		}, Promise.resolve());
 	}
@@ -70,9 +107,9 @@
 	const seconds = (clock.monotonic() - startedAt) / 1000;
 	return {
 		claimsPerSecond: CLAIMS / seconds,
-		claimsPerWrite: CLAIMS / writes,
+		claimsPerWrite: CLAIMS / counted.writes,
 		cpuUsPerClaim: cpuUs / CLAIMS,
-		bytesPerClaim: bytes / CLAIMS,
+		bytesPerClaim: counted.bytes / CLAIMS,
 		heapBytesPerClaim: (readHeapBytes() - heapBefore) / CLAIMS,
 	};
 }
