--- a/bench/slopes.bench.ts
+++ b/bench/slopes.bench.ts
@@ -1,12 +1,16 @@
 /** Slopes: what one unit of each role costs on this machine. docs/CAPACITY.md works out the planned size from them. */
 import process from 'node:process';
 import type {Figure} from './figure.js';
-import {measureClaims} from './slopes/claims.js';
+import {measureClaims, measureClaimWrites} from './slopes/claims.js';
 import {measureAdmission, measureRouting} from './slopes/decisions.js';
 import {measureFleet, type FleetCost} from './slopes/fleet.js';
 import {measurePeerCall, type PeerCallCost} from './slopes/peer-calls.js';
 import {measureChunks, measureStep} from './slopes/steps.js';
 import {measureVmList} from './slopes/vm-list.js';
+import {measureFront} from './slopes/front.js';
+import {measureShares} from './slopes/shares.js';
+import {measureSwaps} from './slopes/swaps.js';
+import {measureAdmissionTick, measureLoadPoll} from './slopes/ticks.js';
 import {measureWholeDaemons} from './slopes/whole-daemons.js';
 
 export const title = 'Slopes of each role';
@@ -53,13 +57,18 @@
 	];
 }
 
+/** A tenth of 1,200 requests a second over 32 shards, all of them, and as many on one shard. */
+const CLAIM_RATES = [3.75, 37.5, 300];
+
 async function describeOwners(): Promise<readonly Figure[]> {
 	const claims = await measureClaims();
+	const claimWrites = await runInTurn(CLAIM_RATES, measureClaimWrites);
 	const step = await measureStep();
 	const chunksUs = await measureChunks();
 	return [
 		{name: 'claims that one shard grants, writes of 4 ms', value: claims.claimsPerSecond, unit: 'claims/s'},
 		{name: 'claims in one write', value: claims.claimsPerWrite, unit: ''},
+		...claimWrites.map((value, index) => ({name: `writes for a claim and its outcome, ${CLAIM_RATES[index]} claims/s to a shard, writes of 4 ms`, value, unit: ''})),
 		{name: 'processor time of a claim at the owner', value: claims.cpuUsPerClaim, unit: 'µs'},
 		{name: 'bytes written per claim', value: claims.bytesPerClaim, unit: 'B'},
 		{name: 'heap per remembered claim', value: claims.heapBytesPerClaim, unit: 'B'},
@@ -74,12 +83,59 @@
 
 async function describeVmLists(): Promise<readonly Figure[]> {
 	const costs = await runInTurn(VM_COUNTS, measureVmList);
-	return costs.flatMap(({bytes, cpuUs}, index) => [
-		{name: `read of the VM list, ${VM_COUNTS[index]} VMs`, value: bytes, unit: 'B'},
-		{name: `processor time of it, both ends, ${VM_COUNTS[index]} VMs`, value: cpuUs, unit: 'µs'},
+	return costs.flatMap(({whole, unchanged, digestUs, changeBytes}, index) => [
+		{name: `read of a changed VM list, ${VM_COUNTS[index]} VMs`, value: whole.bytes, unit: 'B'},
+		{name: `processor time of it, both ends, ${VM_COUNTS[index]} VMs`, value: whole.cpuUs, unit: 'µs'},
+		{name: `read of an unchanged VM list, ${VM_COUNTS[index]} VMs`, value: unchanged.bytes, unit: 'B'},
+		{name: `processor time of it, both ends, ${VM_COUNTS[index]} VMs`, value: unchanged.cpuUs, unit: 'µs'},
+		{name: `digest of the VM list, ${VM_COUNTS[index]} VMs`, value: digestUs, unit: 'µs'},
+		{name: `answer between daemons with one changed VM, ${VM_COUNTS[index]} VMs`, value: changeBytes, unit: 'B'},
 	]);
 }
 
+const TICK_PLANS = [1, 10, 100, 1000];
+const TICK_WORKERS = 1100;
+
+async function describeTicks(): Promise<readonly Figure[]> {
+	const ticks = await runInTurn(TICK_PLANS, async plans => measureAdmissionTick(plans, TICK_WORKERS));
+	const polls = await runInTurn(WORKERS, measureLoadPoll);
+	return [
+		...ticks.map((cpuUs, index) => ({name: `tick of admission, ${TICK_PLANS[index]} plans, ${TICK_WORKERS} workers`, value: cpuUs, unit: 'µs'})),
+		...polls.map((cpuUs, index) => ({name: `poll of loads without the reads, ${WORKERS[index]} workers`, value: cpuUs, unit: 'µs'})),
+	];
+}
+
+const MOVE_MS = 10_000;
+
+async function describeShares(): Promise<readonly Figure[]> {
+	const costs = await runInTurn(FLEET_SIZES, async daemons => measureShares(daemons, MOVE_MS));
+	return costs.flatMap(({renewals, writes, dividedShare}, index) => {
+		const size = `demand that moves every 10 s, ${FLEET_SIZES[index]} daemons`;
+		return [
+			{name: `renewals of the shares of one grant by a daemon, ${size}`, value: renewals, unit: 'calls/s'},
+			{name: `writes for one grant, ${size}`, value: writes, unit: 'writes/s'},
+			{name: `part of the grant that is divided, ${size}`, value: dividedShare, unit: ''},
+		];
+	});
+}
+
+const SWAPPED_ENGINES = 110;
+
+async function describeSwaps(): Promise<readonly Figure[]> {
+	const swaps = await measureSwaps(SWAPPED_ENGINES);
+	const size = `${SWAPPED_ENGINES} engines, loads of 3 s`;
+	return [
+		{name: `new weights on all engines, ${size}`, value: swaps.spreadMs, unit: 'ms'},
+		{name: `least part of the engines in use meanwhile, ${size}`, value: swaps.leastUsable, unit: ''},
+		{name: `processor time of a swap, all ends, ${size}`, value: swaps.cpuUsPerEngine, unit: 'µs'},
+	];
+}
+
+async function describeFront(): Promise<readonly Figure[]> {
+	const front = await measureFront();
+	return [{name: 'service call at the front: processor time beyond a call straight to the service', value: front.cpuUsPerRequest, unit: 'µs'}];
+}
+
 const WHOLE_DAEMONS = 9;
 
 async function describeWhole(): Promise<readonly Figure[]> {
@@ -98,6 +154,10 @@
 	const decisions = await describeDecisions();
 	const owners = await describeOwners();
 	const vmLists = await describeVmLists();
+	const ticks = await describeTicks();
+	const shares = await describeShares();
+	const swaps = await describeSwaps();
+	const front = await describeFront();
 	const whole = await describeWhole();
 	const fleets = await runInTurn(FLEET_SIZES, measureFleet);
 	return [
@@ -106,6 +166,10 @@
 		...decisions,
 		...owners,
 		...vmLists,
+		...ticks,
+		...shares,
+		...swaps,
+		...front,
 		...whole,
 		...fleets.flatMap(cost => describeFleet(cost, call)),
 	];
