--- a/bench/engine-model.ts
+++ b/bench/engine-model.ts
@@ -45,6 +45,15 @@
 	prefillMs: number;
 };
 
+/** What an engine does at a moment. */
+export type EngineCondition = {
+	readonly isLoading: boolean;
+	/** Share of its healthy rate that it could use now; 0 while it is down. */
+	readonly speed: number;
+	/** Share of its rate that its running streams use, per model. */
+	readonly used: ReadonlyMap<string, number>;
+};
+
 export type EngineModel = {
 	readonly engine: Engine;
 	readonly id: string;
@@ -57,6 +66,7 @@
 	readonly version: (model: string) => number;
 	readonly generated: () => number;
 	readonly orders: () => readonly EngineOrder[];
+	readonly condition: () => EngineCondition;
 };
 
 const STEP_MS = 200;
@@ -281,5 +291,14 @@
 		version: model => versions.get(model) ?? 0,
 		generated: () => generated,
 		orders: () => orders,
+		condition() {
+			const running = streams.slice(0, options.slots);
+			const perStream = Math.min(options.streamTokensPerSecond / options.tokensPerSecond, 1 / Math.max(1, running.length));
+			return {
+				isLoading: loading !== undefined,
+				speed: isDown ? 0 : speed,
+				used: new Map(options.models.map(model => [model, perStream * running.filter(stream => stream.request.model === model).length])),
+			};
+		},
 	};
 }
--- a/bench/rollout-deployment.ts
+++ b/bench/rollout-deployment.ts
@@ -22,6 +22,7 @@
 import {createServerTable} from '../src/routing/common/server-table.js';
 import {createPoolOwner} from '../src/weights/common/pool-owner.js';
 import {createSeededRandom, createVirtualTime, type VirtualTime} from '../test/fakes/virtual-loop.js';
+import {addIdleShares, noIdleShares, type IdleShares} from './idle-shares.js';
 import {createEngineModel, createLengths, type EngineModel} from './engine-model.js';
 
 export type Policy = {
@@ -72,12 +73,15 @@
 	readonly work: ReadonlyArray<readonly StepWork[]>;
 	readonly steps: number;
 	readonly generated: number;
+	/** What the engines did while trainers waited. */
+	readonly shares: IdleShares;
 };
 
 const SLOTS = 16;
 const ENGINE_TOKENS_PER_SECOND = 480;
 /** Tokens per second of one stream in a small batch. */
 export const STREAM_TOKENS_PER_SECOND = 48;
+const SHARES_PERIOD_MS = 200;
 const LOADS_SUSTAINED = 2;
 const LOAD_MS = 6000;
 const MAXIMUM_TOKENS = 1024;
@@ -189,6 +193,8 @@
 	const ages: number[] = [];
 	const work: StepWork[][] = deployment.trainers.map(() => []);
 	const owners = new Map<string, TrainerOwner>();
+	const waiting = new Set<string>();
+	let shares = noIdleShares;
 	let idleMs = 0;
 	let overBound = 0;
 
@@ -272,7 +278,9 @@
 			await owner.postStep(createRequest(trainer, step, step));
 		}
 
+		waiting.add(trainer.name);
 		const delivered = await pullAll(trainer, createRequest(trainer, step, step), 0, {tokens: 0, longest: 0});
+		waiting.delete(trainer.name);
 		idleMs += monotonic() - begun;
 		work[index]!.push(delivered);
 		if (policy.postsAhead) {
@@ -298,6 +306,12 @@
 			});
 		},
 	});
+	loop.every({
+		name: 'shares', periodMs: SHARES_PERIOD_MS, run() {
+			const conditions = engines.map(engine => engine.condition());
+			shares = [...waiting].reduce((sum, trainer) => addIdleShares(sum, trainer, conditions, SHARES_PERIOD_MS), shares);
+		},
+	});
 	scheduleFaults(time, engines, deployment);
 	await time.advance(2000);
 	deployment.trainers.forEach((trainer, index) => {
@@ -307,6 +321,6 @@
 	await time.advance(deployment.durationMs);
 	const generated = engines.reduce((sum, engine) => sum + engine.generated(), 0);
 	return {
-		idleMs, ages, overBound, work, steps: work.flat().length, generated,
+		idleMs, ages, overBound, work, steps: work.flat().length, generated, shares,
 	};
 }
--- a/bench/rollouts.bench.ts
+++ b/bench/rollouts.bench.ts
@@ -1,6 +1,7 @@
 /** Rollouts per deployment: trainer idle time and staleness against a plain policy and against the engines' token rate. */
+import process from 'node:process';
 import {
-	createSlotDivision, EqualDivision, ProportionalDivision, ShortestFirstDivision, type SlotDivision,
+	EqualDivision, ProportionalDivision, ShortestFirstDivision, type SlotDivision,
 } from '../src/rollouts/common/slot-division.js';
 import type {Figure} from './figure.js';
 import {
@@ -9,7 +10,8 @@
 
 export const title = 'Rollouts: trainer idle time and staleness';
 
-const SEED = 1;
+/** Runs per figure, each with another seed; figures are means. */
+const SEEDS = Number(process.env.BENCH_SEEDS ?? 3);
 const DURATION_MS = 900_000;
 
 const kivotos: Deployment = {
@@ -27,7 +29,7 @@
 	stalenessBound: 2,
 	enough: 0.9,
 	durationMs: DURATION_MS,
-	seed: SEED,
+	seed: 1,
 };
 
 const anadolu: Deployment = {
@@ -43,7 +45,7 @@
 		},
 	],
 	stalenessBound: 1,
-	seed: SEED + 1,
+	seed: 2,
 };
 
 const baseline: Policy = {
@@ -54,7 +56,7 @@
 function createPolicy(measure: Policy['measure']): Policy {
 	return {
 		isRoundRobin: false, canHedge: true, canResume: true, longestFirst: true, stallMs: 3000,
-		waveShare: 0.34, concurrentLoads: 2, division: createSlotDivision(measure), measure, postsAhead: false,
+		waveShare: 0.34, concurrentLoads: 2, division: new ShortestFirstDivision(), measure, postsAhead: false,
 	};
 }
 
@@ -137,37 +139,64 @@
 
 const idlePerStep = (outcome: Outcome) => outcome.idleMs / outcome.steps;
 
+/** Runs a policy with each seed. */
+async function runSeeds(deployment: Deployment, policy: Policy): Promise<readonly Outcome[]> {
+	const seeds = Array.from({length: SEEDS}, (_, index) => deployment.seed + index);
+	return seeds.reduce<Promise<readonly Outcome[]>>(async (previous, seed) => {
+		const before = await previous;
+		return [...before, await runDeployment({...deployment, seed}, policy)];
+	}, Promise.resolve([]));
+}
+
+function meanOf(outcomes: readonly Outcome[], measure: (outcome: Outcome) => number): number {
+	return outcomes.reduce((sum, outcome) => sum + measure(outcome), 0) / outcomes.length;
+}
+
+const staleness = (outcome: Outcome) => percentile(outcome.ages, 0.95);
+
 async function runOne(deployment: Deployment, measure: Policy['measure'], postsAhead: boolean): Promise<readonly Figure[]> {
-	const before = await runDeployment(deployment, {...baseline, postsAhead});
-	const after = await runDeployment(deployment, {...createPolicy(measure), postsAhead});
+	const before = await runSeeds(deployment, {...baseline, postsAhead});
+	const after = await runSeeds(deployment, {...createPolicy(measure), postsAhead});
 	const trainers = postsAhead ? 'steps posted ahead' : 'steps posted when wanted';
 	const figure = (name: string, value: number, unit: string, base?: number, baselinePolicy?: string): Figure => ({
 		name: `${deployment.name}, ${trainers}: ${name}`, value, unit, ...(base !== undefined && {baseline: base}), ...(baselinePolicy !== undefined && {baselinePolicy}),
 	});
+	const share = (name: string, part: keyof Outcome['shares']) => {
+		const perStep = (outcome: Outcome) => outcome.shares[part] / outcome.steps;
+		return figure(`of this, engines ${name}`, meanOf(after, perStep), 'ms', meanOf(before, perStep), 'plain policy');
+	};
+
 	return [
-		figure('trainer idle time per step', idlePerStep(after), 'ms', idlePerStep(before), 'plain policy'),
-		figure('trainer idle time per step', idlePerStep(after), 'ms', boundIdleMs({deployment, outcome: after, postsAhead}), 'engines at full rate'),
-		figure('staleness, 95th percentile', percentile(after.ages, 0.95), 's', percentile(before.ages, 0.95), 'plain policy'),
-		figure('samples over the staleness bound', after.overBound, 'samples'),
-		figure('steps ended', after.steps, 'steps', before.steps, 'plain policy'),
+		figure('trainer idle time per step', meanOf(after, idlePerStep), 'ms', meanOf(before, idlePerStep), 'plain policy'),
+		figure('trainer idle time per step', meanOf(after, idlePerStep), 'ms', meanOf(after, outcome => boundIdleMs({deployment, outcome, postsAhead})), 'engines at full rate'),
+		share('generate for the waiting trainer', 'own'),
+		share('generate for others', 'others'),
+		share('load weights', 'loads'),
+		share('are slow, stalled or down', 'faults'),
+		share('have too few streams', 'unused'),
+		figure('staleness, 95th percentile', meanOf(after, staleness), 's', meanOf(before, staleness), 'plain policy'),
+		figure('samples over the staleness bound', meanOf(after, outcome => outcome.overBound) * after.length, 'samples'),
+		figure('steps ended', meanOf(after, outcome => outcome.steps), 'steps', meanOf(before, outcome => outcome.steps), 'plain policy'),
 	];
 }
 
 async function runDivision(deployment: Deployment, measure: Policy['measure']): Promise<readonly Figure[]> {
 	const policy = createPolicy(measure);
 	const divisions: ReadonlyArray<readonly [string, SlotDivision]> = [['demand-proportional', new ProportionalDivision()], ['shortest first', new ShortestFirstDivision()]];
-	const equal = await runDeployment(deployment, {...policy, division: new EqualDivision()});
-	const value = (outcome: Outcome) => measure === 'idle' ? idlePerStep(outcome) : percentile(outcome.ages, 0.95);
+	const equal = await runSeeds(deployment, {...policy, division: new EqualDivision()});
 	return divisions.reduce<Promise<readonly Figure[]>>(async (previous, [name, division]) => {
 		const before = await previous;
-		const outcome = await runDeployment(deployment, {...policy, division});
-		return [...before, {
-			name: `${deployment.name}: division ${name}, ${measure}`,
-			value: value(outcome),
-			unit: measure === 'idle' ? 'ms' : 's',
-			baseline: value(equal),
-			baselinePolicy: 'equal division',
-		}];
+		const outcomes = await runSeeds(deployment, {...policy, division});
+		const figure = {name: `${deployment.name}: division ${name}`, baselinePolicy: 'equal division'};
+		return [
+			...before,
+			{
+				...figure, name: `${figure.name}, idle time per step`, value: meanOf(outcomes, idlePerStep), unit: 'ms', baseline: meanOf(equal, idlePerStep),
+			},
+			{
+				...figure, name: `${figure.name}, staleness, 95th percentile`, value: meanOf(outcomes, staleness), unit: 's', baseline: meanOf(equal, staleness),
+			},
+		];
 	}, Promise.resolve([]));
 }
 
--- a/src/rollouts/common/slot-division.ts
+++ b/src/rollouts/common/slot-division.ts
@@ -83,8 +83,3 @@
 	const used = [...shares.values()].reduce((sum, share) => sum + share, 0);
 	return {slots: shares.get(trainer) ?? 0, spare: Math.max(0, slots - used)};
 }
-
-/** Returns the division that lowers a deployment's measure; docs/design/sharing-engines.md compares them. */
-export function createSlotDivision(measure: 'idle' | 'staleness'): SlotDivision {
-	return measure === 'idle' ? new ShortestFirstDivision() : new EqualDivision();
-}
--- a/src/rollouts/node/rollouts.contribution.ts
+++ b/src/rollouts/node/rollouts.contribution.ts
@@ -21,7 +21,7 @@
 import {createLedgerKeeper} from '../common/ledger-keeper.js';
 import {createLengthForecast} from '../common/length-forecast.js';
 import {createScoreRetries} from '../common/score-retries.js';
-import {budgetOf, createSlotDivision, type SlotBudget} from '../common/slot-division.js';
+import {budgetOf, ShortestFirstDivision, type SlotBudget} from '../common/slot-division.js';
 import {createStalenessRule} from '../common/staleness.js';
 import type {StepRequest} from '../common/step.js';
 import {createStepRun, type StepRun} from '../common/step-run.js';
@@ -50,7 +50,7 @@
 	const {id: daemonId, incarnation} = membership.self();
 	const writer = `${daemonId}-${incarnation}`;
 	const board = createDemandBoard(membership, monotonic);
-	const division = createSlotDivision(settings.rollouts.measure);
+	const division = new ShortestFirstDivision();
 
 	function warn(message: string): (failure: Failure) => void {
 		return failure => {
