Put off weight loads of engines that a trainer waits for

Cause: a load pauses all models of an engine, and a publication comes together with the trainer's next step. Change: with the measure idle, an engine with streams puts off a load while a trainer of its pool stands idle, for at most 120 s after the publication, at most one version behind, and only where every trainer of the model allows that.

--- a/bench/rollout-deployment.ts
+++ b/bench/rollout-deployment.ts
@@ -9,7 +9,7 @@
 import {createEngineChoice} from '../src/rollouts/common/engine-choice.js';
 import {createLedgerKeeper} from '../src/rollouts/common/ledger-keeper.js';
 import {createLengthForecast} from '../src/rollouts/common/length-forecast.js';
-import {budgetOf, type SlotDivision} from '../src/rollouts/common/slot-division.js';
+import {budgetOf, isHeldUp, type SlotDivision} from '../src/rollouts/common/slot-division.js';
 import {createStalenessRule} from '../src/rollouts/common/staleness.js';
 import type {Batch, StepRequest} from '../src/rollouts/common/step.js';
 import {createStepRun} from '../src/rollouts/common/step-run.js';
@@ -33,6 +33,8 @@
 	readonly stallMs: number;
 	readonly waveShare: number;
 	readonly concurrentLoads: number;
+	/** Versions that a needed engine may lie behind while its load is put off. */
+	readonly toleratedLag: number;
 	readonly division: SlotDivision;
 	readonly measure: 'idle' | 'staleness';
 	/** Whether trainers post their next step before they train, so that its samples can be generated meanwhile. */
@@ -201,9 +203,10 @@
 	const pool = createPoolOwner({
 		pool: 'p', daemonId: 'd', models, fencing: 'checked', leaseMs: 6000, monotonic, holding: () => held, record: () => undefined, onFailure: () => undefined,
 		limits: {
-			waveShare: policy.waveShare, concurrentLoads: policy.concurrentLoads, loadTimeoutMs: 60_000, pollMs: 500,
+			waveShare: policy.waveShare, concurrentLoads: policy.concurrentLoads, loadTimeoutMs: 60_000, pollMs: 500, toleratedLag: () => policy.toleratedLag, deferralMs: 120_000,
 		},
 		engines: () => engines.map(engine => ({id: engine.id, engine: engine.engine})),
+		isNeeded: (serverId, now) => [...owners.values()].some(owner => isHeldUp(owner.demand(now))) && routing.load(serverId, now).requests > 0,
 	}, held, 0);
 
 	function createOwner(trainer: TrainerPlan): TrainerOwner {
--- a/bench/rollouts.bench.ts
+++ b/bench/rollouts.bench.ts
@@ -50,13 +50,13 @@
 
 const baseline: Policy = {
 	isRoundRobin: true, canHedge: false, canResume: false, longestFirst: false, stallMs: Number.POSITIVE_INFINITY,
-	waveShare: 1, concurrentLoads: 1000, division: new EqualDivision(), measure: 'idle', postsAhead: false,
+	waveShare: 1, concurrentLoads: 1000, toleratedLag: 0, division: new EqualDivision(), measure: 'idle', postsAhead: false,
 };
 
 function createPolicy(measure: Policy['measure']): Policy {
 	return {
 		isRoundRobin: false, canHedge: true, canResume: true, longestFirst: true, stallMs: 3000,
-		waveShare: 0.34, concurrentLoads: 2, division: new ShortestFirstDivision(), measure, postsAhead: false,
+		waveShare: 0.34, concurrentLoads: 2, toleratedLag: measure === 'idle' ? 1 : 0, division: new ShortestFirstDivision(), measure, postsAhead: false,
 	};
 }
 
--- a/src/rollouts/common/slot-division.ts
+++ b/src/rollouts/common/slot-division.ts
@@ -15,6 +15,11 @@
 	readonly isWaiting: boolean;
 };
 
+/** Whether a trainer stands idle for samples that are not there yet. */
+export function isHeldUp(demand: TrainerDemand): boolean {
+	return demand.isWaiting && demand.samples > 0;
+}
+
 /** Streams per trainer. */
 export type SlotShares = ReadonlyMap<string, number>;
 
--- a/src/rollouts/node/rollouts.contribution.ts
+++ b/src/rollouts/node/rollouts.contribution.ts
@@ -21,7 +21,9 @@
 import {createLedgerKeeper} from '../common/ledger-keeper.js';
 import {createLengthForecast} from '../common/length-forecast.js';
 import {createScoreRetries} from '../common/score-retries.js';
-import {budgetOf, ShortestFirstDivision, type SlotBudget} from '../common/slot-division.js';
+import {
+	budgetOf, isHeldUp, ShortestFirstDivision, type SlotBudget, type TrainerDemand,
+} from '../common/slot-division.js';
 import {createStalenessRule} from '../common/staleness.js';
 import type {StepRequest} from '../common/step.js';
 import {createStepRun, type StepRun} from '../common/step-run.js';
@@ -63,13 +65,17 @@
 		return settings.trainers.find(trainer => trainer.name === name);
 	}
 
+	/** What the trainers of a pool need. */
+	function demandsOf(poolName: string, now: number): readonly TrainerDemand[] {
+		const names = new Set(settings.trainers.filter(trainer => trainer.pool === poolName).map(trainer => trainer.name));
+		return board.demands(now).filter(demand => names.has(demand.trainer));
+	}
+
 	function slotsOf(trainer: TrainerProfile, now: number): SlotBudget {
 		const pool = settings.pools.find(candidate => candidate.name === trainer.pool);
 		const {engines} = findVersions(trainer.pool, trainer.model);
 		const usable = engines.filter(engine => engine.usable).length;
-		const neighbours = new Set(settings.trainers.filter(other => other.pool === trainer.pool).map(other => other.name));
-		const demands = board.demands(now).filter(demand => neighbours.has(demand.trainer));
-		return budgetOf(division, usable * (pool?.slots ?? 0), demands, trainer.name);
+		return budgetOf(division, usable * (pool?.slots ?? 0), demandsOf(trainer.pool, now), trainer.name);
 	}
 
 	function chooseAllowed(trainer: TrainerProfile, choice: EngineChoice, request: StepRequest, weightVersion: number): readonly string[] {
@@ -151,6 +157,8 @@
 		});
 	}
 
+	// An engine that works while a trainer of its pool stands idle had better go on.
+	versions.setNeed((poolName, serverId, now) => demandsOf(poolName, now).some(demand => isHeldUp(demand)) && router.load(serverId, now).requests > 0);
 	serveRollouts(peers, {
 		postStep: async request => owners.get(request.trainer).postStep(request),
 		pull: async request => owners.get(request.trainer).pull(request),
--- a/src/weights/common/engine-versions.ts
+++ b/src/weights/common/engine-versions.ts
@@ -31,7 +31,12 @@
 	 */
 	readonly publish: (pool: string, model: string, version: number) => Promise<Result<number, Failure>>;
 	readonly onDidChange: Event<ModelVersions>;
+	/** Sets the test for engines that are needed now: their loads are put off for a while where the pool's limits allow it. */
+	readonly setNeed: (isNeeded: EngineNeed) => void;
 };
 
+/** Whether a trainer waits for what an engine does now. */
+export type EngineNeed = (pool: string, serverId: string, now: number) => boolean;
+
 /** The daemon's weight versions. */
 export const engineVersionsKey = createServiceKey<EngineVersions>('engine-versions');
--- a/src/weights/common/pool-owner.ts
+++ b/src/weights/common/pool-owner.ts
@@ -34,6 +34,8 @@
 	readonly holding: (now: number) => Holding | undefined;
 	/** Live engines of the pool. */
 	readonly engines: () => readonly PoolEngine[];
+	/** Whether a trainer waits for what an engine does now, so that its loads are better put off. */
+	readonly isNeeded: (serverId: string, now: number) => boolean;
 	readonly record: Audit['record'];
 	readonly onFailure: (failure: Failure) => void;
 };
@@ -108,7 +110,7 @@
 		},
 		run(at) {
 			decider.setEngines(options.engines().map(engine => engine.id));
-			const actions = decider.decide(at, at >= ordersFrom);
+			const actions = decider.decide(at, at >= ordersFrom, serverId => options.isNeeded(serverId, at));
 			// Not awaited: one engine that does not answer must not hold up the others.
 			actions.reads.forEach(serverId => {
 				void read(serverId);
--- a/src/weights/common/wave-decider.ts
+++ b/src/weights/common/wave-decider.ts
@@ -17,6 +17,10 @@
 	readonly loadTimeoutMs: number;
 	/** Wait between two reads of an engine that is loading. */
 	readonly pollMs: number;
+	/** Versions that a needed engine may lie behind a model's target while its load is put off. */
+	readonly toleratedLag: (model: string) => number;
+	/** Longest time after the rise of a target for which loads are put off. */
+	readonly deferralMs: number;
 };
 
 /** A load to order. */
@@ -40,8 +44,11 @@
 	readonly setEngines: (serverIds: readonly string[]) => void;
 	/** Raises targets; a lower one is ignored. */
 	readonly setTargets: (targets: readonly Target[]) => void;
-	/** Returns the reads and orders that are due, and counts them as given. */
-	readonly decide: (now: number, canOrder: boolean) => WaveActions;
+	/**
+	 * Returns the reads and orders that are due, and counts them as given. Loads of engines that are needed at the moment
+	 * are put off as far as the limits allow.
+	 */
+	readonly decide: (now: number, canOrder: boolean, isNeeded: (serverId: string) => boolean) => WaveActions;
 	readonly noteStatus: (serverId: string, status: EngineStatus, now: number) => void;
 	/** Notes that an engine could not be read. */
 	readonly noteUnreadable: (serverId: string, now: number) => void;
@@ -86,6 +93,7 @@
 export function createWaveDecider(limits: WaveLimits): WaveDecider {
 	const engines = new Map<string, EngineRecord>();
 	const targets = new Map<string, number>();
+	const risenAt = new Map<string, {readonly version: number; readonly at: number}>();
 
 	function update(serverId: string, change: Partial<EngineRecord>): void {
 		engines.set(serverId, {...(engines.get(serverId) ?? unread), ...change});
@@ -103,21 +111,36 @@
 		return [...engines.values()].filter(record => record.load !== undefined).length;
 	}
 
-	function wants(record: EngineRecord): Target | undefined {
+	function noteRises(now: number): void {
+		[...targets].filter(([model, version]) => risenAt.get(model)?.version !== version).forEach(([model, version]) => {
+			risenAt.set(model, {version, at: now});
+		});
+	}
+
+	/** Whether a load may wait: the engine serves a version that is good enough, and the target rose not long ago. */
+	function canWait(serverId: string, target: Target, now: number): boolean {
+		const version = engines.get(serverId)?.models.get(target.model)?.version ?? 0;
+		const lag = target.version - version;
+		const risen = risenAt.get(target.model)?.at ?? now;
+		return isUsable(serverId, target.model) && lag > 0 && lag <= limits.toleratedLag(target.model) && now - risen < limits.deferralMs;
+	}
+
+	function wants(record: EngineRecord): readonly Target[] {
 		return [...targets]
 			.map(([model, version]) => ({model, version}))
-			.find(target => {
+			.filter(target => {
 				const status = record.models.get(target.model);
 				return status?.version !== target.version || status.state === 'failed';
 			});
 	}
 
-	function chooseOrders(now: number): readonly LoadOrder[] {
+	function chooseOrders(now: number, isNeeded: (serverId: string) => boolean): readonly LoadOrder[] {
 		const room = Math.max(0, loadsAllowed() - countLoading());
 		return [...engines]
 			.filter(([, record]) => record.load === undefined && record.notBefore <= now && record.readAt >= 0)
 			.flatMap(([serverId, record]) => {
-				const target = wants(record);
+				const isPutOff = isNeeded(serverId);
+				const target = wants(record).find(wanted => !isPutOff || !canWait(serverId, wanted, now));
 				const fromVersion = target && (record.models.get(target.model)?.version ?? 0);
 				return target === undefined || fromVersion === undefined ? [] : [{serverId, fromVersion, ...target}];
 			})
@@ -178,8 +201,9 @@
 				targets.set(target.model, Math.max(target.version, targets.get(target.model) ?? 0));
 			});
 		},
-		decide(now, canOrder) {
-			const orders = canOrder ? chooseOrders(now) : [];
+		decide(now, canOrder, isNeeded) {
+			noteRises(now);
+			const orders = canOrder ? chooseOrders(now, isNeeded) : [];
 			orders.forEach(({serverId, model, version}) => {
 				update(serverId, {
 					load: {
--- a/src/weights/node/weights.contribution.ts
+++ b/src/weights/node/weights.contribution.ts
@@ -12,7 +12,7 @@
 import {storeKey} from '../../platform/common/store.js';
 import {routerKey} from '../../routing/common/router.js';
 import {settingsKey, type EnginePool, type Settings} from '../../settings/common/settings.js';
-import {engineVersionsKey, type ModelVersions} from '../common/engine-versions.js';
+import {engineVersionsKey, type EngineNeed, type ModelVersions} from '../common/engine-versions.js';
 import {createPoolFollower, type PoolFollower} from '../common/pool-follower.js';
 import {createPoolOwner, type PoolOwner} from '../common/pool-owner.js';
 import {createTargetKeeper, type Target} from '../common/target-keeper.js';
@@ -33,6 +33,12 @@
 	runs: number;
 };
 
+/** Versions that a needed engine may lie behind where idle time is the measure. */
+const TOLERATED_LAG = 1;
+
+/** Time after a publication for which loads are put off. */
+const LONGEST_DEFERRAL_MS = 120_000;
+
 /** An owner reads the targets from the store once in so many runs; announcements come in between. */
 const RUNS_PER_TARGET_READ = 10;
 
@@ -52,6 +58,13 @@
 	const client = createWeightsClient(peers);
 	const changes = createEmitter<ModelVersions>();
 	const pools = listEnginePools(settings);
+	let isNeeded: EngineNeed = () => false;
+
+	/** A version that the staleness bound of one of the model's trainers excludes is never good enough. */
+	function toleratedLag(model: string): number {
+		const bounds = settings.trainers.filter(trainer => trainer.model === model).map(trainer => trainer.stalenessBound);
+		return settings.rollouts.measure === 'idle' && bounds.length > 0 ? Math.min(TOLERATED_LAG, ...bounds) : 0;
+	}
 
 	const readChanges = (shard: number): Parameters<typeof createPoolFollower>[1] => async (pool, position) => {
 		const owner = shards.owner(shard, context.clock.monotonic());
@@ -82,12 +95,15 @@
 			limits: {
 				...settings.weights,
 				concurrentLoads: Math.max(1, Math.floor(settings.weights.concurrentLoads / pools.length)),
+				toleratedLag,
+				deferralMs: LONGEST_DEFERRAL_MS,
 			},
 			fencing: pool.fencing,
 			leaseMs: settings.leases.durationMs,
 			monotonic: context.clock.monotonic,
 			holding: at => shards.holding(shard, at),
 			engines: () => router.servers(pool.name).filter(server => server.state === 'live').map(server => ({id: server.id, engine: router.engine(server)})),
+			isNeeded: (serverId, at) => isNeeded(pool.name, serverId, at),
 			record: audit.record,
 			onFailure(failure) {
 				context.log.warn('engine order or reading failed', {pool: pool.name, failure: formatFailure(failure)});
@@ -188,6 +204,9 @@
 			return raised;
 		},
 		onDidChange: changes.event,
+		setNeed(need) {
+			isNeeded = need;
+		},
 	});
 
 	return joinDisposables(sides.map(side => context.loop.every({
--- a/src/weights/test/waves.test.ts
+++ b/src/weights/test/waves.test.ts
@@ -19,6 +19,10 @@
 	readonly concurrentLoads?: number;
 	readonly waveShare?: number;
 	readonly loadMs?: number;
+	readonly toleratedLag?: number;
+	readonly deferralMs?: number;
+	/** Whether a trainer waits for what the engines do. */
+	readonly areNeeded?: boolean;
 	readonly wrap?: (model: EngineModel) => EngineModel['engine'];
 	readonly broken?: Partial<PoolOwnerOptions>;
 };
@@ -40,10 +44,11 @@
 			pool: 'p', daemonId: `daemon-${number}`, models: ['m'], fencing, leaseMs: 6000, monotonic: time.clock.monotonic,
 			limits: {
 				waveShare: options.waveShare ?? 0.34, concurrentLoads: options.concurrentLoads ?? 8, loadTimeoutMs: 10_000, pollMs: 500,
+				toleratedLag: () => options.toleratedLag ?? 0, deferralMs: options.deferralMs ?? 10_000,
 			},
 			holding: () => held === number ? {shard: 0, fencing: number, validUntil: Number.POSITIVE_INFINITY} : undefined,
 			engines: () => models.map(model => ({id: model.id, engine: wrap(model)})),
-			record: () => undefined, onFailure: () => undefined, ...options.broken,
+			isNeeded: () => options.areNeeded ?? false, record: () => undefined, onFailure: () => undefined, ...options.broken,
 		}, {shard: 0, fencing: number, validUntil: Number.POSITIVE_INFINITY}, time.clock.monotonic() + delayMs);
 		time.loop.every({
 			name: 'run', periodMs: 500, run(now) {
@@ -73,6 +78,35 @@
 	assert.is(waves.mostLoading(), 2);
 });
 
+/** Publishes version 2 after 5 s, and version 3 after 11 s, to engines that are needed all the time; returns the versions at 10 s and at 40 s. */
+async function publishToNeeded(options: WavesOptions): Promise<ReadonlyArray<ReadonlySet<number>>> {
+	const waves = createWaves({areNeeded: true, toleratedLag: 1, ...options});
+	const owner = waves.own(1);
+	[2, 3].forEach((version, index) => {
+		waves.time.loop.after(5000 + (index * 6000), () => {
+			owner.setTargets([{model: 'm', version}]);
+		});
+	});
+	await waves.time.advance(10_500);
+	const early = new Set(waves.versions());
+	await waves.time.advance(29_500);
+	return [early, new Set(waves.versions())];
+}
+
+test('puts off the loads of engines that are needed, but neither beyond the tolerated lag nor for longer than allowed', async () => {
+	const [early, late] = await publishToNeeded({deferralMs: 10_000});
+	assert.equal([early, late], [new Set([1]), new Set([3])]);
+	const [, beyondLag] = await publishToNeeded({deferralMs: Number.POSITIVE_INFINITY});
+	assert.equal(beyondLag, new Set([3]));
+	const [notTolerated] = await publishToNeeded({toleratedLag: 0, deferralMs: Number.POSITIVE_INFINITY});
+	assert.ok(notTolerated!.has(2));
+});
+
+test('catches loads that are put off without a bound', async () => {
+	const [, late] = await publishToNeeded({deferralMs: Number.POSITIVE_INFINITY, toleratedLag: 2});
+	assert.equal(late, new Set([1]));
+});
+
 test('brings 1,100 engines to the target within 21 s of virtual time when the weight store sustains 374 loads', async () => {
 	const waves = createWaves({engines: 1100, concurrentLoads: 374, loadMs: 3000});
 	const owner = waves.own(1);
