--- a/bench/rollout-deployment.ts
+++ b/bench/rollout-deployment.ts
@@ -9,7 +9,7 @@
 import {createEngineChoice} from '../src/rollouts/common/engine-choice.js';
 import {createLedgerKeeper} from '../src/rollouts/common/ledger-keeper.js';
 import {createLengthForecast} from '../src/rollouts/common/length-forecast.js';
-import {budgetOf, type SlotDivision} from '../src/rollouts/common/slot-division.js';
+import {budgetOf, isHeldUp, type SlotDivision} from '../src/rollouts/common/slot-division.js';
 import {createStalenessRule} from '../src/rollouts/common/staleness.js';
 import type {Batch, StepRequest} from '../src/rollouts/common/step.js';
 import {createStepRun} from '../src/rollouts/common/step-run.js';
@@ -22,6 +22,7 @@
 import {createServerTable} from '../src/routing/common/server-table.js';
 import {createPoolOwner} from '../src/weights/common/pool-owner.js';
 import {createSeededRandom, createVirtualTime, type VirtualTime} from '../test/fakes/virtual-loop.js';
+import {addIdleShares, noIdleShares, type IdleShares} from './idle-shares.js';
 import {createEngineModel, createLengths, type EngineModel} from './engine-model.js';
 
 export type Policy = {
@@ -32,6 +33,8 @@
 	readonly stallMs: number;
 	readonly waveShare: number;
 	readonly concurrentLoads: number;
+	/** Versions that a needed engine may lie behind while its load is put off. */
+	readonly toleratedLag: number;
 	readonly division: SlotDivision;
 	readonly measure: 'idle' | 'staleness';
 	/** Whether trainers post their next step before they train, so that its samples can be generated meanwhile. */
@@ -72,12 +75,15 @@
 	readonly work: ReadonlyArray<readonly StepWork[]>;
 	readonly steps: number;
 	readonly generated: number;
+	/** What the engines did while trainers waited. */
+	readonly shares: IdleShares;
 };
 
 const SLOTS = 16;
 const ENGINE_TOKENS_PER_SECOND = 480;
 /** Tokens per second of one stream in a small batch. */
 export const STREAM_TOKENS_PER_SECOND = 48;
+const SHARES_PERIOD_MS = 200;
 const LOADS_SUSTAINED = 2;
 const LOAD_MS = 6000;
 const MAXIMUM_TOKENS = 1024;
@@ -189,15 +195,18 @@
 	const ages: number[] = [];
 	const work: StepWork[][] = deployment.trainers.map(() => []);
 	const owners = new Map<string, TrainerOwner>();
+	const waiting = new Set<string>();
+	let shares = noIdleShares;
 	let idleMs = 0;
 	let overBound = 0;
 
 	const pool = createPoolOwner({
 		pool: 'p', daemonId: 'd', models, fencing: 'checked', leaseMs: 6000, monotonic, holding: () => held, record: () => undefined, onFailure: () => undefined,
 		limits: {
-			waveShare: policy.waveShare, concurrentLoads: policy.concurrentLoads, loadTimeoutMs: 60_000, pollMs: 500,
+			waveShare: policy.waveShare, concurrentLoads: policy.concurrentLoads, loadTimeoutMs: 60_000, pollMs: 500, toleratedLag: () => policy.toleratedLag, deferralMs: 120_000,
 		},
 		engines: () => engines.map(engine => ({id: engine.id, engine: engine.engine})),
+		isNeeded: (serverId, now) => [...owners.values()].some(owner => isHeldUp(owner.demand(now))) && routing.load(serverId, now).requests > 0,
 	}, held, 0);
 
 	function createOwner(trainer: TrainerPlan): TrainerOwner {
@@ -272,7 +281,9 @@
 			await owner.postStep(createRequest(trainer, step, step));
 		}
 
+		waiting.add(trainer.name);
 		const delivered = await pullAll(trainer, createRequest(trainer, step, step), 0, {tokens: 0, longest: 0});
+		waiting.delete(trainer.name);
 		idleMs += monotonic() - begun;
 		work[index]!.push(delivered);
 		if (policy.postsAhead) {
@@ -298,6 +309,12 @@
 			});
 		},
 	});
+	loop.every({
+		name: 'shares', periodMs: SHARES_PERIOD_MS, run() {
+			const conditions = engines.map(engine => engine.condition());
+			shares = [...waiting].reduce((sum, trainer) => addIdleShares(sum, trainer, conditions, SHARES_PERIOD_MS), shares);
+		},
+	});
 	scheduleFaults(time, engines, deployment);
 	await time.advance(2000);
 	deployment.trainers.forEach((trainer, index) => {
@@ -307,6 +324,6 @@
 	await time.advance(deployment.durationMs);
 	const generated = engines.reduce((sum, engine) => sum + engine.generated(), 0);
 	return {
-		idleMs, ages, overBound, work, steps: work.flat().length, generated,
+		idleMs, ages, overBound, work, steps: work.flat().length, generated, shares,
 	};
 }
