--- a/test/checkers/edge-checkers.test.ts
+++ b/test/checkers/edge-checkers.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import {renderGeneration} from '../../src/standins/node/deterministic-text.js';
 import type {ReceivedSample, TrainerStep} from '../../src/standins/node/trainer-standin.js';
-import type {CallEntry, EdgeRecord, StandinRecord} from '../scenario-runner.js';
+import type {CallEntry, EdgeRecord, StandinRecord} from '../edge-record.js';
 import {
 	checkAllSucceededUnlessSuspect, checkAnswered, checkAtMostOnce, checkConfiguration, checkFencing, checkNotRun, checkOwnAnswers, checkSamples,
 	checkWholeSteps, createGrantCheck, safetyCheckers, type Checker,
--- a/test/checkers/edge-checkers.ts
+++ b/test/checkers/edge-checkers.ts
@@ -4,7 +4,7 @@
 import type {VersionRange} from '../../src/platform/common/engine.js';
 import type {ReceivedSample, TrainerRecord} from '../../src/standins/node/trainer-standin.js';
 import {renderGeneration} from '../../src/standins/node/deterministic-text.js';
-import type {CallEntry, EdgeRecord, StandinRecord} from '../scenario-runner.js';
+import type {CallEntry, EdgeRecord, StandinRecord} from '../edge-record.js';
 
 const wholeAnswer = z.looseObject({
 	echo: z.string().optional(),
--- a/test/scenario-suite.ts
+++ b/test/scenario-suite.ts
@@ -2,7 +2,8 @@
 import type {Test} from 'uvu';
 import * as assert from 'uvu/assert';
 import {safetyCheckers, type Checker} from './checkers/edge-checkers.js';
-import {runScenario, type EdgeRecord} from './scenario-runner.js';
+import type {EdgeRecord} from './edge-record.js';
+import {runScenario} from './scenario-runner.js';
 import {readScenario, type Scenario} from './scenario-schema.js';
 
 /** Adds a test that runs a scenario and expects the safety checks, the given checks and `check` to hold. */
