--- a/bench/rollout-deployment.ts
+++ b/bench/rollout-deployment.ts
@@ -33,8 +33,8 @@
 	readonly stallMs: number;
 	readonly waveShare: number;
 	readonly concurrentLoads: number;
-	/** Versions that a needed engine may lie behind while its load is put off. */
-	readonly toleratedLag: number;
+	/** Time for which a needed engine may put off a load, in milliseconds. */
+	readonly deferralMs: number;
 	readonly division: SlotDivision;
 	readonly measure: 'idle' | 'staleness';
 	/** Whether trainers post their next step before they train, so that its samples can be generated meanwhile. */
@@ -203,7 +203,7 @@
 	const pool = createPoolOwner({
 		pool: 'p', daemonId: 'd', models, fencing: 'checked', leaseMs: 6000, monotonic, holding: () => held, record: () => undefined, onFailure: () => undefined,
 		limits: {
-			waveShare: policy.waveShare, concurrentLoads: policy.concurrentLoads, loadTimeoutMs: 60_000, pollMs: 500, toleratedLag: () => policy.toleratedLag, deferralMs: 120_000,
+			waveShare: policy.waveShare, concurrentLoads: policy.concurrentLoads, loadTimeoutMs: 60_000, pollMs: 500, toleratedLag: () => 1, deferralMs: policy.deferralMs,
 		},
 		engines: () => engines.map(engine => ({id: engine.id, engine: engine.engine})),
 		isNeeded: (serverId, now) => [...owners.values()].some(owner => isHeldUp(owner.demand(now))) && routing.load(serverId, now).requests > 0,
--- a/bench/rollouts.bench.ts
+++ b/bench/rollouts.bench.ts
@@ -13,6 +13,7 @@
 /** Runs per figure, each with another seed; figures are means. */
 const SEEDS = Number(process.env.BENCH_SEEDS ?? 3);
 const DURATION_MS = 900_000;
+const DEFERRAL_MS = 120_000;
 
 const kivotos: Deployment = {
 	name: 'Kivotos',
@@ -50,13 +51,13 @@
 
 const baseline: Policy = {
 	isRoundRobin: true, canHedge: false, canResume: false, longestFirst: false, stallMs: Number.POSITIVE_INFINITY,
-	waveShare: 1, concurrentLoads: 1000, toleratedLag: 0, division: new EqualDivision(), measure: 'idle', postsAhead: false,
+	waveShare: 1, concurrentLoads: 1000, deferralMs: 0, division: new EqualDivision(), measure: 'idle', postsAhead: false,
 };
 
 function createPolicy(measure: Policy['measure']): Policy {
 	return {
 		isRoundRobin: false, canHedge: true, canResume: true, longestFirst: true, stallMs: 3000,
-		waveShare: 0.34, concurrentLoads: 2, toleratedLag: measure === 'idle' ? 1 : 0, division: new ShortestFirstDivision(), measure, postsAhead: false,
+		waveShare: 0.34, concurrentLoads: 2, deferralMs: 0, division: new ShortestFirstDivision(), measure, postsAhead: false,
 	};
 }
 
@@ -180,6 +181,17 @@
 	];
 }
 
+/** What putting off the loads of engines that trainers wait for gives and costs. */
+async function runDeferral(deployment: Deployment): Promise<readonly Figure[]> {
+	const policy = createPolicy('idle');
+	const prompt = await runSeeds(deployment, policy);
+	const deferring = await runSeeds(deployment, {...policy, deferralMs: DEFERRAL_MS});
+	const figure = (name: string, measure: (outcome: Outcome) => number, unit: string): Figure => ({
+		name: `${deployment.name}: loads put off for up to ${DEFERRAL_MS / 1000} s, ${name}`, value: meanOf(deferring, measure), unit, baseline: meanOf(prompt, measure), baselinePolicy: 'loads at once',
+	});
+	return [figure('idle time per step', idlePerStep, 'ms'), figure('staleness, 95th percentile', staleness, 's')];
+}
+
 async function runDivision(deployment: Deployment, measure: Policy['measure']): Promise<readonly Figure[]> {
 	const policy = createPolicy(measure);
 	const divisions: ReadonlyArray<readonly [string, SlotDivision]> = [['demand-proportional', new ProportionalDivision()], ['shortest first', new ShortestFirstDivision()]];
@@ -206,6 +218,7 @@
 		...await runOne(kivotos, 'idle', true),
 		...await runOne(anadolu, 'staleness', false),
 		...await runOne(anadolu, 'staleness', true),
+		...await runDeferral(kivotos),
 		...await runDivision(kivotos, 'idle'),
 		...await runDivision(anadolu, 'staleness'),
 	];
--- a/src/requests/node/attempt-runner.ts
+++ b/src/requests/node/attempt-runner.ts
@@ -71,6 +71,8 @@
 const INITIAL_RUN_MS = 50;
 const MEAN_GAIN = 0.1;
 const ISOLATION_RETRY_MS = 2000;
+/** Servers that a request may be kept away from before it is given up. */
+const LARGEST_EXCLUSION = 8;
 
 function remember<T>(known: Map<string, T>, key: string, create: () => T): T {
 	const found = known.get(key) ?? create();
@@ -177,10 +179,19 @@
 		}
 
 		const isolation = verdict.value;
-		const alone = isolation === 'alone';
-		const dispatched = router.dispatch({...request.route, excluded: progress.excluded, alone}, now);
-		const placed = alone && dispatched.isOk() ? await isolate(request, dispatched.value) : dispatched;
-		return placed.map(value => ({dispatch: value, isolation}));
+		const dispatched = router.dispatch({...request.route, excluded: progress.excluded, alone: isolation === 'alone'}, now);
+		return isolation === 'alone' && dispatched.isOk()
+			? placeAlone(request, progress, dispatched.value)
+			: dispatched.map(value => ({dispatch: value, isolation}));
+	}
+
+	/** A server that dies, or that others keep busy, does not end the request: the next one is tried while time allows. */
+	async function placeAlone(request: RunRequest, progress: Progress, dispatched: Dispatch): Promise<Result<Placed, Failure>> {
+		const isolated = await isolate(request, dispatched);
+		const excluded = [...progress.excluded, dispatched.server.id];
+		return isolated.isErr() && clock.monotonic() < request.deadline && excluded.length < LARGEST_EXCLUSION
+			? place(request, {...progress, excluded})
+			: isolated.map(value => ({dispatch: value, isolation: 'alone'}));
 	}
 
 	function fail(progress: Progress, last: Failure): Failure {
--- a/src/requests/test/attempts.test.ts
+++ b/src/requests/test/attempts.test.ts
@@ -13,7 +13,7 @@
 import {createAttempt, joinFailures} from '../common/attempt.js';
 import {createProblem, retryAfterSeconds} from '../common/problem.js';
 import {createRetryBudget} from '../common/retry-budget.js';
-import {trustingGuard} from '../common/suspect-guard.js';
+import {trustingGuard, type SuspectGuard} from '../common/suspect-guard.js';
 import {createAttemptRunner, type AttemptContext} from '../node/attempt-runner.js';
 
 const test = suite('attempts');
@@ -23,7 +23,7 @@
 
 type Answer = (context: AttemptContext, number: number) => Promise<Result<string, Failure>>;
 
-function createRun(retryShare = 1) {
+function createRun(retryShare = 1, guard: Partial<SuspectGuard> = {}) {
 	const time = createVirtualTime();
 	const table = createServerTable(() => 'near');
 	table.update(['a', 'b', 'c', 'd'].map(id => ({
@@ -41,7 +41,7 @@
 		router: {
 			dispatch: dispatcher.dispatch, servers: table.list, engine: unused, service: unused, onDidChangeServers: createEmitter<never>().event, inFlight: loads.inFlight, load: loads.read,
 		},
-		suspects: trustingGuard,
+		suspects: {...trustingGuard, ...guard},
 		maximumAttempts: 3,
 		retryShare,
 		clock: time.clock,
@@ -77,6 +77,30 @@
 	assert.is(inFlight(), 0);
 });
 
+test('goes on to another server when the one to run alone on does not become empty', async () => {
+	const asked: string[] = [];
+	const {run, servers, inFlight} = createRun(1, {
+		check: () => ok('alone'),
+		async isolate(server) {
+			asked.push(server.id);
+			return asked.length === 3;
+		},
+	});
+	const result = await run(true, async () => ok('whole'));
+	assert.is(result._unsafeUnwrap(), 'whole');
+	assert.is(new Set(asked).size, 3);
+	assert.equal(servers, [asked[2]]);
+	assert.is(inFlight(), 0);
+});
+
+test('is given up, with a time to return, when no server becomes empty', async () => {
+	const {run, inFlight} = createRun(1, {check: () => ok('alone'), isolate: async () => false});
+	const failure = (await run(true, async () => ok('whole')))._unsafeUnwrapErr();
+	assert.is(failure.effect, 'notRun');
+	assert.ok((failure.retryAfterMs ?? 0) > 0);
+	assert.is(inFlight(), 0);
+});
+
 test('never runs a request again that may have run and may not be repeated', async () => {
 	const {run, servers} = createRun();
 	const result = await run(false, async context => {
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -122,6 +122,11 @@
 	/** Loads that the weight store sustains at once, over all pools. */
 	concurrentLoads: z.int().min(1).max(4096).default(8),
 	loadTimeoutMs: durationMs.default(20_000),
+	/**
+	 * Time after a publication for which an engine that is busy while a trainer waits may put off its load, where
+	 * `rollouts.measure` is `idle`. Longer lowers idle time, and raises staleness and the time until all engines serve the weights.
+	 */
+	deferralMs: z.int().min(0).max(3_600_000).default(0),
 	pollMs: durationMs.default(500),
 });
 
--- a/src/weights/node/weights.contribution.ts
+++ b/src/weights/node/weights.contribution.ts
@@ -36,9 +36,6 @@
 /** Versions that a needed engine may lie behind where idle time is the measure. */
 const TOLERATED_LAG = 1;
 
-/** Time after a publication for which loads are put off. */
-const LONGEST_DEFERRAL_MS = 120_000;
-
 /** An owner reads the targets from the store once in so many runs; announcements come in between. */
 const RUNS_PER_TARGET_READ = 10;
 
@@ -96,7 +93,6 @@
 				...settings.weights,
 				concurrentLoads: Math.max(1, Math.floor(settings.weights.concurrentLoads / pools.length)),
 				toleratedLag,
-				deferralMs: LONGEST_DEFERRAL_MS,
 			},
 			fencing: pool.fencing,
 			leaseMs: settings.leases.durationMs,
