--- a/bench/rollouts.bench.ts
+++ b/bench/rollouts.bench.ts
@@ -187,7 +187,11 @@
 	const prompt = await runSeeds(deployment, policy);
 	const deferring = await runSeeds(deployment, {...policy, deferralMs: DEFERRAL_MS});
 	const figure = (name: string, measure: (outcome: Outcome) => number, unit: string): Figure => ({
-		name: `${deployment.name}: loads put off for up to ${DEFERRAL_MS / 1000} s, ${name}`, value: meanOf(deferring, measure), unit, baseline: meanOf(prompt, measure), baselinePolicy: 'loads at once',
+		name: `${deployment.name}: loads put off for up to ${DEFERRAL_MS / 1000} s, ${name}`,
+		value: meanOf(deferring, measure),
+		unit,
+		baseline: meanOf(prompt, measure),
+		baselinePolicy: 'loads at once',
 	});
 	return [figure('idle time per step', idlePerStep, 'ms'), figure('staleness, 95th percentile', staleness, 's')];
 }
--- a/src/requests/test/attempts.test.ts
+++ b/src/requests/test/attempts.test.ts
@@ -95,7 +95,8 @@
 
 test('is given up, with a time to return, when no server becomes empty', async () => {
 	const {run, inFlight} = createRun(1, {check: () => ok('alone'), isolate: async () => false});
-	const failure = (await run(true, async () => ok('whole')))._unsafeUnwrapErr();
+	const result = await run(true, async () => ok('whole'));
+	const failure = result._unsafeUnwrapErr();
 	assert.is(failure.effect, 'notRun');
 	assert.ok((failure.retryAfterMs ?? 0) > 0);
 	assert.is(inFlight(), 0);
