Wait a bounded time for a server to run alone on, and not past the deadline

Change: a request that must run alone looks for a server for up to 4 s, and looks again while others hold them; the book of suspects and the time left are looked at again after the wait, right before the request is sent. Known limit: a request that is given up while it runs and then kills its server leaves no trace.

--- a/src/requests/node/attempt-runner.ts
+++ b/src/requests/node/attempt-runner.ts
@@ -71,8 +71,9 @@
 const INITIAL_RUN_MS = 50;
 const MEAN_GAIN = 0.1;
 const ISOLATION_RETRY_MS = 2000;
-/** Servers that a request may be kept away from before it is given up. */
-const LARGEST_EXCLUSION = 8;
+/** Time within which a server to run alone on must be found. */
+const LONGEST_ISOLATION_MS = 4000;
+const RESERVED_POLL_MS = 200;
 
 function remember<T>(known: Map<string, T>, key: string, create: () => T): T {
 	const found = known.get(key) ?? create();
@@ -97,6 +98,10 @@
 		runMs.set(pool, mean + (MEAN_GAIN * (durationMs - mean)));
 	}
 
+	function expectRunMs(pool: string): number {
+		return runMs.get(pool) ?? INITIAL_RUN_MS;
+	}
+
 	/** Settles at once when the deadline passes or the caller goes away; the late answer of the call is dropped. */
 	async function callBounded<T>(request: RunRequest, context: Omit<AttemptContext, 'signal'>, call: (context: AttemptContext) => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
 		const controller = new AbortController();
@@ -162,13 +167,18 @@
 		return ended.result;
 	}
 
-	async function isolate(request: RunRequest, dispatched: Dispatch): Promise<Result<Dispatch, Failure>> {
-		if (await suspects.isolate(dispatched.server, request.deadline)) {
+	async function isolate(request: RunRequest, dispatched: Dispatch, until: number): Promise<Result<Dispatch, Failure>> {
+		const isEmpty = await suspects.isolate(dispatched.server, until);
+		// The request may have been refused for good, or acquitted, while it waited.
+		const now = clock.monotonic();
+		const verdict = suspects.check(request.fingerprint, now);
+		if (isEmpty && verdict.isOk() && now + expectRunMs(request.route.pool) < request.deadline) {
 			return ok(dispatched);
 		}
 
 		dispatched.end(clock.monotonic(), 'cancelled');
-		return err(createNotRun('unavailable', {step: 'isolate request', peer: dispatched.server.id}, 'the server did not become empty in time', ISOLATION_RETRY_MS));
+		const origin = {step: 'isolate request', peer: dispatched.server.id};
+		return err(verdict.isErr() ? verdict.error : createNotRun('unavailable', origin, 'the server did not become empty in time', ISOLATION_RETRY_MS));
 	}
 
 	async function place(request: RunRequest, progress: Progress): Promise<Result<Placed, Failure>> {
@@ -178,20 +188,32 @@
 			return err(verdict.error);
 		}
 
-		const isolation = verdict.value;
-		const dispatched = router.dispatch({...request.route, excluded: progress.excluded, alone: isolation === 'alone'}, now);
-		return isolation === 'alone' && dispatched.isOk()
-			? placeAlone(request, progress, dispatched.value)
-			: dispatched.map(value => ({dispatch: value, isolation}));
+		return verdict.value === 'alone'
+			? placeAlone(request, progress, Math.min(request.deadline, now + LONGEST_ISOLATION_MS), [])
+			: router.dispatch({...request.route, excluded: progress.excluded, alone: false}, now).map(dispatch => ({dispatch, isolation: 'shared'}));
+	}
+
+	/** A server that dies or stays busy does not end the request: others are tried, and those that others reserved are waited for. */
+	async function placeAlone(request: RunRequest, progress: Progress, until: number, skipped: readonly string[]): Promise<Result<Placed, Failure>> {
+		const dispatched = router.dispatch({...request.route, excluded: [...progress.excluded, ...skipped], alone: true}, clock.monotonic());
+		const isolated = dispatched.isOk() ? await isolate(request, dispatched.value, until) : dispatched;
+		const isOver = clock.monotonic() >= until || request.signal.aborted;
+		if (isolated.isOk() || isolated.error.code === 'suspect' || isOver) {
+			return isolated.map(dispatch => ({dispatch, isolation: 'alone'}));
+		}
+
+		if (dispatched.isOk()) {
+			return placeAlone(request, progress, until, [...skipped, dispatched.value.server.id]);
+		}
+
+		await loop.sleep(RESERVED_POLL_MS);
+		return placeAgain(request, progress, until);
 	}
 
-	/** A server that dies, or that others keep busy, does not end the request: the next one is tried while time allows. */
-	async function placeAlone(request: RunRequest, progress: Progress, dispatched: Dispatch): Promise<Result<Placed, Failure>> {
-		const isolated = await isolate(request, dispatched);
-		const excluded = [...progress.excluded, dispatched.server.id];
-		return isolated.isErr() && clock.monotonic() < request.deadline && excluded.length < LARGEST_EXCLUSION
-			? place(request, {...progress, excluded})
-			: isolated.map(value => ({dispatch: value, isolation: 'alone'}));
+	/** The request may have been refused for good while it waited. */
+	async function placeAgain(request: RunRequest, progress: Progress, until: number): Promise<Result<Placed, Failure>> {
+		const verdict = suspects.check(request.fingerprint, clock.monotonic());
+		return verdict.isErr() ? err(verdict.error) : placeAlone(request, progress, until, []);
 	}
 
 	function fail(progress: Progress, last: Failure): Failure {
@@ -223,7 +245,7 @@
 			maximumAttempts: parts.maximumAttempts,
 			now: clock.monotonic(),
 			deadline: request.deadline,
-			expectedRunMs: runMs.get(pool) ?? INITIAL_RUN_MS,
+			expectedRunMs: expectRunMs(pool),
 		}, budgetOf(pool));
 		metrics.count('requests.attempt_failed', 1, {pool, code: result.error.code, again: String(again)});
 		return again ? runFrom(request, next, call) : err(fail(next, result.error));
