--- a/bench/engine-model.ts
+++ b/bench/engine-model.ts
@@ -9,7 +9,7 @@
 import type {Loop} from '../src/kernel/common/loop.js';
 import {
 	Engine, type Chunk, type EngineOrder, type EngineStatus, type Generation, type GenerationRequest, type VersionRange,
-} from '../src/platform/common/engine.js';
+} from '../src/adapters/common/engine.js';
 
 export type EngineModelOptions = {
 	readonly id: string;
--- a/bench/rollout-deployment.ts
+++ b/bench/rollout-deployment.ts
@@ -4,7 +4,7 @@
  */
 import {ok} from 'neverthrow';
 import type {Holding} from '../src/leases/common/shards.js';
-import {createMemoryStore} from '../src/platform/common/memory-store.js';
+import {createMemoryStore} from '../src/adapters/common/memory-store.js';
 import {createGenerationRunner, type RunnerOptions} from '../src/rollouts/common/generation-runner.js';
 import {createEngineChoice} from '../src/rollouts/common/engine-choice.js';
 import {createLedgerKeeper} from '../src/rollouts/common/ledger-keeper.js';
--- a/bench/slopes/claims.ts
+++ b/bench/slopes/claims.ts
@@ -1,8 +1,8 @@
 /** Claims of idempotency keys at one shard: how many a second the owner grants, and with how many writes. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createSystemClock} from '../../src/base/node/system-clock.js';
-import {createMemoryStore} from '../../src/platform/common/memory-store.js';
-import {Store} from '../../src/platform/common/store.js';
+import {createMemoryStore} from '../../src/adapters/common/memory-store.js';
+import {Store} from '../../src/adapters/common/store.js';
 import type {ClaimRequest} from '../../src/requests/common/claims.js';
 import {createClaimOwner} from '../../src/requests/node/claim-owner.js';
 import {createSeededRandom} from '../../test/fakes/virtual-loop.js';
--- a/bench/slopes/front.ts
+++ b/bench/slopes/front.ts
@@ -8,7 +8,7 @@
 import {findFreePorts} from '../../src/base/node/free-ports.js';
 import {createOperatorClient} from '../../src/code/node/operator-client.js';
 import {silentLog} from '../../src/kernel/common/log.js';
-import {createHttpClient, type HttpClient} from '../../src/platform/node/http-client.js';
+import {createHttpClient, type HttpClient} from '../../src/adapters/node/http-client.js';
 import {createServiceStandin} from '../../src/standins/node/service-standin.js';
 import {measureCpuUs} from './measure.js';
 
--- a/bench/slopes/shares.ts
+++ b/bench/slopes/shares.ts
@@ -3,7 +3,7 @@
 import type {ShareLink} from '../../src/limits/common/share-link.js';
 import {createShareClient} from '../../src/limits/node/share-client.js';
 import {createShareOwner} from '../../src/limits/node/share-owner.js';
-import {createMemoryStore} from '../../src/platform/common/memory-store.js';
+import {createMemoryStore} from '../../src/adapters/common/memory-store.js';
 import {createSeededRandom, createVirtualTime} from '../../test/fakes/virtual-loop.js';
 import {createDefaultSettings} from './default-settings.js';
 import {measureCpuUs} from './measure.js';
--- a/bench/slopes/steps.ts
+++ b/bench/slopes/steps.ts
@@ -7,7 +7,7 @@
 } from '../../src/rollouts/common/ledger.js';
 import type {StepRequest} from '../../src/rollouts/common/step.js';
 import {createStepSchedule} from '../../src/rollouts/common/step-schedule.js';
-import {createHttpEngine} from '../../src/platform/node/http-engine.js';
+import {createHttpEngine} from '../../src/adapters/node/http-engine.js';
 import {measureCpuUs, readHeapBytes} from './measure.js';
 
 /** Cost of a step. */
--- a/bench/slopes/swaps.ts
+++ b/bench/slopes/swaps.ts
@@ -10,7 +10,7 @@
 import {createOperatorClient} from '../../src/code/node/operator-client.js';
 import {hashToHex} from '../../src/base/common/hash.js';
 import {silentLog} from '../../src/kernel/common/log.js';
-import {createHttpClient} from '../../src/platform/node/http-client.js';
+import {createHttpClient} from '../../src/adapters/node/http-client.js';
 import {checkSettings} from '../../src/settings/common/check.js';
 import {createEngineStandin} from '../../src/standins/node/engine-standin.js';
 import type {Listening, Standin} from '../../src/standins/node/standin-server.js';
--- a/bench/slopes/vm-list.ts
+++ b/bench/slopes/vm-list.ts
@@ -4,8 +4,8 @@
 import {create, toBinary} from '@bufbuild/protobuf';
 import {digestVms} from '../../src/membership/common/vm-directory.js';
 import {ReadVmsResponseSchema} from '../../src/peers/common/gen/rosemaryshore/membership/v1/vm_directory_pb.js';
-import type {Vm, VmList} from '../../src/platform/common/vm-list.js';
-import {createHttpVmList} from '../../src/platform/node/http-vm-list.js';
+import type {Vm, VmList} from '../../src/adapters/common/vm-list.js';
+import {createHttpVmList} from '../../src/adapters/node/http-vm-list.js';
 import {createVmListStandin} from '../../src/standins/node/vm-list-standin.js';
 import {measureCpuUs} from './measure.js';
 
--- a/src/platform/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -15,7 +15,7 @@
 	readonly method: string;
 	/** Path with query. */
 	readonly path: string;
-	readonly headers?: Readonly<Record<string, string>>;
+	readonly headers?: Readonly<Record<string, string | readonly string[]>>;
 	readonly body?: Uint8Array | string;
 	/** Time for the whole answer; undefined waits until the signal aborts. */
 	readonly timeoutMs?: number;
@@ -29,6 +29,10 @@
 	readonly onSent?: () => void;
 	/** Receives the body of a successful answer as it comes, in place of the answer's `body`. */
 	readonly onData?: (piece: Uint8Array) => void;
+	/** Inspects status and headers before the body is read. A text refuses the answer, and names the reason. */
+	readonly onHead?: (status: number, headers: IncomingHttpHeaders) => string | undefined;
+	/** Whether the orderly end of the connection may end an answer without a length; otherwise such an answer is incomplete. */
+	readonly acceptsConnectionEnd?: boolean;
 };
 
 /** A whole HTTP answer. */
@@ -68,6 +72,12 @@
 
 function receive(response: IncomingMessage, call: HttpCall, onDone: (answer: HttpAnswer) => void, onBroken: (message: string) => void): void {
 	const status = response.statusCode ?? 0;
+	const refusal = call.onHead?.(status, response.headers);
+	if (refusal !== undefined) {
+		onBroken(refusal);
+		return;
+	}
+
 	const pieces: Uint8Array[] = [];
 	let length = 0;
 	response.on('data', (piece: Uint8Array) => {
@@ -86,7 +96,7 @@
 		onBroken(error.message);
 	});
 	response.on('close', () => {
-		if (response.complete && isDelimited(response)) {
+		if (response.complete && (call.acceptsConnectionEnd === true || isDelimited(response))) {
 			onDone({status, headers: response.headers, body: Buffer.concat(pieces)});
 			return;
 		}
--- a/src/audit/audit.contribution.ts
+++ b/src/audit/audit.contribution.ts
@@ -1,7 +1,7 @@
 /** Provides the daemon's audit trail. */
 import {formatFailure} from '../base/common/failure.js';
 import {registerContribution} from '../kernel/common/registry.js';
-import {storeKey} from '../platform/common/store.js';
+import {storeKey} from '../adapters/common/store.js';
 import {settingsKey} from '../settings/common/settings.js';
 import {auditKey} from './common/audit.js';
 import {createAuditService} from './common/audit-service.js';
--- a/src/audit/common/audit-service.ts
+++ b/src/audit/common/audit-service.ts
@@ -8,8 +8,8 @@
 import {formatFailure, type Failure} from '../../base/common/failure.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
-import {writeSettled} from '../../platform/common/settled-write.js';
-import type {Store, StoredObject} from '../../platform/common/store.js';
+import {writeSettled} from '../../adapters/common/settled-write.js';
+import type {Store, StoredObject} from '../../adapters/common/store.js';
 import {
 	createAuditQueue, listHours, type AuditBatch,
 } from './audit-queue.js';
--- a/src/audit/test/audit-service.test.ts
+++ b/src/audit/test/audit-service.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import {createSeededRandom, createVirtualTime} from '../../../test/fakes/virtual-loop.js';
 import {silentLog} from '../../kernel/common/log.js';
-import {createMemoryStore, type StoreFault} from '../../platform/common/memory-store.js';
+import {createMemoryStore, type StoreFault} from '../../adapters/common/memory-store.js';
 import {createAuditService} from '../common/audit-service.js';
 
 const test = suite('audit trail');
--- /dev/null
+++ b/src/batches/batches.contribution.ts
@@ -0,0 +1,46 @@
+/** Registers batches: accepted at any daemon, run by one owner, stored before they are shown. */
+import PQueue from 'p-queue';
+import {objectApiKey} from '../adapters/common/object-api.js';
+import {joinDisposables} from '../base/common/disposable.js';
+import {gatewayKey} from '../gateway/gateway.contribution.js';
+import {serverProtocolKey} from '../gateway/common/server-protocol.js';
+import {registerContribution} from '../kernel/common/registry.js';
+import {peerMeshKey} from '../peers/common/peer-mesh.js';
+import {hostKey} from '../settings/common/host.js';
+import {batchesKey} from './common/batches.js';
+import {createServerPace} from './common/server-pace.js';
+import {BATCH_TICK_MS, createBatchService} from './node/batch-service.js';
+
+/** Scoring calls that one daemon has under way, so that they leave room for callers' own requests. */
+const CONCURRENT_SCORING = 8;
+
+registerContribution({
+	id: 'batches',
+	requires: ['hosted-platform', 'objects', 'gateway'],
+	start(context) {
+		const host = context.use(hostKey);
+		if (host.callers === undefined) {
+			return {dispose: () => undefined};
+		}
+
+		const gateway = context.use(gatewayKey);
+		const service = createBatchService({
+			...context,
+			...gateway,
+			protocol: context.use(serverProtocolKey),
+			api: context.use(objectApiKey),
+			mesh: context.use(peerMeshKey),
+			pace: createServerPace(),
+			scoring: new PQueue({concurrency: CONCURRENT_SCORING}),
+			retentionMs: 2 * host.bounds.resultRetentionMs,
+		});
+		context.provide(batchesKey, service);
+		gateway.view.onDidChange(() => {
+			service.tick(context.clock.monotonic());
+		});
+		return {
+			...joinDisposables([context.loop.every({name: 'batches', periodMs: BATCH_TICK_MS, run: service.tick})]),
+			drain: service.handOver,
+		};
+	},
+});
--- /dev/null
+++ b/src/batches/common/batch-log.ts
@@ -0,0 +1,69 @@
+/**
+ * The log of one batch, as read from the store. The store creates each record once, so that all daemons see the same
+ * results at the same positions, whoever wrote them; a daemon that lost the batch learns so at its next append.
+ */
+import type {PeerDaemon} from '../../peers/common/peer-mesh.js';
+import type {ItemResult, LogRecord, ResultPage} from './batch.js';
+
+/** The state that the records of a log add up to. */
+export type BatchLog = {
+	/** Number of records, which is the place of the next one. */
+	readonly length: () => number;
+	readonly apply: (record: LogRecord) => void;
+	readonly results: () => readonly ItemResult[];
+	readonly isListed: (itemId: string) => boolean;
+	readonly isEnded: () => boolean;
+	/** The newest owner. */
+	readonly owner: () => PeerDaemon;
+	readonly page: (after: number, total: number) => ResultPage;
+};
+
+/** Most text of one page, in characters; the platform allows a megabyte. */
+const LARGEST_PAGE = 700_000;
+
+/** Creates the log of a batch without records. */
+export function createBatchLog(firstOwner: PeerDaemon): BatchLog {
+	const results: ItemResult[] = [];
+	const listed = new Set<string>();
+	let length = 0;
+	let owner = firstOwner;
+	let ended = false;
+
+	function applyResults(added: readonly ItemResult[]): void {
+		// An item that two owners finished keeps its first place.
+		added.filter(result => !listed.has(result.id)).forEach(result => {
+			listed.add(result.id);
+			results.push(result);
+		});
+	}
+
+	return {
+		length: () => length,
+		apply(record) {
+			length += 1;
+			if (record.type === 'results') {
+				applyResults(record.results);
+			} else if (record.type === 'owner') {
+				owner = record.owner;
+			} else {
+				ended = true;
+			}
+		},
+		results: () => results,
+		isListed: itemId => listed.has(itemId),
+		isEnded: () => ended,
+		owner: () => owner,
+		page(after, total) {
+			const rest = results.slice(after);
+			const sizes = rest.map(result => result.text.length);
+			const count = sizes.findIndex((_, index) => index > 0 && sizes.slice(0, index + 1).reduce((sum, size) => sum + size, 0) > LARGEST_PAGE);
+			const page = count === -1 ? rest : rest.slice(0, count);
+			return {total, next: after + page.length, results: page};
+		},
+	};
+}
+
+/** Name of a record: names sort in the order of records. */
+export function nameOfRecord(place: number): string {
+	return String(place).padStart(6, '0');
+}
--- /dev/null
+++ b/src/batches/common/batch.ts
@@ -0,0 +1,76 @@
+/** Batches: many generations that a trainer submits at once, runs in the background, and reads as they complete. */
+import type {PeerDaemon} from '../../peers/common/peer-mesh.js';
+
+/** A scoring call that follows a complete generation. */
+export type ScoringCall = {
+	readonly requestId: string;
+	readonly host: string;
+	readonly path: string;
+	/** Base64. */
+	readonly body: string;
+};
+
+/** One generation of a batch. */
+export type BatchItem = {
+	readonly id: string;
+	/** Items of one group share their prompt; a group is of use once all of its items are complete. */
+	readonly group: string;
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string>>;
+	/** Base64. */
+	readonly body: string;
+	/** Output tokens that the trainer expects; undefined when it does not say. */
+	readonly expectedTokens: number | undefined;
+	readonly scoring: ScoringCall | undefined;
+};
+
+/** A batch as it was submitted. */
+export type Batch = {
+	readonly id: string;
+	readonly host: string;
+	readonly path: string;
+	readonly model: string;
+	/** Oldest weight version that may generate any part of a sample. */
+	readonly oldestVersion: number;
+	/** Complete groups that end the step. */
+	readonly targetGroups: number;
+	readonly items: readonly BatchItem[];
+};
+
+/** The outcome of one item. Position and content never change once it is stored. */
+export type ItemResult = {
+	readonly id: string;
+	readonly isDone: boolean;
+	readonly text: string;
+	readonly versions: readonly number[];
+	readonly score: string | undefined;
+};
+
+/** A page of results, from a position on. */
+export type ResultPage = {
+	readonly total: number;
+	readonly next: number;
+	readonly results: readonly ItemResult[];
+};
+
+/** Text generated so far, with which another run goes on. */
+export type PartialText = {
+	readonly itemId: string;
+	readonly lastEventId: number;
+	readonly pieces: readonly string[];
+	readonly versions: readonly number[];
+};
+
+/** A batch as it is stored with its first owner. */
+export type StoredBatch = {
+	readonly owner: PeerDaemon;
+	/** Unix time in milliseconds, by the clock of the daemon that accepted it. */
+	readonly acceptedAt: number;
+	readonly batch: Batch;
+};
+
+/** A record of a batch's log. Records are created once, in sequence; a second writer of a place is refused by the store. */
+export type LogRecord
+	= | {readonly type: 'results'; readonly writeId: string; readonly results: readonly ItemResult[]}
+		| {readonly type: 'owner'; readonly writeId: string; readonly owner: PeerDaemon}
+		| {readonly type: 'end'; readonly writeId: string};
--- /dev/null
+++ b/src/batches/node/batch-owner.ts
@@ -0,0 +1,283 @@
+/** Owns one batch: runs its items, scores them, and writes results to the batch's log until the batch ends or is lost. */
+import {Buffer} from 'node:buffer';
+import type PQueue from 'p-queue';
+import type {Result} from 'neverthrow';
+import type {Disposable} from '../../base/common/disposable.js';
+import type {Failure} from '../../base/common/failure.js';
+import type {DeploymentHolder, Route} from '../../gateway/common/deployment.js';
+import type {Forwarder} from '../../gateway/node/forwarder.js';
+import type {
+	Batch, BatchItem, ItemResult, LogRecord, PartialText, ScoringCall,
+} from '../common/batch.js';
+import type {BatchLog} from '../common/batch-log.js';
+import {countCompleteGroups, isWorthWriting, orderItems} from '../common/run-order.js';
+import {
+	createGenerationRun, type GenerationEnd, type GenerationParts, type GenerationRun,
+} from './generation-runner.js';
+import type {LogWriter} from './log-writer.js';
+
+/** The owner of one batch. */
+export type BatchOwner = Disposable & {
+	/** Starts what has room; called when servers, versions or loads may have changed. */
+	readonly pump: (now: number) => void;
+	/** Stops all runs; returns the text so far for another owner. */
+	readonly release: () => readonly PartialText[];
+	readonly isActive: () => boolean;
+	/** Items that neither are stored nor under way. */
+	readonly waiting: () => number;
+};
+
+/** What an owner works with. */
+export type OwnerParts = Omit<GenerationParts, 'log'> & {
+	readonly log: GenerationParts['log'];
+	readonly deployment: DeploymentHolder;
+	readonly forwarder: Forwarder;
+	/** Bounds the scoring calls of the daemon. */
+	readonly scoring: PQueue;
+	readonly batchLog: BatchLog;
+	readonly writer: LogWriter;
+	/** Monotonic time at which this daemon learned of the batch. */
+	readonly knownSince: number;
+	readonly partials: readonly PartialText[];
+};
+
+type ItemState = {
+	readonly item: BatchItem;
+	readonly run: GenerationRun;
+	phase: 'waiting' | 'running' | 'finished';
+};
+
+/** The log is read again before a start when the store has not confirmed it for this long, in milliseconds. */
+const CONFIRM_MS = 1000;
+/** Pause before a failed write is tried again. */
+const WRITE_RETRY_MS = 300;
+/** Pause before a failed scoring call is tried again. */
+const SCORING_RETRY_MS = 150;
+/** Deadline of a scoring call whose route is not known. */
+const SCORING_DEADLINE_MS = 2000;
+const STATUS_FAILED = 500;
+
+/** Starts to own a batch. */
+export function createBatchOwner(batch: Batch, parts: OwnerParts): BatchOwner {
+	const {
+		deployment, forwarder, scoring, batchLog, writer, clock, loop, log,
+	} = parts;
+	const stop = new AbortController();
+	const unwritten = new Map<string, ItemResult>();
+	let oldestUnwrittenAt = 0;
+	let isWriting = false;
+	let isConfirming = false;
+	/** A read that failed counts too: without the store nobody can end or take over the batch either. */
+	let confirmTriedAt = Number.NEGATIVE_INFINITY;
+	const itemRoute = (item: BatchItem): Route | undefined => deployment.findRoute(batch.host, item.path) ?? deployment.findRoute(batch.host, batch.path);
+
+	const states: readonly ItemState[] = orderItems(batch.items).map(item => ({
+		item,
+		run: createGenerationRun(batch, item, () => itemRoute(item), parts, parts.partials.find(partial => partial.itemId === item.id)),
+		phase: batchLog.isListed(item.id) ? 'finished' : 'waiting',
+	}));
+
+	const isFinished = (itemId: string): boolean => batchLog.isListed(itemId) || unwritten.has(itemId);
+
+	function isLost(): boolean {
+		return stop.signal.aborted || batchLog.isEnded();
+	}
+
+	function timing(now: number) {
+		const written = countCompleteGroups(batch.items, itemId => batchLog.isListed(itemId));
+		return {
+			waitedMs: now - oldestUnwrittenAt,
+			completesGroup: countCompleteGroups(batch.items, isFinished) > written,
+			isLast: states.every(state => isFinished(state.item.id)),
+		};
+	}
+
+	function buildRecord(writeId: string): LogRecord | undefined {
+		const results = [...unwritten.values()].filter(result => !batchLog.isListed(result.id));
+		return results.length === 0 || isLost() ? undefined : {type: 'results', writeId, results};
+	}
+
+	async function write(): Promise<void> {
+		isWriting = true;
+		const written = await writer.append(buildRecord);
+		isWriting = false;
+		[...unwritten.keys()].filter(itemId => batchLog.isListed(itemId)).forEach(itemId => {
+			unwritten.delete(itemId);
+		});
+		oldestUnwrittenAt = clock.monotonic();
+		if (written.isErr()) {
+			log.warn('results not stored yet', {
+				batchId: batch.id, results: unwritten.size, code: written.error.code, reason: written.error.message,
+			});
+			loop.after(WRITE_RETRY_MS, writeIfWorth);
+			return;
+		}
+
+		writeIfWorth(clock.monotonic());
+	}
+
+	function writeIfWorth(now: number): void {
+		if (isWriting || unwritten.size === 0 || isLost() || !isWorthWriting(timing(now))) {
+			return;
+		}
+
+		void write();
+	}
+
+	function finish(state: ItemState, result: Omit<ItemResult, 'id'>): void {
+		state.phase = 'finished';
+		if (batchLog.isListed(state.item.id) || isLost()) {
+			return;
+		}
+
+		oldestUnwrittenAt = unwritten.size === 0 ? clock.monotonic() : oldestUnwrittenAt;
+		unwritten.set(state.item.id, {id: state.item.id, ...result});
+		writeIfWorth(clock.monotonic());
+	}
+
+	async function callScorer(call: ScoringCall, route: Route): Promise<Result<{readonly status: number; readonly score: string | undefined}, Failure>> {
+		const answer = await forwarder.forward({
+			requestId: call.requestId,
+			method: 'POST',
+			path: call.path,
+			headers: {Host: call.host},
+			body: Buffer.from(call.body, 'base64'),
+			// Each answer counts, so the repeats are made here.
+			route: {...route, attempts: 1},
+			deadlineAt: clock.monotonic() + (route.timeoutMs > 0 ? route.timeoutMs : SCORING_DEADLINE_MS),
+			signal: stop.signal,
+			urgency: undefined,
+		});
+		return answer.map(({status, head}) => ({status, score: head.signature}));
+	}
+
+	/** Repeats a scoring call until it succeeds; resolves with undefined when it failed for good or the batch was lost. */
+	async function score(call: ScoringCall, failures = 0): Promise<string | undefined> {
+		if (isLost()) {
+			return undefined;
+		}
+
+		const route = deployment.findRoute(call.host, call.path);
+		const answer = route === undefined ? undefined : await scoring.add(async () => callScorer(call, route));
+		const outcome = answer?.unwrapOr(undefined);
+		if (outcome !== undefined && outcome.status >= 200 && outcome.status < 300 && outcome.score !== undefined) {
+			return outcome.score;
+		}
+
+		const failed = failures + (outcome?.status === STATUS_FAILED ? 1 : 0);
+		log.info('scoring call failed', {
+			batchId: batch.id, requestId: call.requestId, status: outcome?.status, failures: failed,
+		});
+		if (route !== undefined && failed >= route.attempts) {
+			return undefined;
+		}
+
+		await loop.sleep(SCORING_RETRY_MS);
+		return score(call, failed);
+	}
+
+	async function conclude(state: ItemState, end: GenerationEnd): Promise<void> {
+		if (end.kind === 'impossible') {
+			log.info('item can not be done', {batchId: batch.id, itemId: state.item.id, reason: end.reason});
+			finish(state, {
+				isDone: false, text: '', versions: [], score: undefined,
+			});
+			return;
+		}
+
+		if (end.kind !== 'complete') {
+			state.phase = end.kind === 'waiting' ? 'waiting' : 'finished';
+			return;
+		}
+
+		const {text, versions} = end;
+		const {scoring: call} = state.item;
+		const given = call === undefined ? undefined : await score(call);
+		const isDone = call === undefined || given !== undefined;
+		finish(state, {
+			isDone, text: isDone ? text : '', versions: isDone ? versions : [], score: given,
+		});
+	}
+
+	function startItem(state: ItemState): void {
+		state.phase = 'running';
+		void state.run.run().then(async end => {
+			const concluded = conclude(state, end);
+			pump(clock.monotonic());
+			await concluded;
+		}).catch((error: unknown) => {
+			log.error('run failed', {batchId: batch.id, itemId: state.item.id, error: String(error)});
+			state.phase = 'waiting';
+		});
+	}
+
+	function confirm(): void {
+		if (isConfirming) {
+			return;
+		}
+
+		isConfirming = true;
+		void writer.catchUp().then(caughtUp => {
+			isConfirming = false;
+			confirmTriedAt = clock.monotonic();
+			if (caughtUp.isErr()) {
+				log.info('batch log not confirmed', {batchId: batch.id, code: caughtUp.error.code, reason: caughtUp.error.message});
+			}
+
+			startWaiting(clock.monotonic());
+		});
+	}
+
+	function startWaiting(now: number): void {
+		if (isLost()) {
+			return;
+		}
+
+		states.filter(state => state.phase === 'waiting').some(state => {
+			const hasRoom = state.run.hasRoom(now);
+			if (hasRoom) {
+				startItem(state);
+			}
+
+			return !hasRoom;
+		});
+	}
+
+	function pump(now: number): void {
+		if (isLost() || !states.some(state => state.phase === 'waiting')) {
+			return;
+		}
+
+		if (now - Math.max(confirmTriedAt, writer.confirmedAt()) > CONFIRM_MS) {
+			confirm();
+			return;
+		}
+
+		startWaiting(now);
+	}
+
+	function stopRuns(): void {
+		stop.abort();
+		states.forEach(state => {
+			state.run.stop();
+		});
+	}
+
+	return {
+		pump(now) {
+			states.filter(state => state.phase === 'running').forEach(state => {
+				state.run.moveIfSlow(now);
+			});
+			writeIfWorth(now);
+			pump(now);
+		},
+		release() {
+			const partials = states.filter(state => state.phase !== 'finished').map(state => state.run.partial()).filter(partial => partial.lastEventId > 0);
+			stopRuns();
+			return partials;
+		},
+		isActive: () => !isLost() && states.some(state => !batchLog.isListed(state.item.id)),
+		waiting: () => states.filter(state => state.phase === 'waiting').length,
+		dispose: stopRuns,
+	};
+}
--- a/src/code/node/contributions.ts
+++ b/src/code/node/contributions.ts
@@ -1,6 +1,6 @@
 /** All features of the daemon. Importing a `contribution` module registers it with the kernel. */
 import '../../persistence/persistence.contribution.js';
-import '../../platform/platform.contribution.js';
+import '../../adapters/adapters.contribution.js';
 import '../../peers/peers.contribution.js';
 import '../../audit/audit.contribution.js';
 import '../../membership/membership.contribution.js';
--- a/src/code/node/demo/demo.ts
+++ b/src/code/node/demo/demo.ts
@@ -5,8 +5,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../../base/common/failure.js';
-import {createStatusFailure} from '../../../platform/node/http-answers.js';
-import {createHttpClient} from '../../../platform/node/http-client.js';
+import {createStatusFailure} from '../../../adapters/node/http-answers.js';
+import {createHttpClient} from '../../../adapters/node/http-client.js';
 import {createTrainerStandin, type TrainerRecord} from '../../../standins/node/trainer-standin.js';
 import {listFeatures} from '../contributions.js';
 import {startDaemon, type Daemon} from '../daemon.js';
--- a/src/code/node/demo/platform.ts
+++ b/src/code/node/demo/platform.ts
@@ -2,9 +2,9 @@
 import {err, ok, type Result} from 'neverthrow';
 import {joinDisposables, type Disposable} from '../../../base/common/disposable.js';
 import type {Failure} from '../../../base/common/failure.js';
-import {createStatusFailure} from '../../../platform/node/http-answers.js';
-import {createHttpClient} from '../../../platform/node/http-client.js';
-import type {Vm} from '../../../platform/common/vm-list.js';
+import {createStatusFailure} from '../../../adapters/node/http-answers.js';
+import {createHttpClient} from '../../../adapters/node/http-client.js';
+import type {Vm} from '../../../adapters/common/vm-list.js';
 import {createEngineStandin, type StreamEntry} from '../../../standins/node/engine-standin.js';
 import {createScorerStandin} from '../../../standins/node/scorer-standin.js';
 import {createServiceStandin} from '../../../standins/node/service-standin.js';
--- a/src/code/node/demo/world.ts
+++ b/src/code/node/demo/world.ts
@@ -1,7 +1,7 @@
 /** Names and sizes of the demo, and the settings and lists of its daemons. */
 import {hashToHex} from '../../../base/common/hash.js';
 import type {Lists} from '../../../plans/common/lists.js';
-import type {Vm} from '../../../platform/common/vm-list.js';
+import type {Vm} from '../../../adapters/common/vm-list.js';
 import {checkSettings} from '../../../settings/common/check.js';
 import type {Settings} from '../../../settings/common/settings.js';
 
--- a/src/code/node/operator-client.ts
+++ b/src/code/node/operator-client.ts
@@ -5,8 +5,8 @@
 	createNotRun, createOutcomeUnknown, type Failure, readFailureCode,
 } from '../../base/common/failure.js';
 import {listsSchema, type Lists, type VersionedLists} from '../../plans/common/lists.js';
-import {createHttpClient} from '../../platform/node/http-client.js';
-import type {HttpAnswer} from '../../platform/node/http-exchange.js';
+import {createHttpClient} from '../../adapters/node/http-client.js';
+import type {HttpAnswer} from '../../adapters/node/http-exchange.js';
 
 /** Where the daemon is and who is asking. */
 export type OperatorAccess = {
--- a/src/code/test/operator-routes.test.ts
+++ b/src/code/test/operator-routes.test.ts
@@ -3,7 +3,7 @@
 import {hashToHex} from '../../base/common/hash.js';
 import {findFreePorts} from '../../base/node/free-ports.js';
 import {silentLog} from '../../kernel/common/log.js';
-import {createHttpClient} from '../../platform/node/http-client.js';
+import {createHttpClient} from '../../adapters/node/http-client.js';
 import {checkSettings} from '../../settings/common/check.js';
 import {listFeatures} from '../node/contributions.js';
 import {startDaemon} from '../node/daemon.js';
--- /dev/null
+++ b/src/gateway/gateway.contribution.ts
@@ -0,0 +1,139 @@
+/** Registers the gateway: the configuration and the backend servers as the object API holds them, and the way to servers. */
+import {objectApiKey} from '../adapters/common/object-api.js';
+import {joinDisposables} from '../base/common/disposable.js';
+import {createServiceKey, type Context} from '../kernel/common/contribution.js';
+import {registerContribution} from '../kernel/common/registry.js';
+import {followKind} from '../objects/common/kind-follower.js';
+import {createDispatcher, type Dispatcher} from '../routing/common/dispatcher.js';
+import {createLoadEstimate, type LoadEstimate} from '../routing/common/load-estimate.js';
+import {createPrefixIndex} from '../routing/common/prefix-index.js';
+import {hostKey} from '../settings/common/host.js';
+import {createDeploymentHolder, type DeploymentHolder} from './common/deployment.js';
+import {deploymentSourceKey} from './common/deployment-source.js';
+import {serverProtocolKey} from './common/server-protocol.js';
+import {createServerView, type ServerView} from './common/server-view.js';
+import {createForwarder, type Forwarder} from './node/forwarder.js';
+import {createServerCaller, type ServerCaller} from './node/server-caller.js';
+import {createStreamForwarder, type StreamForwarder} from './node/stream-forwarder.js';
+
+/** The gateway of one daemon. */
+export type Gateway = {
+	readonly deployment: DeploymentHolder;
+	readonly view: ServerView;
+	readonly loads: LoadEstimate;
+	readonly dispatcher: Dispatcher;
+	readonly caller: ServerCaller;
+	readonly forwarder: Forwarder;
+	readonly streams: StreamForwarder;
+};
+
+/** The daemon's gateway. */
+export const gatewayKey = createServiceKey<Gateway>('gateway');
+
+/** Longest wait of a poll for configurations: a connection that went silent is noticed after it. */
+const CONFIGURATION_WAIT_MS = 3500;
+const CONFIGURATION_GATHER_MS = 50;
+/** Longest wait of a poll for server entries, and shortest time between polls: half of the time to leave a leaving server. */
+const SERVERS_WAIT_MS = 1000;
+const SERVERS_GATHER_MS = 1200;
+const EXPIRE_MS = 250;
+/** Prompt prefixes whose engine is remembered. */
+const REMEMBERED_PREFIXES = 2000;
+/** Weights in the choice of a server: prompts are read fast, and links between regions cost time and money. */
+const WEIGHTS = {prefillMsPerToken: 0.03, crossRegionMs: 25, crossRegionMsPerKilobyte: 3};
+
+function createGateway(context: Context): Gateway {
+	const host = context.use(hostKey);
+	const protocol = context.use(serverProtocolKey);
+	const deployment = createDeploymentHolder();
+	const view = createServerView(zone => host.regionByZone[zone]);
+	const loads = createLoadEstimate(serverId => view.find(serverId)?.slots ?? 1);
+	const dispatcher = createDispatcher({
+		table: view.table, loads, prefixes: createPrefixIndex(REMEMBERED_PREFIXES), weights: WEIGHTS, ownRegion: host.region, random: context.random, reservedElsewhere: () => false,
+	});
+	const caller = createServerCaller(protocol);
+	const forwarder = createForwarder({
+		...context, dispatcher, loads, caller,
+	});
+	const streams = createStreamForwarder({
+		...context, dispatcher, caller, protocol,
+	});
+	return {
+		deployment, view, loads, dispatcher, caller, forwarder, streams,
+	};
+}
+
+function followConfiguration(context: Context, gateway: Gateway) {
+	const source = context.use(deploymentSourceKey);
+	return followKind({
+		kind: source.configurationKind,
+		waitMs: CONFIGURATION_WAIT_MS,
+		gatherMs: CONFIGURATION_GATHER_MS,
+		onObjects(objects) {
+			const read = source.readDeployment(objects);
+			if (typeof read === 'string') {
+				context.log.warn('configuration can not be read', {problem: read, inForce: gateway.deployment.current()?.version});
+			} else if (read !== undefined && gateway.deployment.offer(read)) {
+				context.log.info('configuration in force', {version: read.version, routes: read.routes.length, pools: read.pools.length});
+			}
+		},
+	}, {...context, api: context.use(objectApiKey)});
+}
+
+function followServers(context: Context, gateway: Gateway) {
+	const source = context.use(deploymentSourceKey);
+	const problems = new Map<string, string>();
+	return followKind({
+		kind: source.serverKind,
+		waitMs: SERVERS_WAIT_MS,
+		gatherMs: SERVERS_GATHER_MS,
+		onObjects(objects, now) {
+			const entries = [...objects.values()].flatMap(object => {
+				const entry = source.readServer(object);
+				if (typeof entry !== 'string') {
+					return entry;
+				}
+
+				if (problems.get(object.name) !== entry) {
+					problems.set(object.name, entry);
+					context.log.warn('entry of a backend server can not be read', {name: object.name, problem: entry});
+				}
+
+				return [];
+			});
+			const before = new Map(gateway.view.all().map(entry => [entry.id, entry.isLeaving]));
+			gateway.view.update(entries, now);
+			const after = new Map(gateway.view.all().map(entry => [entry.id, entry.isLeaving]));
+			const came = [...after.keys()].filter(id => !before.has(id));
+			const gone = [...before.keys()].filter(id => !after.has(id));
+			const leaving = [...after].filter(([id, isLeaving]) => isLeaving && before.get(id) === false).map(([id]) => id);
+			if (came.length + gone.length + leaving.length > 0) {
+				context.log.info('backend servers changed', {
+					came, gone, leaving, known: after.size,
+				});
+			}
+		},
+		onReach(isReached, now) {
+			gateway.view.noteReach(isReached, now);
+		},
+	}, {...context, api: context.use(objectApiKey)});
+}
+
+registerContribution({
+	id: 'gateway',
+	requires: ['hosted-platform', 'objects'],
+	start(context) {
+		if (context.use(hostKey).callers === undefined) {
+			return {dispose: () => undefined};
+		}
+
+		const gateway = createGateway(context);
+		context.provide(gatewayKey, gateway);
+		return joinDisposables([
+			{dispose: gateway.caller.close},
+			followConfiguration(context, gateway),
+			followServers(context, gateway),
+			context.loop.every({name: 'expire servers', periodMs: EXPIRE_MS, run: gateway.view.expire}),
+		]);
+	},
+});
--- a/src/index.ts
+++ b/src/index.ts
@@ -13,10 +13,10 @@
 export type {Failure, FailureCode, Effect} from './base/common/failure.js';
 export {
 	adaptersKey, type Adapters, type AdapterTable, type RemotePeer,
-} from './platform/common/adapters.js';
-export {Engine} from './platform/common/engine.js';
-export {Service} from './platform/common/service.js';
-export {Scorer} from './platform/common/scorer.js';
-export {Store} from './platform/common/store.js';
-export {VmList} from './platform/common/vm-list.js';
-export {WeightStore} from './platform/common/weight-store.js';
+} from './adapters/common/adapters.js';
+export {Engine} from './adapters/common/engine.js';
+export {Service} from './adapters/common/service.js';
+export {Scorer} from './adapters/common/scorer.js';
+export {Store} from './adapters/common/store.js';
+export {VmList} from './adapters/common/vm-list.js';
+export {WeightStore} from './adapters/common/weight-store.js';
--- a/src/leases/common/lease-record.ts
+++ b/src/leases/common/lease-record.ts
@@ -1,6 +1,6 @@
 /** The stored form of a lease: one object of kind `lease` per shard. */
 import {z} from 'zod';
-import type {StoredObject} from '../../platform/common/store.js';
+import type {StoredObject} from '../../adapters/common/store.js';
 
 const leaseRecord = z.looseObject({
 	daemonId: z.string(),
--- a/src/leases/common/shards-service.ts
+++ b/src/leases/common/shards-service.ts
@@ -6,8 +6,8 @@
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {Member, Membership} from '../../membership/common/membership.js';
-import {writeSettled} from '../../platform/common/settled-write.js';
-import type {Store, StoredObject} from '../../platform/common/store.js';
+import {writeSettled} from '../../adapters/common/settled-write.js';
+import type {Store, StoredObject} from '../../adapters/common/store.js';
 import {
 	createLeaseDecider, type LeaseCandidate, type LeaseDecider, type LeaseRole, type LeaseTimes, type LeaseWrite,
 } from './lease-decider.js';
--- a/src/leases/common/store-reach.ts
+++ b/src/leases/common/store-reach.ts
@@ -6,8 +6,8 @@
 import type {Disposable} from '../../base/common/disposable.js';
 import type {FailureCode} from '../../base/common/failure.js';
 import type {Membership, Rumor} from '../../membership/common/membership.js';
-import type {Store} from '../../platform/common/store.js';
-import {wrapStore} from '../../platform/common/wrapped-store.js';
+import type {Store} from '../../adapters/common/store.js';
+import {wrapStore} from '../../adapters/common/wrapped-store.js';
 
 /** What the reach of a daemon rests on. */
 export type StoreReachOptions = {
--- a/src/limits/common/vanished-daemons.ts
+++ b/src/limits/common/vanished-daemons.ts
@@ -3,7 +3,7 @@
  * port. The list lags, so a VM counts as gone only if it was listed before and has been missing for some time. A frozen or
  * unreachable daemon does not refuse connections, so it never counts as gone.
  */
-import type {Vm} from '../../platform/common/vm-list.js';
+import type {Vm} from '../../adapters/common/vm-list.js';
 
 /** What a connection to a daemon's peer port showed. */
 export type PortState = 'open' | 'refused' | 'unknown';
--- a/src/limits/limits.contribution.ts
+++ b/src/limits/limits.contribution.ts
@@ -6,7 +6,7 @@
 import {membershipKey} from '../membership/common/membership.js';
 import {peersKey} from '../peers/common/peers.js';
 import {configurationKey} from '../plans/common/configuration.js';
-import {storeKey} from '../platform/common/store.js';
+import {storeKey} from '../adapters/common/store.js';
 import {settingsKey} from '../settings/common/settings.js';
 import {admissionKey} from './common/admission.js';
 import {capacityKey, createCapacity} from './common/capacity.js';
--- a/src/limits/node/share-owner.ts
+++ b/src/limits/node/share-owner.ts
@@ -3,8 +3,8 @@
 import type {Clock} from '../../base/common/clock.js';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import type {Holding, Shards} from '../../leases/common/shards.js';
-import {writeSettled} from '../../platform/common/settled-write.js';
-import type {Store, WriteId} from '../../platform/common/store.js';
+import {writeSettled} from '../../adapters/common/settled-write.js';
+import type {Store, WriteId} from '../../adapters/common/store.js';
 import type {ShareAnswer} from '../common/share-holder.js';
 import {createShareLedger, type Renewal, type ShareLedger} from '../common/share-ledger.js';
 
--- a/src/limits/test/harness/share-schedules.ts
+++ b/src/limits/test/harness/share-schedules.ts
@@ -1,7 +1,7 @@
 /** Random schedules of faults over daemons that share a grant. */
 import type {Random} from '../../../base/common/random.js';
 import type {Grant} from '../../../plans/common/lists.js';
-import {Store} from '../../../platform/common/store.js';
+import {Store} from '../../../adapters/common/store.js';
 import {createSeededRandom} from '../../../../test/fakes/virtual-loop.js';
 import {checkGrant, checkTokens} from './share-check.js';
 import {
--- a/src/membership/common/vm-changes.ts
+++ b/src/membership/common/vm-changes.ts
@@ -1,5 +1,5 @@
 /** The difference between two VM lists, so that a daemon that has the older one is sent only what changed. */
-import type {Vm} from '../../platform/common/vm-list.js';
+import type {Vm} from '../../adapters/common/vm-list.js';
 
 /** What turns an older list into a newer one. */
 export type VmChanges = {
--- a/src/membership/common/vm-directory.ts
+++ b/src/membership/common/vm-directory.ts
@@ -9,7 +9,7 @@
 import {hashToHex, rankByRendezvous} from '../../base/common/hash.js';
 import {createServiceKey} from '../../kernel/common/contribution.js';
 import type {PeerAddress} from '../../peers/common/peers.js';
-import {VmList, type Vm} from '../../platform/common/vm-list.js';
+import {VmList, type Vm} from '../../adapters/common/vm-list.js';
 import type {Member, Membership} from './membership.js';
 import {
 	applyVmChanges, findVmChanges, rowOfVm, type VmChanges,
--- a/src/membership/membership.contribution.ts
+++ b/src/membership/membership.contribution.ts
@@ -4,7 +4,7 @@
 import {registerContribution} from '../kernel/common/registry.js';
 import {peersKey, type PeerAddress} from '../peers/common/peers.js';
 import {snapshotsKey} from '../persistence/common/snapshots.js';
-import {vmListKey, type VmList} from '../platform/common/vm-list.js';
+import {vmListKey, type VmList} from '../adapters/common/vm-list.js';
 import {regionOf, settingsKey, type Settings} from '../settings/common/settings.js';
 import {PROTOCOL_VERSION} from './common/member-record.js';
 import {chooseIncarnation, parseMemberSnapshot, renderMemberSnapshot} from './common/member-snapshot.js';
--- a/src/membership/node/connect-vm-link.ts
+++ b/src/membership/node/connect-vm-link.ts
@@ -3,7 +3,7 @@
 import {VmDirectoryService, type ReadVmsResponse} from '../../peers/common/gen/rosemaryshore/membership/v1/vm_directory_pb.js';
 import {callPeer} from '../../peers/common/peer-call.js';
 import type {PeerAddress, Peers} from '../../peers/common/peers.js';
-import type {Vm} from '../../platform/common/vm-list.js';
+import type {Vm} from '../../adapters/common/vm-list.js';
 import {VmLink, type VmDirectory, type VmPage} from '../common/vm-directory.js';
 
 /** Time for one fetch. */
--- a/src/membership/test/vm-directory.test.ts
+++ b/src/membership/test/vm-directory.test.ts
@@ -4,7 +4,7 @@
 import {createEmitter} from '../../base/common/event.js';
 import {createNotRun} from '../../base/common/failure.js';
 import {createVirtualTime} from '../../../test/fakes/virtual-loop.js';
-import {VmList, type Vm} from '../../platform/common/vm-list.js';
+import {VmList, type Vm} from '../../adapters/common/vm-list.js';
 import type {Member, Rumor} from '../common/membership.js';
 import {
 	chooseReaders, createVmDirectory, VmLink, type VmDirectory, type VmPage,
--- a/src/membership/vm-directory.contribution.ts
+++ b/src/membership/vm-directory.contribution.ts
@@ -1,7 +1,7 @@
 /** Shares the VM list among the daemons of an availability zone. */
 import {registerContribution} from '../kernel/common/registry.js';
 import {peersKey} from '../peers/common/peers.js';
-import {vmListKey} from '../platform/common/vm-list.js';
+import {vmListKey} from '../adapters/common/vm-list.js';
 import {membershipKey} from './common/membership.js';
 import {createVmDirectory, vmDirectoryKey} from './common/vm-directory.js';
 import {createConnectVmLink, serveVmDirectory} from './node/connect-vm-link.js';
--- /dev/null
+++ b/src/objects/node/relayed-api.ts
@@ -0,0 +1,202 @@
+/**
+ * An object API that goes through another daemon when the own way to the store is broken. The store's conditions make it
+ * safe that a call whose answer was lost is sent again on another way: callers settle doubtful writes by reading back.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import type {Clock} from '../../base/common/clock.js';
+import type {Random} from '../../base/common/random.js';
+import type {Log} from '../../kernel/common/log.js';
+import {
+	ObjectApi, type ApiObject, type ApiObjectId, type ObjectChanges, type ObjectListing,
+} from '../../adapters/common/object-api.js';
+import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
+
+/** A call in the form that daemons hand to each other. */
+type RelayedCall = {
+	readonly operation: 'read' | 'list' | 'changes' | 'create' | 'replace' | 'replaceStatus' | 'remove';
+	readonly id: ApiObjectId;
+	readonly since?: number;
+	readonly waitMs?: number;
+	readonly value?: unknown;
+	readonly ifRevision?: number;
+};
+
+type Outcome = Result<unknown, Failure>;
+
+/** What the relay works with. */
+export type RelayParts = {
+	readonly direct: ObjectApi;
+	readonly mesh: PeerMesh;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+};
+
+/** Time for a relayed call beyond the wait that the call itself asks for. */
+const RELAY_TIMEOUT_MS = 1200;
+/** A daemon that failed to reach the store this recently does not try on behalf of others. */
+const RECENT_FAILURE_MS = 600;
+/** Time after a failure for which the own way is not tried again. */
+const DIRECT_PAUSE_MS = 1000;
+/** Peers that are asked before a call is given up. */
+const RELAY_ATTEMPTS = 2;
+
+function shuffle<T>(items: readonly T[], random: Random): readonly T[] {
+	return items.map(item => ({item, key: random()})).toSorted((a, b) => a.key - b.key).map(entry => entry.item);
+}
+
+async function runOn(api: ObjectApi, call: RelayedCall): Promise<Outcome> {
+	switch (call.operation) {
+		case 'read': {
+			return api.read(call.id);
+		}
+
+		case 'list': {
+			return api.list(call.id.kind);
+		}
+
+		case 'changes': {
+			return api.changes(call.id.kind, call.since ?? 0, call.waitMs ?? 0);
+		}
+
+		case 'create': {
+			return api.create(call.id, call.value);
+		}
+
+		case 'replace': {
+			return api.replace(call.id, call.value, call.ifRevision ?? 0);
+		}
+
+		case 'replaceStatus': {
+			return api.replaceStatus(call.id, call.value);
+		}
+
+		case 'remove': {
+			return api.remove(call.id);
+		}
+	}
+}
+
+/** Failures that another daemon may not meet. */
+function isLocal(failure: Failure): boolean {
+	return failure.code === 'unavailable' || failure.code === 'incomplete' || failure.code === 'overloaded' || failure.code === 'aborted';
+}
+
+/** Creates the API and registers its side that serves other daemons. */
+export function createRelayedApi(parts: RelayParts): ObjectApi {
+	const {
+		direct, mesh, clock, random, log,
+	} = parts;
+	let failedAt = Number.NEGATIVE_INFINITY;
+
+	async function runDirect(call: RelayedCall): Promise<Outcome> {
+		const outcome = await runOn(direct, call);
+		if (outcome.isOk()) {
+			failedAt = Number.NEGATIVE_INFINITY;
+		} else if (isLocal(outcome.error)) {
+			failedAt = clock.monotonic();
+		}
+
+		return outcome;
+	}
+
+	/** A poll that is cut off says little of the store: another one shows whether it answers. */
+	async function pollDirect(call: RelayedCall): Promise<Outcome> {
+		const outcome = await runOn(direct, call);
+		return outcome.isErr() && isLocal(outcome.error) ? runDirect({...call, waitMs: 0}) : outcome;
+	}
+
+	async function askPeer(peer: PeerDaemon, call: RelayedCall): Promise<Outcome> {
+		const reply = await mesh.call(peer, 'objects', call, RELAY_TIMEOUT_MS + (call.waitMs ?? 0));
+		return reply.andThen(({status, body}): Outcome => {
+			if (status === 200) {
+				return ok(body ?? undefined);
+			}
+
+			const origin = {step: `relay ${call.operation}`, peer: peer.name};
+			// The body of a refusal is a failure as this module wrote it on the other daemon.
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+			const failure = body as Failure | undefined;
+			return err(status === 409 && failure?.code !== undefined ? failure : createOutcomeUnknown('unavailable', origin, `status ${status}`));
+		});
+	}
+
+	/** Asks peers in turn. A doubtful outcome stays doubtful, whatever later peers could not do. */
+	async function runByPeers(call: RelayedCall, first: Failure): Promise<Outcome> {
+		const candidates = shuffle(mesh.others(), random).slice(0, RELAY_ATTEMPTS);
+		return candidates.reduce<Promise<Outcome>>(async (previous, peer) => {
+			const before = await previous;
+			if (before.isOk() || !isLocal(before.error)) {
+				return before;
+			}
+
+			const outcome = await askPeer(peer, call);
+			if (outcome.isErr()) {
+				return isLocal(outcome.error) && before.error.effect === 'outcomeUnknown' ? before : outcome;
+			}
+
+			log.debug('object call went through a peer', {
+				operation: call.operation, kind: call.id.kind, name: call.id.name, via: peer.name,
+			});
+			return outcome;
+		}, Promise.resolve(err(first)));
+	}
+
+	async function run(call: RelayedCall): Promise<Outcome> {
+		if (clock.monotonic() - failedAt < DIRECT_PAUSE_MS && mesh.others().length > 0) {
+			return runByPeers(call, createNotRun('unavailable', {step: `${call.operation} object`, peer: 'store'}, 'the store was out of reach a moment ago'));
+		}
+
+		const outcome = call.operation === 'changes' ? await pollDirect(call) : await runDirect(call);
+		return outcome.isErr() && isLocal(outcome.error) ? runByPeers(call, outcome.error) : outcome;
+	}
+
+	mesh.handle('objects', async body => {
+		// Only daemons of this version's own protocol call this port.
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+		const call = body as RelayedCall;
+		if (clock.monotonic() - failedAt < RECENT_FAILURE_MS) {
+			return {status: 409, body: createNotRun('unavailable', {step: 'relay object call', peer: mesh.self.name}, 'the store is out of reach here too')};
+		}
+
+		const outcome = await runDirect(call);
+		return outcome.match(value => ({status: 200, body: value}), failure => ({status: 409, body: failure}));
+	});
+
+	/* eslint-disable @typescript-eslint/no-unsafe-type-assertion -- the outcome of an operation has the operation's own type */
+	return new (class extends ObjectApi {
+		override async read(id: ApiObjectId) {
+			return await run({operation: 'read', id}) as Result<ApiObject | undefined, Failure>;
+		}
+
+		override async list(kind: string) {
+			return await run({operation: 'list', id: {kind, name: ''}}) as Result<ObjectListing, Failure>;
+		}
+
+		override async changes(kind: string, since: number, waitMs: number) {
+			return await run({
+				operation: 'changes', id: {kind, name: ''}, since, waitMs,
+			}) as Result<ObjectChanges, Failure>;
+		}
+
+		override async create(id: ApiObjectId, spec: unknown) {
+			return await run({operation: 'create', id, value: spec}) as Result<ApiObject, Failure>;
+		}
+
+		override async replace(id: ApiObjectId, spec: unknown, ifRevision: number) {
+			return await run({
+				operation: 'replace', id, value: spec, ifRevision,
+			}) as Result<ApiObject, Failure>;
+		}
+
+		override async replaceStatus(id: ApiObjectId, status: unknown) {
+			return await run({operation: 'replaceStatus', id, value: status}) as Result<ApiObject, Failure>;
+		}
+
+		override async remove(id: ApiObjectId) {
+			return await run({operation: 'remove', id}) as Result<void, Failure>;
+		}
+	})();
+	/* eslint-enable @typescript-eslint/no-unsafe-type-assertion */
+}
--- a/src/plans/common/configuration-service.ts
+++ b/src/plans/common/configuration-service.ts
@@ -14,7 +14,7 @@
 import type {Loop} from '../../kernel/common/loop.js';
 import type {Member, Membership} from '../../membership/common/membership.js';
 import type {Snapshots} from '../../persistence/common/snapshots.js';
-import type {Store} from '../../platform/common/store.js';
+import type {Store} from '../../adapters/common/store.js';
 import type {Configuration} from './configuration.js';
 import type {ConfigurationBody, ConfigurationLink} from './configuration-link.js';
 import {createConfigurationHolder, type ConfigurationHolder} from './configuration-holder.js';
--- a/src/plans/common/proposals.ts
+++ b/src/plans/common/proposals.ts
@@ -5,8 +5,8 @@
 import {
 	createNotRun, createOutcomeUnknown, wrapFailure, type Failure,
 } from '../../base/common/failure.js';
-import {writeSettled} from '../../platform/common/settled-write.js';
-import type {Store} from '../../platform/common/store.js';
+import {writeSettled} from '../../adapters/common/settled-write.js';
+import type {Store} from '../../adapters/common/store.js';
 import {checkLists} from './check-lists.js';
 import type {Proposal} from './configuration.js';
 import type {ConfigurationHolder} from './configuration-holder.js';
--- a/src/plans/common/stored-configuration.ts
+++ b/src/plans/common/stored-configuration.ts
@@ -5,7 +5,7 @@
 import {z} from 'zod';
 import type {AuditEntry} from '../../audit/common/audit.js';
 import {storedEntrySchema} from '../../audit/common/audit-service.js';
-import type {ObjectId} from '../../platform/common/store.js';
+import type {ObjectId} from '../../adapters/common/store.js';
 import {emptyLists, storedListsSchema, type Lists} from './lists.js';
 
 const storedValue = z.looseObject({
--- a/src/plans/plans.contribution.ts
+++ b/src/plans/plans.contribution.ts
@@ -4,7 +4,7 @@
 import {membershipKey} from '../membership/common/membership.js';
 import {peersKey} from '../peers/common/peers.js';
 import {snapshotsKey} from '../persistence/common/snapshots.js';
-import {storeKey} from '../platform/common/store.js';
+import {storeKey} from '../adapters/common/store.js';
 import {configurationKey} from './common/configuration.js';
 import {createConfigurationService} from './common/configuration-service.js';
 import {createConnectConfigurationLink, serveConfiguration} from './node/connect-configuration-link.js';
--- a/src/requests/common/claim-book.ts
+++ b/src/requests/common/claim-book.ts
@@ -2,7 +2,7 @@
  * The claims of one shard as its owner knows them, and the next object to write. Pure: writing is up to the caller, who
  * reports back which write took effect.
  */
-import type {StoredObject} from '../../platform/common/store.js';
+import type {StoredObject} from '../../adapters/common/store.js';
 import {
 	generationIndex, generationName, parseGeneration, type ClaimGeneration, type ClaimRecord,
 } from './claim-record.js';
--- a/src/requests/common/stream-progress.ts
+++ b/src/requests/common/stream-progress.ts
@@ -1,7 +1,7 @@
 /** What the caller of a stream has been given so far, so that the stream can go on from there at another engine. */
 import type {
 	Chunk, Generation, Progress, VersionRange,
-} from '../../platform/common/engine.js';
+} from '../../adapters/common/engine.js';
 
 /** The progress of one generation over all its attempts. */
 export type StreamProgress = {
--- a/src/requests/node/claim-log.ts
+++ b/src/requests/node/claim-log.ts
@@ -4,8 +4,8 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, wrapFailure, type Failure} from '../../base/common/failure.js';
-import {writeSettled} from '../../platform/common/settled-write.js';
-import type {Store, WriteId} from '../../platform/common/store.js';
+import {writeSettled} from '../../adapters/common/settled-write.js';
+import type {Store, WriteId} from '../../adapters/common/store.js';
 import type {ClaimBook, ClaimWrite} from '../common/claim-book.js';
 import {generationPrefix, type ClaimRecord} from '../common/claim-record.js';
 
--- a/src/requests/node/claim-owner.ts
+++ b/src/requests/node/claim-owner.ts
@@ -3,7 +3,7 @@
 import type {Clock} from '../../base/common/clock.js';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import type {Shards} from '../../leases/common/shards.js';
-import type {Store, WriteId} from '../../platform/common/store.js';
+import type {Store, WriteId} from '../../adapters/common/store.js';
 import {createClaimBook, type ClaimBook, type ClaimBounds} from '../common/claim-book.js';
 import type {ClaimRecord} from '../common/claim-record.js';
 import type {ClaimRequest, Outcome} from '../common/claims.js';
--- a/src/requests/node/claimed-runs.ts
+++ b/src/requests/node/claimed-runs.ts
@@ -5,7 +5,7 @@
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
 import {hashToHex} from '../../base/common/hash.js';
 import type {Loop} from '../../kernel/common/loop.js';
-import type {ServiceAnswer} from '../../platform/common/service.js';
+import type {ServiceAnswer} from '../../adapters/common/service.js';
 import type {ClaimVerdict, Claims, Outcome} from '../common/claims.js';
 
 /** A run that needs a claim. */
--- a/src/requests/node/completions.ts
+++ b/src/requests/node/completions.ts
@@ -8,7 +8,7 @@
 import type {Admission} from '../../limits/common/admission.js';
 import type {
 	Chunk, Generation, GenerationRequest,
-} from '../../platform/common/engine.js';
+} from '../../adapters/common/engine.js';
 import type {Router} from '../../routing/common/router.js';
 import type {EnginePool, Pool} from '../../settings/common/settings.js';
 import type {FrontRequest, Route} from '../common/front.js';
--- a/src/requests/node/services.ts
+++ b/src/requests/node/services.ts
@@ -8,7 +8,7 @@
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
 import {hashToHex} from '../../base/common/hash.js';
 import type {Admission} from '../../limits/common/admission.js';
-import type {ServiceAnswer} from '../../platform/common/service.js';
+import type {ServiceAnswer} from '../../adapters/common/service.js';
 import type {Router} from '../../routing/common/router.js';
 import type {Pool, ServicePool} from '../../settings/common/settings.js';
 import {keyOf} from '../common/claims.js';
--- a/src/requests/node/start-claims.ts
+++ b/src/requests/node/start-claims.ts
@@ -3,7 +3,7 @@
 import type {Context} from '../../kernel/common/contribution.js';
 import {shardsKey} from '../../leases/common/shards.js';
 import {peersKey} from '../../peers/common/peers.js';
-import {storeKey, type WriteId} from '../../platform/common/store.js';
+import {storeKey, type WriteId} from '../../adapters/common/store.js';
 import {settingsKey} from '../../settings/common/settings.js';
 import {claimsKey, type Claims} from '../common/claims.js';
 import {createClaimOwner} from './claim-owner.js';
--- a/src/requests/node/start-suspects.ts
+++ b/src/requests/node/start-suspects.ts
@@ -4,7 +4,7 @@
 import {shardsKey} from '../../leases/common/shards.js';
 import {membershipKey} from '../../membership/common/membership.js';
 import {peersKey} from '../../peers/common/peers.js';
-import {storeKey, type WriteId} from '../../platform/common/store.js';
+import {storeKey, type WriteId} from '../../adapters/common/store.js';
 import {reservationsKey} from '../../routing/common/reservations.js';
 import {routerKey} from '../../routing/common/router.js';
 import {settingsKey} from '../../settings/common/settings.js';
--- a/src/requests/node/suspect-guard.ts
+++ b/src/requests/node/suspect-guard.ts
@@ -3,7 +3,7 @@
 import type {Clock} from '../../base/common/clock.js';
 import type {Failure} from '../../base/common/failure.js';
 import type {Loop} from '../../kernel/common/loop.js';
-import type {LoadReport} from '../../platform/common/engine.js';
+import type {LoadReport} from '../../adapters/common/engine.js';
 import type {BackendServer} from '../../routing/common/router.js';
 import type {Crash, SuspectBook} from '../common/suspect-book.js';
 import type {SuspectGuard} from '../common/suspect-guard.js';
--- a/src/requests/node/suspect-owner.ts
+++ b/src/requests/node/suspect-owner.ts
@@ -2,8 +2,8 @@
 import {z} from 'zod';
 import type {Clock} from '../../base/common/clock.js';
 import {shardOf} from '../../leases/common/shards.js';
-import {writeSettled} from '../../platform/common/settled-write.js';
-import type {Store, StoredObject, WriteId} from '../../platform/common/store.js';
+import {writeSettled} from '../../adapters/common/settled-write.js';
+import type {Store, StoredObject, WriteId} from '../../adapters/common/store.js';
 import type {Crash, SuspectBook} from '../common/suspect-book.js';
 
 /** The owner's side of suspects. */
--- a/src/requests/requests.contribution.ts
+++ b/src/requests/requests.contribution.ts
@@ -2,7 +2,7 @@
 import type {Context, Contribution} from '../kernel/common/contribution.js';
 import {registerContribution} from '../kernel/common/registry.js';
 import {admissionKey} from '../limits/common/admission.js';
-import type {WriteId} from '../platform/common/store.js';
+import type {WriteId} from '../adapters/common/store.js';
 import {configurationKey} from '../plans/common/configuration.js';
 import {routerKey} from '../routing/common/router.js';
 import {settingsKey} from '../settings/common/settings.js';
--- a/src/requests/test/at-most-once.test.ts
+++ b/src/requests/test/at-most-once.test.ts
@@ -4,7 +4,7 @@
 import * as assert from 'uvu/assert';
 import {createSeededRandom} from '../../../test/fakes/virtual-loop.js';
 import type {Random} from '../../base/common/random.js';
-import {Store} from '../../platform/common/store.js';
+import {Store} from '../../adapters/common/store.js';
 import type {ClaimLink} from '../common/claim-link.js';
 import {
 	checkAtMostOnce, createClaimWorld, type Breakage, type ClaimWorld,
--- a/src/requests/test/harness/claim-world.ts
+++ b/src/requests/test/harness/claim-world.ts
@@ -8,9 +8,9 @@
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../../base/common/failure.js';
 import type {Random} from '../../../base/common/random.js';
 import type {Shards} from '../../../leases/common/shards.js';
-import {createMemoryStore} from '../../../platform/common/memory-store.js';
-import type {ServiceAnswer} from '../../../platform/common/service.js';
-import type {Store} from '../../../platform/common/store.js';
+import {createMemoryStore} from '../../../adapters/common/memory-store.js';
+import type {ServiceAnswer} from '../../../adapters/common/service.js';
+import type {Store} from '../../../adapters/common/store.js';
 import type {ClaimLink} from '../../common/claim-link.js';
 import {createClaimedRuns, type Reply} from '../../node/claimed-runs.js';
 import {createClaimOwner, type ClaimOwner} from '../../node/claim-owner.js';
--- a/src/requests/test/harness/suspect-servers.ts
+++ b/src/requests/test/harness/suspect-servers.ts
@@ -5,7 +5,7 @@
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../../base/common/failure.js';
 import type {Random} from '../../../base/common/random.js';
 import type {Loop} from '../../../kernel/common/loop.js';
-import type {LoadReport} from '../../../platform/common/engine.js';
+import type {LoadReport} from '../../../adapters/common/engine.js';
 
 /** A crash as the backend servers saw it. */
 export type SeenCrash = {readonly fingerprint: string; readonly serverId: string; readonly at: number};
--- a/src/requests/test/harness/suspect-world.ts
+++ b/src/requests/test/harness/suspect-world.ts
@@ -6,7 +6,7 @@
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../../base/common/failure.js';
 import type {Random} from '../../../base/common/random.js';
 import {silentMetrics} from '../../../kernel/common/metrics.js';
-import {createMemoryStore} from '../../../platform/common/memory-store.js';
+import {createMemoryStore} from '../../../adapters/common/memory-store.js';
 import {createDispatcher} from '../../../routing/common/dispatcher.js';
 import {createLoadEstimate} from '../../../routing/common/load-estimate.js';
 import {createPrefixIndex} from '../../../routing/common/prefix-index.js';
--- a/src/requests/test/routes.test.ts
+++ b/src/requests/test/routes.test.ts
@@ -7,8 +7,8 @@
 import {silentMetrics} from '../../kernel/common/metrics.js';
 import {
 	Engine, type Chunk, type Generation, type GenerationRequest, type LoadReport,
-} from '../../platform/common/engine.js';
-import {Service, type ServiceAnswer, type ServiceCall} from '../../platform/common/service.js';
+} from '../../adapters/common/engine.js';
+import {Service, type ServiceAnswer, type ServiceCall} from '../../adapters/common/service.js';
 import type {Router, RouteRequest} from '../../routing/common/router.js';
 import type {Pool} from '../../settings/common/settings.js';
 import {trustingGuard} from '../common/suspect-guard.js';
--- a/src/rollouts/common/generation-runner.ts
+++ b/src/rollouts/common/generation-runner.ts
@@ -3,7 +3,7 @@
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import {hashToUint32} from '../../base/common/hash.js';
 import type {Admission, Ticket} from '../../limits/common/admission.js';
-import type {Chunk, Generation} from '../../platform/common/engine.js';
+import type {Chunk, Generation} from '../../adapters/common/engine.js';
 import type {Dispatch, Router} from '../../routing/common/router.js';
 import type {AttemptFailure, StartAction} from './stream-actions.js';
 
--- a/src/rollouts/common/labels.ts
+++ b/src/rollouts/common/labels.ts
@@ -4,7 +4,7 @@
  */
 import type {
 	Chunk, Generation, Progress, VersionRange,
-} from '../../platform/common/engine.js';
+} from '../../adapters/common/engine.js';
 
 /** Tokens seen on a stream. `isLabelled` is false from the first token on whose version the engine did not say. */
 export type LabelledProgress = Progress & {
--- a/src/rollouts/common/ledger-keeper.ts
+++ b/src/rollouts/common/ledger-keeper.ts
@@ -5,8 +5,8 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, wrapFailure, type Failure} from '../../base/common/failure.js';
-import {writeSettled} from '../../platform/common/settled-write.js';
-import type {Store} from '../../platform/common/store.js';
+import {writeSettled} from '../../adapters/common/settled-write.js';
+import type {Store} from '../../adapters/common/store.js';
 import {
 	decodeLedger, emptyLedger, encodeLedger, type Ledger,
 } from './ledger.js';
--- a/src/rollouts/common/score-retries.ts
+++ b/src/rollouts/common/score-retries.ts
@@ -2,7 +2,7 @@
 import PQueue from 'p-queue';
 import type {Failure} from '../../base/common/failure.js';
 import type {Loop} from '../../kernel/common/loop.js';
-import type {Scorer, ScoreRequest} from '../../platform/common/scorer.js';
+import type {Scorer, ScoreRequest} from '../../adapters/common/scorer.js';
 
 /** Scores samples. */
 export type ScoreRetries = {
--- a/src/rollouts/common/staleness.ts
+++ b/src/rollouts/common/staleness.ts
@@ -1,5 +1,5 @@
 /** The staleness bound: how many versions the oldest token of a sample may lie behind the trainer's own version. */
-import type {VersionRange} from '../../platform/common/engine.js';
+import type {VersionRange} from '../../adapters/common/engine.js';
 import {oldestVersion} from './labels.js';
 
 /** Decides which versions are young enough. */
--- a/src/rollouts/common/step-schedule.ts
+++ b/src/rollouts/common/step-schedule.ts
@@ -3,7 +3,7 @@
  * groups, keeps partial work while the staleness bound allows it, and starts the samples that are expected to be longest
  * first, because a long sample that starts late ends the step alone.
  */
-import type {Generation} from '../../platform/common/engine.js';
+import type {Generation} from '../../adapters/common/engine.js';
 import {createAttemptTable} from './attempt-table.js';
 import {
 	addChunk, labelGeneration, noProgress, type LabelledProgress,
--- a/src/rollouts/common/step.ts
+++ b/src/rollouts/common/step.ts
@@ -1,5 +1,5 @@
 /** Steps, groups and samples as the trainer and the owner of the trainer name them. */
-import type {VersionRange} from '../../platform/common/engine.js';
+import type {VersionRange} from '../../adapters/common/engine.js';
 
 /** A step that a trainer asks for: a group of samples per prompt. */
 export type StepRequest = {
--- a/src/rollouts/common/stream-actions.ts
+++ b/src/rollouts/common/stream-actions.ts
@@ -1,5 +1,5 @@
 /** What a step's schedule is given and what it asks for: budgets, streams to start and cancel, and how streams end. */
-import type {Progress} from '../../platform/common/engine.js';
+import type {Progress} from '../../adapters/common/engine.js';
 import type {LabelledText} from './labels.js';
 
 /** What a step may use now. */
--- a/src/rollouts/node/trainer-routes.ts
+++ b/src/rollouts/node/trainer-routes.ts
@@ -5,7 +5,7 @@
 } from 'neverthrow';
 import {z} from 'zod';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
-import type {WeightStore} from '../../platform/common/weight-store.js';
+import type {WeightStore} from '../../adapters/common/weight-store.js';
 import type {Front, FrontRequest} from '../../requests/common/front.js';
 import {sendJson, sendProblem} from '../../requests/node/respond.js';
 import type {TrainerProfile} from '../../settings/common/settings.js';
--- a/src/rollouts/test/delivery.test.ts
+++ b/src/rollouts/test/delivery.test.ts
@@ -4,7 +4,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {hashToUint32} from '../../base/common/hash.js';
-import type {StoreFault} from '../../platform/common/memory-store.js';
+import type {StoreFault} from '../../adapters/common/memory-store.js';
 import type {labelGeneration} from '../common/labels.js';
 import {emptyLedger} from '../common/ledger.js';
 import type {LedgerKeeper, LedgerWriter} from '../common/ledger-keeper.js';
--- a/src/rollouts/test/rollout-world.ts
+++ b/src/rollouts/test/rollout-world.ts
@@ -1,6 +1,6 @@
 /** Daemons that own a trainer, engines, a store and a trainer, all in one process under virtual time. */
 import {createSeededRandom, createVirtualTime} from '../../../test/fakes/virtual-loop.js';
-import {createMemoryStore} from '../../platform/common/memory-store.js';
+import {createMemoryStore} from '../../adapters/common/memory-store.js';
 import type {StepRequest} from '../common/step.js';
 import type {TrainerOwner} from '../common/trainer-owner.js';
 import type {SeenAnswer} from './delivery-checker.js';
--- a/src/rollouts/test/score-retries.test.ts
+++ b/src/rollouts/test/score-retries.test.ts
@@ -4,7 +4,7 @@
 import * as assert from 'uvu/assert';
 import {createVirtualTime} from '../../../test/fakes/virtual-loop.js';
 import {createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
-import {Scorer} from '../../platform/common/scorer.js';
+import {Scorer} from '../../adapters/common/scorer.js';
 import {createScoreRetries} from '../common/score-retries.js';
 
 const test = suite('score retries');
--- a/src/routing/common/load-estimate.ts
+++ b/src/routing/common/load-estimate.ts
@@ -2,7 +2,7 @@
  * Estimates the load of backend servers. Reports lag, so dispatches that this daemon began after a report was taken are
  * added to it, and those that the report still counts but which have ended since are taken off.
  */
-import type {LoadReport} from '../../platform/common/engine.js';
+import type {LoadReport} from '../../adapters/common/engine.js';
 
 /** The estimated load of one backend server. */
 export type EstimatedLoad = {
--- a/src/routing/common/router.ts
+++ b/src/routing/common/router.ts
@@ -3,8 +3,8 @@
 import type {Event} from '../../base/common/event.js';
 import type {Failure} from '../../base/common/failure.js';
 import {createServiceKey} from '../../kernel/common/contribution.js';
-import type {Engine, Endpoint} from '../../platform/common/engine.js';
-import type {Service} from '../../platform/common/service.js';
+import type {Engine, Endpoint} from '../../adapters/common/engine.js';
+import type {Service} from '../../adapters/common/service.js';
 import type {EstimatedLoad} from './load-estimate.js';
 
 /** A backend server of a pool, as this daemon knows it. */
--- a/src/routing/common/server-table.ts
+++ b/src/routing/common/server-table.ts
@@ -2,7 +2,7 @@
  * The backend servers that a daemon knows, from the VM list and from what the servers themselves answered. The list lags:
  * a server that was shown as leaving, or said so itself, stays excluded even if an older list shows it as live again.
  */
-import type {Vm} from '../../platform/common/vm-list.js';
+import type {Vm} from '../../adapters/common/vm-list.js';
 import type {BackendServer} from './router.js';
 
 /** The known servers. */
--- a/src/routing/node/adapter-cache.ts
+++ b/src/routing/node/adapter-cache.ts
@@ -1,7 +1,7 @@
 /** One adapter per backend server, created on first use and kept while the server is known. */
-import type {Adapters} from '../../platform/common/adapters.js';
-import type {Engine} from '../../platform/common/engine.js';
-import type {Service} from '../../platform/common/service.js';
+import type {Adapters} from '../../adapters/common/adapters.js';
+import type {Engine} from '../../adapters/common/engine.js';
+import type {Service} from '../../adapters/common/service.js';
 import type {Pool} from '../../settings/common/settings.js';
 import type {BackendServer} from '../common/router.js';
 
--- a/src/routing/test/leaving.test.ts
+++ b/src/routing/test/leaving.test.ts
@@ -2,7 +2,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {createSeededRandom, createVirtualTime} from '../../../test/fakes/virtual-loop.js';
-import type {Vm} from '../../platform/common/vm-list.js';
+import type {Vm} from '../../adapters/common/vm-list.js';
 import {createDispatcher} from '../common/dispatcher.js';
 import {createLoadEstimate} from '../common/load-estimate.js';
 import {createPrefixIndex} from '../common/prefix-index.js';
--- a/src/routing/test/routing.test.ts
+++ b/src/routing/test/routing.test.ts
@@ -1,7 +1,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {createSeededRandom} from '../../../test/fakes/virtual-loop.js';
-import type {Vm} from '../../platform/common/vm-list.js';
+import type {Vm} from '../../adapters/common/vm-list.js';
 import type {Random} from '../../base/common/random.js';
 import {createDispatcher} from '../common/dispatcher.js';
 import {createLoadEstimate, type LoadEstimate} from '../common/load-estimate.js';
--- a/src/standins/node/deterministic-text.ts
+++ b/src/standins/node/deterministic-text.ts
@@ -1,6 +1,6 @@
 /** The text that stand-in engines generate: a pure function of what produced it, so that checkers can verify labels. */
 import {hashToHex, hashToUint32} from '../../base/common/hash.js';
-import type {VersionRange} from '../../platform/common/engine.js';
+import type {VersionRange} from '../../adapters/common/engine.js';
 
 /** What a token's text depends on, beside version and index. */
 export type TextSource = {
--- a/src/standins/node/engine-standin.ts
+++ b/src/standins/node/engine-standin.ts
@@ -2,8 +2,8 @@
 import type {ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
-import type {EngineOrder, LoadReport, ModelStatus} from '../../platform/common/engine.js';
-import {callJson, createHttpClient} from '../../platform/node/http-client.js';
+import type {EngineOrder, LoadReport, ModelStatus} from '../../adapters/common/engine.js';
+import {callJson, createHttpClient} from '../../adapters/node/http-client.js';
 import {lengthOf, renderTokens} from './deterministic-text.js';
 import {
 	createStandin, notRunReply, type Reply, type Standin, type StandinRequest,
--- a/src/standins/node/store-standin.ts
+++ b/src/standins/node/store-standin.ts
@@ -1,8 +1,8 @@
 /** Stand-in for the platform's object API. */
 import {z} from 'zod';
-import {createMemoryStore} from '../../platform/common/memory-store.js';
+import {createMemoryStore} from '../../adapters/common/memory-store.js';
 import type {Failure} from '../../base/common/failure.js';
-import type {ObjectKind, StoredObject} from '../../platform/common/store.js';
+import type {ObjectKind, StoredObject} from '../../adapters/common/store.js';
 import {
 	createStandin, type Reply, type Standin, type StandinRequest,
 } from './standin-server.js';
--- a/src/standins/node/trainer-standin.ts
+++ b/src/standins/node/trainer-standin.ts
@@ -1,9 +1,9 @@
 /** Stand-in for a trainer: posts a step, pulls its samples by cursor, and publishes new weights on the way. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
-import {readText} from '../../platform/node/http-answers.js';
-import {createHttpClient} from '../../platform/node/http-client.js';
-import type {HttpAnswer} from '../../platform/node/http-exchange.js';
+import {readText} from '../../adapters/node/http-answers.js';
+import {createHttpClient} from '../../adapters/node/http-client.js';
+import type {HttpAnswer} from '../../adapters/node/http-exchange.js';
 
 const sample = z.object({
 	id: z.string(),
--- a/src/standins/node/vm-list-standin.ts
+++ b/src/standins/node/vm-list-standin.ts
@@ -4,7 +4,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {z} from 'zod';
-import type {Vm} from '../../platform/common/vm-list.js';
+import type {Vm} from '../../adapters/common/vm-list.js';
 import {createStandin, type Standin} from './standin-server.js';
 
 const vmsSchema = z.array(z.object({
--- a/src/weights/common/pool-owner.ts
+++ b/src/weights/common/pool-owner.ts
@@ -9,7 +9,7 @@
 import type {Failure} from '../../base/common/failure.js';
 import type {Audit} from '../../audit/common/audit.js';
 import type {Holding} from '../../leases/common/shards.js';
-import type {Engine} from '../../platform/common/engine.js';
+import type {Engine} from '../../adapters/common/engine.js';
 import type {Target} from './target-keeper.js';
 import {createVersionBook, type VersionBook} from './version-book.js';
 import {createWaveDecider, type LoadOrder, type WaveLimits} from './wave-decider.js';
--- a/src/weights/common/target-keeper.ts
+++ b/src/weights/common/target-keeper.ts
@@ -5,8 +5,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
-import {writeSettled} from '../../platform/common/settled-write.js';
-import type {Store, StoredObject} from '../../platform/common/store.js';
+import {writeSettled} from '../../adapters/common/settled-write.js';
+import type {Store, StoredObject} from '../../adapters/common/store.js';
 
 /** The published version of a model. */
 export type Target = {
--- a/src/weights/common/wave-decider.ts
+++ b/src/weights/common/wave-decider.ts
@@ -3,7 +3,7 @@
  * most engines keep serving and the weight store's rate is kept; every order is verified by reading the engine back, and
  * an engine that serves anything that was not ordered is not usable until it has been put right.
  */
-import type {EngineStatus, ModelStatus} from '../../platform/common/engine.js';
+import type {EngineStatus, ModelStatus} from '../../adapters/common/engine.js';
 import type {EngineVersion} from './engine-versions.js';
 import type {Target} from './target-keeper.js';
 
--- a/src/weights/node/weights.contribution.ts
+++ b/src/weights/node/weights.contribution.ts
@@ -9,7 +9,7 @@
 import {shardOf, shardsKey, type Holding} from '../../leases/common/shards.js';
 import {membershipKey} from '../../membership/common/membership.js';
 import {peersKey} from '../../peers/common/peers.js';
-import {storeKey} from '../../platform/common/store.js';
+import {storeKey} from '../../adapters/common/store.js';
 import {routerKey} from '../../routing/common/router.js';
 import {settingsKey, type EnginePool, type Settings} from '../../settings/common/settings.js';
 import {engineVersionsKey, type EngineNeed, type ModelVersions} from '../common/engine-versions.js';
--- a/test/checkers/edge-checkers.ts
+++ b/test/checkers/edge-checkers.ts
@@ -1,7 +1,7 @@
 /** Checks guarantees on what was seen at the edges alone. Each check returns one line per violation. */
 import {z} from 'zod';
 import {hashToHex} from '../../src/base/common/hash.js';
-import type {VersionRange} from '../../src/platform/common/engine.js';
+import type {VersionRange} from '../../src/adapters/common/engine.js';
 import type {ReceivedSample, TrainerRecord} from '../../src/standins/node/trainer-standin.js';
 import {renderGeneration} from '../../src/standins/node/deterministic-text.js';
 import type {CallEntry, EdgeRecord, StandinRecord} from '../edge-record.js';
--- a/test/claim-explorer.test.ts
+++ b/test/claim-explorer.test.ts
@@ -1,6 +1,6 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import type {StoredObject} from '../src/platform/common/store.js';
+import type {StoredObject} from '../src/adapters/common/store.js';
 import {createClaimBook, type ClaimWrite} from '../src/requests/common/claim-book.js';
 import {explore, type Exploration, type Model} from './fakes/explorer.js';
 
--- a/test/configuration-faults.test.ts
+++ b/test/configuration-faults.test.ts
@@ -1,8 +1,8 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {Audit} from '../src/audit/common/audit.js';
-import type {Store} from '../src/platform/common/store.js';
-import {wrapStore} from '../src/platform/common/wrapped-store.js';
+import type {Store} from '../src/adapters/common/store.js';
+import {wrapStore} from '../src/adapters/common/wrapped-store.js';
 import {createConfigurationHolder, type ConfigurationHolder} from '../src/plans/common/configuration-holder.js';
 import {
 	findFalseOutcomes, findLate, findLostUpdates, findReverts,
--- a/test/configuration-outages.test.ts
+++ b/test/configuration-outages.test.ts
@@ -2,8 +2,8 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {createNotRun} from '../src/base/common/failure.js';
-import type {Store} from '../src/platform/common/store.js';
-import {wrapStore} from '../src/platform/common/wrapped-store.js';
+import type {Store} from '../src/adapters/common/store.js';
+import {wrapStore} from '../src/adapters/common/wrapped-store.js';
 import {ConfigurationLink} from '../src/plans/common/configuration-link.js';
 import {findLate, findReverts} from './fakes/configuration-record.js';
 import {
--- a/test/fakes/daemon-fleet.ts
+++ b/test/fakes/daemon-fleet.ts
@@ -18,9 +18,9 @@
 import {noSnapshots, type Snapshots} from '../../src/persistence/common/snapshots.js';
 import {
 	createMemoryStore, type MemoryStore, type StoreCall, type StoreFault,
-} from '../../src/platform/common/memory-store.js';
-import type {Store} from '../../src/platform/common/store.js';
-import {wrapStore} from '../../src/platform/common/wrapped-store.js';
+} from '../../src/adapters/common/memory-store.js';
+import type {Store} from '../../src/adapters/common/store.js';
+import {wrapStore} from '../../src/adapters/common/wrapped-store.js';
 import {ConfigurationLink} from '../../src/plans/common/configuration-link.js';
 import {createConfigurationService, type ConfigurationOptions} from '../../src/plans/common/configuration-service.js';
 import {createSeededRandom, createVirtualTime, type VirtualTime} from './virtual-loop.js';
--- a/test/fakes/faulty-store.ts
+++ b/test/fakes/faulty-store.ts
@@ -2,8 +2,8 @@
 import {err} from 'neverthrow';
 import {createNotRun, createOutcomeUnknown} from '../../src/base/common/failure.js';
 import type {Random} from '../../src/base/common/random.js';
-import type {Store} from '../../src/platform/common/store.js';
-import {wrapStore} from '../../src/platform/common/wrapped-store.js';
+import type {Store} from '../../src/adapters/common/store.js';
+import {wrapStore} from '../../src/adapters/common/wrapped-store.js';
 import type {VirtualTime} from './virtual-loop.js';
 
 /** Lets a daemon's steps pass, unless it is frozen or dead. */
--- a/test/fakes/fleet-scenario.ts
+++ b/test/fakes/fleet-scenario.ts
@@ -3,8 +3,8 @@
 import {createNotRun} from '../../src/base/common/failure.js';
 import type {Membership} from '../../src/membership/common/membership.js';
 import type {Snapshots} from '../../src/persistence/common/snapshots.js';
-import type {Store} from '../../src/platform/common/store.js';
-import {wrapStore} from '../../src/platform/common/wrapped-store.js';
+import type {Store} from '../../src/adapters/common/store.js';
+import {wrapStore} from '../../src/adapters/common/wrapped-store.js';
 
 /** Seeds of each scenario. */
 export const SEEDS = 3 * Number(process.env.FUZZ_FACTOR ?? 1);
--- a/test/scenario-runner.ts
+++ b/test/scenario-runner.ts
@@ -3,8 +3,8 @@
 import {z} from 'zod';
 import {hashToHex} from '../src/base/common/hash.js';
 import {shardOf} from '../src/leases/common/shards.js';
-import {readText} from '../src/platform/node/http-answers.js';
-import {createHttpClient} from '../src/platform/node/http-client.js';
+import {readText} from '../src/adapters/node/http-answers.js';
+import {createHttpClient} from '../src/adapters/node/http-client.js';
 import {keyOf} from '../src/requests/common/claims.js';
 import {createTrainerStandin, type TrainerRecord} from '../src/standins/node/trainer-standin.js';
 import {
--- a/test/scenario-world.ts
+++ b/test/scenario-world.ts
@@ -7,8 +7,8 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {hashToHex} from '../src/base/common/hash.js';
-import {readText} from '../src/platform/node/http-answers.js';
-import {createHttpClient} from '../src/platform/node/http-client.js';
+import {readText} from '../src/adapters/node/http-answers.js';
+import {createHttpClient} from '../src/adapters/node/http-client.js';
 import {createRelay, type Relay} from './scenario-relay.js';
 
 /** A process of the scenario. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -6,7 +6,7 @@
 	'kernel',
 	'settings',
 	'persistence',
-	'platform',
+	'adapters',
 	'peers',
 	'audit',
 	'membership',
