--- a/src/batches/batches.contribution.ts
+++ b/src/batches/batches.contribution.ts
@@ -8,7 +8,9 @@
 import {peerMeshKey} from '../peers/common/peer-mesh.js';
 import {hostKey} from '../settings/common/host.js';
 import {batchesKey} from './common/batches.js';
+import {createRefusalMemory} from './common/refusals.js';
 import {createServerPace} from './common/server-pace.js';
+import {createLoadExchange} from './node/load-exchange.js';
 import {BATCH_TICK_MS, createBatchService} from './node/batch-service.js';
 
 /** Scoring calls that one daemon has under way, so that they leave room for callers' own requests. */
@@ -24,6 +26,9 @@
 		}
 
 		const gateway = context.use(gatewayKey);
+		const exchange = createLoadExchange({
+			...context, loads: gateway.loads, view: gateway.view, mesh: context.use(peerMeshKey),
+		});
 		const service = createBatchService({
 			...context,
 			...gateway,
@@ -31,7 +36,9 @@
 			api: context.use(objectApiKey),
 			mesh: context.use(peerMeshKey),
 			pace: createServerPace(),
+			refusals: createRefusalMemory(),
 			scoring: new PQueue({concurrency: CONCURRENT_SCORING}),
+			onTick: exchange.tick,
 			retentionMs: 2 * host.bounds.resultRetentionMs,
 		});
 		context.provide(batchesKey, service);
--- a/src/batches/node/batch-owner.ts
+++ b/src/batches/node/batch-owner.ts
@@ -203,7 +203,11 @@
 		state.phase = 'running';
 		void state.run.run().then(async end => {
 			const concluded = conclude(state, end);
-			pump(clock.monotonic());
+			// An item that found no room waits for the next tick, so that a wrong guess of room can't spin.
+			if (end.kind !== 'waiting') {
+				pump(clock.monotonic());
+			}
+
 			await concluded;
 		}).catch((error: unknown) => {
 			log.error('run failed', {batchId: batch.id, itemId: state.item.id, error: String(error)});
--- a/src/batches/node/batch-service.ts
+++ b/src/batches/node/batch-service.ts
@@ -17,7 +17,7 @@
 	Batch, LogRecord, PartialText, ResultPage, StoredBatch,
 } from '../common/batch.js';
 import {createBatchLog, type BatchLog} from '../common/batch-log.js';
-import type {Batches} from '../common/batches.js';
+import type {Batches, OpenedBatch} from '../common/batches.js';
 import {createBatchOwner, type BatchOwner, type OwnerParts} from './batch-owner.js';
 import {
 	createLogWriter, kindOfLog, readRecord, type LogWriter,
@@ -32,6 +32,8 @@
 	readonly scoring: PQueue;
 	/** Age from which a batch's objects are removed, in milliseconds. */
 	readonly retentionMs: number;
+	/** Called with the other daemons that own open batches, for what owners tell each other. */
+	readonly onTick: (owners: readonly PeerDaemon[], now: number) => void;
 };
 
 /** A batch whose payload and log this daemon holds. */
@@ -50,7 +52,7 @@
 const SUBMIT_WAY_MS = 300;
 /** Time for an owner's reply beyond the wait that the caller asks for. */
 const OWNER_REPLY_MS = 700;
-/** An owner that does not reply for this long is replaced. */
+/** An owner that has not replied since this long is replaced, once a second call has failed too. */
 const OWNER_SILENCE_MS = 1500;
 const ANNOUNCE_TIMEOUT_MS = 1000;
 const HAND_OVER_TIMEOUT_MS = 1500;
@@ -80,6 +82,7 @@
 	const ownerOf = new Map<string, PeerDaemon>();
 	const silentSince = new Map<string, number>();
 	const adoptions = new Map<string, Promise<Result<HeldBatch, Failure>>>();
+	const opened = createEmitter<OpenedBatch>();
 	let isLeaving = false;
 
 	function noteRecord(batchId: string, record: LogRecord): void {
@@ -262,10 +265,12 @@
 			return ok(reply.value.status === 410 ? undefined : reply.value);
 		}
 
-		const since = silentSince.get(batchId) ?? startedAt;
+		const earlier = silentSince.get(batchId);
+		const since = earlier ?? startedAt;
 		silentSince.set(batchId, since);
 		const isGone = reply.error.effect === 'notRun' && reply.error.message.includes('ECONNREFUSED');
-		return isGone || clock.monotonic() - since >= OWNER_SILENCE_MS ? ok(undefined) : err(reply.error);
+		const isSilent = earlier !== undefined && clock.monotonic() - since >= OWNER_SILENCE_MS;
+		return isGone || isSilent ? ok(undefined) : err(reply.error);
 	}
 
 	async function findOwner(batchId: string): Promise<Result<PeerDaemon, Failure>> {
@@ -309,9 +314,12 @@
 		return adopted.isErr() ? err(adopted.error) : local(adopted.value);
 	}
 
-	function announce(batchId: string, owner: PeerDaemon): void {
+	function announce(batch: Batch, owner: PeerDaemon): void {
+		const batchId = batch.id;
+		const needs: OpenedBatch = {model: batch.model, oldestVersion: batch.oldestVersion};
+		opened.fire(needs);
 		mesh.others().forEach(peer => {
-			void mesh.call(peer, 'batch-announce', {batchId, owner}, ANNOUNCE_TIMEOUT_MS).then(reply => {
+			void mesh.call(peer, 'batch-announce', {batchId, owner, needs}, ANNOUNCE_TIMEOUT_MS).then(reply => {
 				if (reply.isErr()) {
 					log.debug('batch not announced', {batchId, peer: peer.name, reason: reply.error.message});
 				}
@@ -319,6 +327,14 @@
 		});
 	}
 
+	/** Other daemons that own batches which may be open. */
+	function listOwners(): readonly PeerDaemon[] {
+		const owners = [...ownerOf]
+			.filter(([batchId, owner]) => owner.name !== mesh.self.name && held.get(batchId)?.batchLog.isEnded() !== true)
+			.map(([, owner]) => owner);
+		return [...new Map(owners.map(owner => [owner.name, owner])).values()];
+	}
+
 	function retire(batchId: string): void {
 		loop.after(parts.retentionMs, () => {
 			void removeStored(batchId);
@@ -349,7 +365,7 @@
 		const created = await api.create({kind: KIND_OF_BATCHES, name: batch.id}, stored);
 		if (created.isOk()) {
 			own(hold(batch, mesh.self, [], startedAt), []);
-			announce(batch.id, mesh.self);
+			announce(batch, mesh.self);
 			retire(batch.id);
 			return ok();
 		}
@@ -364,7 +380,7 @@
 						own(entry, []);
 					}
 				});
-				announce(batch.id, mesh.self);
+				announce(batch, mesh.self);
 			}
 
 			return ok();
@@ -400,6 +416,7 @@
 		readonly waitMs: number;
 		readonly itemId: string;
 		readonly owner: PeerDaemon;
+		readonly needs: OpenedBatch;
 		readonly partials: readonly PartialText[];
 	};
 
@@ -436,6 +453,7 @@
 			ownerOf.set(body.batchId, body.owner);
 		}
 
+		opened.fire(body.needs);
 		return {status: 200, body: null};
 	});
 	handle('batch-adopt', async body => {
@@ -522,11 +540,9 @@
 			isLeaving = true;
 			await Promise.all([...held.values()].filter(entry => isOwned(entry) && entry.owner?.isActive() === true).map(async entry => handOverOne(entry)));
 		},
-		openModels() {
-			const open = [...held.values()].filter(entry => entry.owner?.isActive() === true).map(entry => entry.batch);
-			return new Map(open.map(batch => [batch.model, Math.min(...open.filter(other => other.model === batch.model).map(other => other.oldestVersion))]));
-		},
+		onDidOpen: opened.event,
 		tick(now) {
+			parts.onTick(listOwners(), now);
 			held.forEach(entry => {
 				entry.owner?.pump(now);
 			});
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -14,6 +14,7 @@
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
 import type {Batch, BatchItem, PartialText} from '../common/batch.js';
 import {createGenerationProgress, type GenerationProgress} from '../common/generation-progress.js';
+import type {RefusalMemory} from '../common/refusals.js';
 import {isSlow, type ServerPace} from '../common/server-pace.js';
 
 /** How the runs of an item ended. */
@@ -46,6 +47,7 @@
 	readonly loads: LoadEstimate;
 	readonly view: ServerView;
 	readonly pace: ServerPace;
+	readonly refusals: RefusalMemory;
 	readonly clock: Clock;
 	readonly loop: Loop;
 	readonly log: Log;
@@ -81,7 +83,7 @@
 /** Creates the runs of an item. `route` is asked anew for each run, as the configuration may change. */
 export function createGenerationRun(batch: Batch, item: BatchItem, route: () => Route | undefined, parts: GenerationParts, earlier?: PartialText): GenerationRun {
 	const {
-		protocol, caller, dispatcher, loads, view, pace, clock, loop, log,
+		protocol, caller, dispatcher, loads, view, pace, refusals, clock, loop, log,
 	} = parts;
 	const progress: GenerationProgress = createGenerationProgress(earlier);
 	const body = Buffer.from(item.body, 'base64');
@@ -94,7 +96,9 @@
 		const pools = route()?.pools.map(share => share.pool) ?? [];
 		const fit = pools
 			.flatMap(pool => view.list(pool))
+			.filter(entry => view.table.usable(entry.id, now))
 			.filter(entry => (view.versionOf(entry.id, batch.model) ?? 0) >= batch.oldestVersion)
+			.filter(entry => !refusals.isRecent(entry.id, batch.model, now))
 			.filter(entry => loads.read(entry.id, now).likely + 1 <= Math.max(1, entry.slots) + SPARE_PLACES)
 			.filter(entry => !(avoided?.serverId === entry.id && now < avoided.until));
 		const quick = fit.filter(entry => !isSlow(pace, entry.id, now));
@@ -185,7 +189,6 @@
 			requestId: item.id,
 			remainingMs: LONGEST_RUN_MS,
 			serverId: dispatch.server.id,
-			...(route() && {urgency: route()!.priority}),
 			...(progress.lastEventId() > 0 && {resumeAfter: String(progress.lastEventId())}),
 		}, {
 			timeoutMs: LONGEST_RUN_MS,
@@ -207,7 +210,11 @@
 			() => (run.brokenBy === undefined && !stopped ? 'died' as const : 'cancelled' as const),
 		);
 		run.dispatch!.end(now, outcome);
-		if (outcome !== 'done') {
+		if (result.isOk() && result.value.head.isNotRun) {
+			refusals.note(serverId, batch.model, now);
+		} else if (outcome === 'done') {
+			refusals.forget(serverId, batch.model);
+		} else {
 			avoided = {serverId, until: now + AVOID_MS};
 		}
 
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -5,12 +5,13 @@
 import {registerContribution} from '../kernel/common/registry.js';
 import {followKind} from '../objects/common/kind-follower.js';
 import {createDispatcher, type Dispatcher} from '../routing/common/dispatcher.js';
-import {createLoadEstimate, type LoadEstimate} from '../routing/common/load-estimate.js';
+import {createLoadEstimate} from '../routing/common/load-estimate.js';
 import {createPrefixIndex} from '../routing/common/prefix-index.js';
 import {hostKey} from '../settings/common/host.js';
 import {createDeploymentHolder, type DeploymentHolder} from './common/deployment.js';
 import {deploymentSourceKey} from './common/deployment-source.js';
 import {serverProtocolKey} from './common/server-protocol.js';
+import {createSharedLoads, type SharedLoads} from './common/shared-loads.js';
 import {createServerView, type ServerView} from './common/server-view.js';
 import {createForwarder, type Forwarder} from './node/forwarder.js';
 import {createServerCaller, type ServerCaller} from './node/server-caller.js';
@@ -20,7 +21,7 @@
 export type Gateway = {
 	readonly deployment: DeploymentHolder;
 	readonly view: ServerView;
-	readonly loads: LoadEstimate;
+	readonly loads: SharedLoads;
 	readonly dispatcher: Dispatcher;
 	readonly caller: ServerCaller;
 	readonly forwarder: Forwarder;
@@ -47,7 +48,7 @@
 	const protocol = context.use(serverProtocolKey);
 	const deployment = createDeploymentHolder();
 	const view = createServerView(zone => host.regionByZone[zone]);
-	const loads = createLoadEstimate(serverId => view.find(serverId)?.slots ?? 1);
+	const loads = createSharedLoads(createLoadEstimate(serverId => view.find(serverId)?.slots ?? 1), serverId => (view.find(serverId)?.versions.size ?? 0) > 0);
 	const dispatcher = createDispatcher({
 		table: view.table, loads, prefixes: createPrefixIndex(REMEMBERED_PREFIXES), weights: WEIGHTS, ownRegion: host.region, random: context.random, reservedElsewhere: () => false,
 	});
--- a/src/objects/node/relayed-api.ts
+++ b/src/objects/node/relayed-api.ts
@@ -33,12 +33,14 @@
 	readonly log: Log;
 };
 
-/** Time for a relayed call beyond the wait that the call itself asks for. */
+/** Time for a relayed call: the other daemon's own call to the store fits into it. */
 const RELAY_TIMEOUT_MS = 1200;
 /** A daemon that failed to reach the store this recently does not try on behalf of others. */
 const RECENT_FAILURE_MS = 600;
 /** Time after a failure for which the own way is not tried again. */
 const DIRECT_PAUSE_MS = 1000;
+/** Daemons, of those that are likely up, among which the peers are drawn. */
+const RELAY_CANDIDATES = 4;
 /** Peers that are asked before a call is given up. */
 const RELAY_ATTEMPTS = 2;
 
@@ -108,7 +110,7 @@
 	}
 
 	async function askPeer(peer: PeerDaemon, call: RelayedCall): Promise<Outcome> {
-		const reply = await mesh.call(peer, 'objects', call, RELAY_TIMEOUT_MS + (call.waitMs ?? 0));
+		const reply = await mesh.call(peer, 'objects', {...call, waitMs: 0}, RELAY_TIMEOUT_MS);
 		return reply.andThen(({status, body}): Outcome => {
 			if (status === 200) {
 				return ok(body ?? undefined);
@@ -124,7 +126,7 @@
 
 	/** Asks peers in turn. A doubtful outcome stays doubtful, whatever later peers could not do. */
 	async function runByPeers(call: RelayedCall, first: Failure): Promise<Outcome> {
-		const candidates = shuffle(mesh.others(), random).slice(0, RELAY_ATTEMPTS);
+		const candidates = shuffle(mesh.likelyUp().slice(0, RELAY_CANDIDATES), random).slice(0, RELAY_ATTEMPTS);
 		return candidates.reduce<Promise<Outcome>>(async (previous, peer) => {
 			const before = await previous;
 			if (before.isOk() || !isLocal(before.error)) {
--- a/src/objects/objects.contribution.ts
+++ b/src/objects/objects.contribution.ts
@@ -72,7 +72,7 @@
 		const self: PeerDaemon = {
 			name: host.name, incarnation: host.incarnation, ip: host.peers.ip, port: host.peers.port, region: host.region, availabilityZone: host.availabilityZone,
 		};
-		const mesh = createPeerMesh(self, context.log);
+		const mesh = createPeerMesh(self, context.clock, context.log);
 		mesh.learn(host.seeds.filter(seed => seed.ip !== self.ip).map(seed => seedDaemon(seed)));
 		const api = createRelayedApi({...context, direct: context.use(directObjectApiKey), mesh});
 		context.provide(peerMeshKey, mesh);
--- a/src/orders/node/order-service.ts
+++ b/src/orders/node/order-service.ts
@@ -3,6 +3,7 @@
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
+import {createDisposable} from '../../base/common/disposable.js';
 import type {Clock} from '../../base/common/clock.js';
 import {exchange} from '../../adapters/node/http-exchange.js';
 import type {DeploymentHolder} from '../../gateway/common/deployment.js';
@@ -15,7 +16,7 @@
 import type {PeerMesh} from '../../peers/common/peer-mesh.js';
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
 import {
-	assignEngines, planLoads, type Assignment, type PlannedEngine, type PlannedLoad,
+	assignEngines, createLagBook, planLoads, type Assignment, type ModelTarget, type PlannedEngine, type PlannedLoad,
 } from '../common/load-plan.js';
 import type {OrderLease} from './order-lease.js';
 
@@ -36,12 +37,16 @@
 export type OrderService = {
 	/** Notes the versions that trainers named, by model. */
 	readonly name: (targets: ReadonlyMap<string, number>) => void;
+	/** Notes that a trainer opened a batch, whose oldest version shows what it accepts. */
+	readonly noteBatch: (model: string, oldestVersion: number) => void;
 	/** Orders what is due; called when something has changed and from time to time. */
 	readonly pump: (now: number) => void;
 };
 
-/** Loads take about this long; the engine is asked from then on. */
-const LOAD_MS = 950;
+/** Loads take about this long, as the platform states it; the next load may start then. */
+const LOAD_MS = 1000;
+/** Reports lag behind by some hundred milliseconds; the engine is asked after that. */
+const REPORT_LAG_MS = 150;
 const POLL_MS = 250;
 /** A load that is not done by then is planned anew. */
 const LONGEST_LOAD_MS = 6000;
@@ -49,6 +54,15 @@
 /** Pause after an engine refused or did not answer. */
 const REFUSED_PAUSE_MS = 700;
 const VERSIONS_TIMEOUT_MS = 1000;
+/** Models that each engine serves: with all of them, any engine can take what a slow or lost one leaves. */
+const MODELS_PER_ENGINE = Number.POSITIVE_INFINITY;
+
+function createOnce(action: () => void): () => void {
+	const disposable = createDisposable(action);
+	return () => {
+		disposable.dispose();
+	};
+}
 
 /** Creates the service. */
 export function createOrderService(parts: OrderParts): OrderService {
@@ -56,7 +70,10 @@
 		protocol, deployment, view, loads, mesh, lease, clock, loop, log,
 	} = parts;
 	const agent = new Agent({keepAlive: true});
-	const loading = new Set<string>();
+	/** Engines under orders, and the model that each loads. */
+	const loading = new Map<string, string>();
+	let active = 0;
+	const lags = createLagBook();
 	const acceptedOrders = new Map<string, {readonly startedAt: number | undefined; readonly count: number}>();
 	let targets: ReadonlyMap<string, number> = new Map();
 	let assignment: Assignment = new Map();
@@ -161,7 +178,8 @@
 		return awaitLoad(serverId, load, startedAt);
 	}
 
-	async function carryOut(load: PlannedLoad): Promise<void> {
+	/** Carries out one load; `onLoaded` is called once it takes up the weight store no longer. */
+	async function carryOut(load: PlannedLoad, onLoaded: () => void): Promise<void> {
 		const server = view.find(load.engineId);
 		if (server === undefined) {
 			return;
@@ -171,6 +189,9 @@
 		const outcome = await giveOrder(server, load);
 		if (outcome === 'accepted' || outcome === 'busy') {
 			await loop.sleep(LOAD_MS);
+			onLoaded();
+			pump(clock.monotonic());
+			await loop.sleep(REPORT_LAG_MS);
 			await awaitLoad(load.engineId, load, startedAt);
 			return;
 		}
@@ -188,7 +209,6 @@
 			.filter(entry => !entry.isLeaving)
 			.map(entry => ({
 				id: entry.id,
-				availabilityZone: entry.availabilityZone,
 				versions: new Map([...new Set([...entry.versions.keys(), ...targets.keys()])].flatMap(model => {
 					const version = view.versionOf(entry.id, model);
 					return version === undefined ? [] : [[model, version] as const];
@@ -205,12 +225,20 @@
 		const pools = deployment.current()?.pools.filter(pool => pool.models.length > 0) ?? [];
 		pools.forEach(pool => {
 			const engines = listEngines(pool.name, now);
-			assignment = new Map([...assignment, ...assignEngines(assignment, engines, pool.models)]);
-			planLoads(engines, assignment, targets, loading).forEach(load => {
-				loading.add(load.engineId);
-				void carryOut(load).catch((error: unknown) => {
+			const wanted = new Map<string, ModelTarget>([...targets]
+				.filter(([model]) => pool.models.includes(model))
+				.map(([model, version]) => [model, {version, lag: lags.lagOf(model)}]));
+			assignment = new Map([...assignment, ...assignEngines(assignment, engines, pool.models, MODELS_PER_ENGINE)]);
+			planLoads(engines, assignment, wanted, {loading, active}).forEach(load => {
+				loading.set(load.engineId, load.model);
+				active += 1;
+				const onLoaded = createOnce(() => {
+					active -= 1;
+				});
+				void carryOut(load, onLoaded).catch((error: unknown) => {
 					log.error('order failed', {engineId: load.engineId, error: String(error)});
 				}).finally(() => {
+					onLoaded();
 					loading.delete(load.engineId);
 					pump(clock.monotonic());
 				});
@@ -224,6 +252,12 @@
 			log.info('versions named', {versions: Object.fromEntries(named)});
 			pump(clock.monotonic());
 		},
+		noteBatch(model, oldestVersion) {
+			const newest = targets.get(model);
+			if (newest !== undefined) {
+				lags.note(model, newest, oldestVersion);
+			}
+		},
 		pump,
 	};
 }
--- a/src/orders/orders.contribution.ts
+++ b/src/orders/orders.contribution.ts
@@ -1,6 +1,7 @@
 /** Registers the orders that bring engines to the weight versions that trainers name. */
 import {objectApiKey} from '../adapters/common/object-api.js';
 import {joinDisposables} from '../base/common/disposable.js';
+import {batchesKey} from '../batches/common/batches.js';
 import {gatewayKey} from '../gateway/gateway.contribution.js';
 import {deploymentSourceKey} from '../gateway/common/deployment-source.js';
 import {serverProtocolKey} from '../gateway/common/server-protocol.js';
@@ -43,7 +44,7 @@
 
 registerContribution({
 	id: 'orders',
-	requires: ['hosted-platform', 'objects', 'gateway'],
+	requires: ['hosted-platform', 'objects', 'gateway', 'batches'],
 	start(context) {
 		const host = context.use(hostKey);
 		if (host.callers === undefined) {
@@ -70,6 +71,9 @@
 		return {
 			...joinDisposables([
 				lease,
+				context.use(batchesKey).onDidOpen(({model, oldestVersion}) => {
+					service.noteBatch(model, oldestVersion);
+				}),
 				{
 					dispose() {
 						following.dispose();
--- a/src/peers/common/peer-mesh.ts
+++ b/src/peers/common/peer-mesh.ts
@@ -31,6 +31,8 @@
 	readonly call: (peer: Pick<PeerDaemon, 'ip' | 'port'>, name: string, body: unknown, timeoutMs: number) => Promise<Result<PeerReply, Failure>>;
 	/** Other daemons that are known, whether up or not. */
 	readonly others: () => readonly PeerDaemon[];
+	/** Other daemons, those first whose last call did not fail a moment ago. */
+	readonly likelyUp: () => readonly PeerDaemon[];
 	/** Replaces the known daemons. */
 	readonly learn: (daemons: readonly PeerDaemon[]) => void;
 };
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -6,6 +6,7 @@
 import {ok, type Result} from 'neverthrow';
 import type {Failure} from '../../base/common/failure.js';
 import {exchange} from '../../adapters/node/http-exchange.js';
+import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {
 	PeerDaemon, PeerHandler, PeerMesh, PeerReply,
@@ -22,6 +23,8 @@
 /** Idle connections are closed by the caller first, so that a call does not meet a closing connection. */
 const IDLE_CLOSE_MS = 20_000;
 const SERVER_IDLE_CLOSE_MS = 60_000;
+/** A daemon whose last call failed this recently is asked last. */
+const SUSPECT_MS = 3000;
 
 async function readAll(request: IncomingMessage): Promise<string> {
 	return new Promise((resolve, reject) => {
@@ -57,10 +60,11 @@
 }
 
 /** Creates the mesh of one daemon. */
-export function createPeerMesh(self: PeerDaemon, log: Log): OpenPeerMesh {
+export function createPeerMesh(self: PeerDaemon, clock: Clock, log: Log): OpenPeerMesh {
 	const handlers = new Map<string, PeerHandler>();
 	const agent = new Agent({keepAlive: true, timeout: IDLE_CLOSE_MS});
 	let known: readonly PeerDaemon[] = [];
+	const failedAt = new Map<string, number>();
 
 	async function answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const handler = handlers.get((request.url ?? '').slice(1));
@@ -98,9 +102,21 @@
 				body: JSON.stringify(body),
 				timeoutMs,
 			}, {base, agent});
+			if (result.isErr()) {
+				failedAt.set(peer.ip, clock.monotonic());
+			} else {
+				failedAt.delete(peer.ip);
+			}
+
 			return result.andThen(whole => ok({status: whole.status, body: parse(Buffer.from(whole.body).toString('utf8'))}));
 		},
 		others: () => known.filter(daemon => daemon.name !== self.name),
+		likelyUp() {
+			const now = clock.monotonic();
+			const others = known.filter(daemon => daemon.name !== self.name);
+			const isSuspect = (daemon: PeerDaemon): boolean => now - (failedAt.get(daemon.ip) ?? Number.NEGATIVE_INFINITY) < SUSPECT_MS;
+			return [...others.filter(daemon => !isSuspect(daemon)), ...others.filter(daemon => isSuspect(daemon))];
+		},
 		learn(daemons) {
 			known = daemons;
 		},
