Probe the own way to the store apart, and run long items on fast engines

Long items on the slower third of the engines held steps up by a second. Change: the first local failure cuts all waiting polls and sends calls through peers until a probe of its own succeeds; long items go to the engines that are as fast as the fastest, and move to one that is a quarter faster.

--- a/src/adapters/common/object-api.ts
+++ b/src/adapters/common/object-api.ts
@@ -52,8 +52,8 @@
 	/** Lists all objects of a kind, page by page. */
 	abstract list(kind: string): Promise<Result<ObjectListing, Failure>>;
 
-	/** Waits up to `waitMs` for changes after a revision. */
-	abstract changes(kind: string, since: number, waitMs: number): Promise<Result<ObjectChanges, Failure>>;
+	/** Waits up to `waitMs` for changes after a revision, or until the signal aborts. */
+	abstract changes(kind: string, since: number, waitMs: number, signal?: AbortSignal): Promise<Result<ObjectChanges, Failure>>;
 
 	/** Creates an object; `conflict` when it exists. */
 	abstract create(id: ApiObjectId, spec: unknown): Promise<Result<ApiObject, Failure>>;
--- a/src/batches/common/server-pace.ts
+++ b/src/batches/common/server-pace.ts
@@ -23,7 +23,7 @@
 /** Gaps seen before the mean is believed. */
 const FEWEST_GAPS = 4;
 /** Means older than this are forgotten: engines recover. */
-const MEMORY_MS = 4000;
+const MEMORY_MS = 6000;
 
 /** Creates a measure without engines. */
 export function createServerPace(): ServerPace {
@@ -53,6 +53,16 @@
 /** An engine is slow from this multiple of the median gap on. */
 const SLOW_FACTOR = 2;
 
+/** Engines within this multiple of the fastest gap count as fast. */
+const FAST_FACTOR = 1.15;
+
+/** The engines of a list that are as fast as the fastest of it, those without a measure included. */
+export function listFast(pace: ServerPace, serverIds: readonly string[], now: number): readonly string[] {
+	const gaps = serverIds.map(id => ({id, gap: pace.gapOf(id, now)}));
+	const fastest = Math.min(...gaps.flatMap(({gap}) => gap ?? []));
+	return gaps.filter(({gap}) => gap === undefined || gap <= FAST_FACTOR * fastest).map(({id}) => id);
+}
+
 /** Whether an engine is much slower than most. */
 export function isSlow(pace: ServerPace, serverId: string, now: number): boolean {
 	const gap = pace.gapOf(serverId, now);
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -15,7 +15,7 @@
 import type {Batch, BatchItem, PartialText} from '../common/batch.js';
 import {createGenerationProgress, type GenerationProgress} from '../common/generation-progress.js';
 import type {RefusalMemory} from '../common/refusals.js';
-import {isSlow, type ServerPace} from '../common/server-pace.js';
+import {isSlow, listFast, type ServerPace} from '../common/server-pace.js';
 
 /** How the runs of an item ended. */
 export type GenerationEnd
@@ -69,6 +69,12 @@
 const SHARED_TOKENS = 1000;
 /** Engines may hold this many requests more than they run at once, so that a free place is taken without a way back and forth. */
 const SPARE_PLACES = 0;
+/** Output tokens from which an item is long: a slower engine then costs seconds. */
+const LONG_TOKENS = 1500;
+/** A run moves to an engine that is this much faster. */
+const MOVE_FACTOR = 1.25;
+/** Events from which a run is worth moving to an engine that is only somewhat faster. */
+const LONG_RUN_EVENTS = 20;
 /** Time for which an item does not return to the engine that last broke it, in milliseconds. */
 const AVOID_MS = 1500;
 
@@ -105,9 +111,21 @@
 		return (quick.length > 0 ? quick : fit).map(entry => entry.id);
 	}
 
+	/** Long items go to the fastest engines with room: a slower one costs them more than a wait. */
+	function preferFast(allowed: readonly string[], now: number): readonly string[] {
+		const fast = listFast(pace, allowed, now);
+		return fast.length > 0 && (item.expectedTokens ?? 0) >= LONG_TOKENS ? fast : allowed;
+	}
+
+	function isMuchFaster(other: string, own: string, now: number): boolean {
+		const otherGap = pace.gapOf(other, now);
+		const ownGap = pace.gapOf(own, now);
+		return otherGap !== undefined && ownGap !== undefined && ownGap > MOVE_FACTOR * otherGap;
+	}
+
 	function choose(now: number): Result<Dispatch, Failure> {
 		const current = route();
-		const allowed = allowedServers(now);
+		const allowed = preferFast(allowedServers(now), now);
 		if (current === undefined || allowed.length === 0) {
 			return err(createNotRun('unavailable', {step: 'choose engine', peer: batch.model}, 'no engine has room'));
 		}
@@ -292,12 +310,17 @@
 		},
 		partial: () => progress.partial(item.id),
 		moveIfSlow(now) {
-			if (state?.dispatch === undefined || state.brokenBy !== undefined || !state.hasEvent || !isSlow(pace, state.dispatch.server.id, now)) {
+			if (state?.dispatch === undefined || state.brokenBy !== undefined || !state.hasEvent) {
 				return;
 			}
 
 			const own = state.dispatch.server.id;
-			const others = allowedServers(now).filter(id => id !== own && !isSlow(pace, id, now));
+			const isLong = progress.lastEventId() >= LONG_RUN_EVENTS;
+			if (!isSlow(pace, own, now) && !isLong) {
+				return;
+			}
+
+			const others = listFast(pace, allowedServers(now), now).filter(id => id !== own && isMuchFaster(id, own, now));
 			if (others.length > 0) {
 				avoided = {serverId: own, until: now + AVOID_MS};
 				breakOff(state, 'the engine is slow');
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -35,7 +35,7 @@
 const CONFIGURATION_WAIT_MS = 3500;
 const CONFIGURATION_GATHER_MS = 50;
 /** Longest wait of a poll for server entries, and shortest time between polls: half of the time to leave a leaving server. */
-const SERVERS_WAIT_MS = 1000;
+const SERVERS_WAIT_MS = 400;
 const SERVERS_GATHER_MS = 1200;
 const EXPIRE_MS = 250;
 /** Prompt prefixes whose engine is remembered. */
--- a/src/objects/node/relayed-api.ts
+++ b/src/objects/node/relayed-api.ts
@@ -4,9 +4,9 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
-import type {Clock} from '../../base/common/clock.js';
-import type {Random} from '../../base/common/random.js';
+import {jitter, type Random} from '../../base/common/random.js';
 import type {Log} from '../../kernel/common/log.js';
+import type {Loop} from '../../kernel/common/loop.js';
 import {
 	ObjectApi, type ApiObject, type ApiObjectId, type ObjectChanges, type ObjectListing,
 } from '../../adapters/common/object-api.js';
@@ -24,21 +24,25 @@
 
 type Outcome = Result<unknown, Failure>;
 
+/** Object that is read to see whether the store answers; it need not exist. */
+const PROBE_ID: ApiObjectId = {kind: 'daemons', name: 'probe'};
+
 /** What the relay works with. */
 export type RelayParts = {
 	readonly direct: ObjectApi;
 	readonly mesh: PeerMesh;
-	readonly clock: Clock;
+	readonly loop: Loop;
 	readonly random: Random;
 	readonly log: Log;
 };
 
-/** Time for a relayed call: the other daemon's own call to the store fits into it. */
+/** Time for a relayed call beyond its wait: the other daemon's own call to the store fits into it. */
 const RELAY_TIMEOUT_MS = 1200;
-/** A daemon that failed to reach the store this recently does not try on behalf of others. */
-const RECENT_FAILURE_MS = 600;
-/** Time after a failure for which the own way is not tried again. */
-const DIRECT_PAUSE_MS = 1000;
+/** Longest wait of a relayed poll: the daemon that relays it may lose the store meanwhile. */
+const RELAY_WAIT_MS = 500;
+/** Time between looks whether the own way to the store works again. */
+const PROBE_MS = 1000;
+const PROBE_JITTER = 0.2;
 /** Daemons, of those that are likely up, among which the peers are drawn. */
 const RELAY_CANDIDATES = 4;
 /** Peers that are asked before a call is given up. */
@@ -48,7 +52,7 @@
 	return items.map(item => ({item, key: random()})).toSorted((a, b) => a.key - b.key).map(entry => entry.item);
 }
 
-async function runOn(api: ObjectApi, call: RelayedCall): Promise<Outcome> {
+async function runOn(api: ObjectApi, call: RelayedCall, signal?: AbortSignal): Promise<Outcome> {
 	switch (call.operation) {
 		case 'read': {
 			return api.read(call.id);
@@ -59,7 +63,7 @@
 		}
 
 		case 'changes': {
-			return api.changes(call.id.kind, call.since ?? 0, call.waitMs ?? 0);
+			return api.changes(call.id.kind, call.since ?? 0, call.waitMs ?? 0, signal);
 		}
 
 		case 'create': {
@@ -88,16 +92,45 @@
 /** Creates the API and registers its side that serves other daemons. */
 export function createRelayedApi(parts: RelayParts): ObjectApi {
 	const {
-		direct, mesh, clock, random, log,
+		direct, mesh, loop, random, log,
 	} = parts;
-	let failedAt = Number.NEGATIVE_INFINITY;
+	let isDirectUp = true;
+	/** Polls that wait at the store; they are cut when the way to it turns out to be broken. */
+	const polls = new Set<AbortController>();
+
+	function cutPolls(): void {
+		[...polls].forEach(poll => {
+			poll.abort();
+		});
+		polls.clear();
+	}
+
+	async function probe(): Promise<void> {
+		await loop.sleep(jitter(PROBE_MS, PROBE_JITTER, random));
+		const answer = await direct.read(PROBE_ID);
+		if (answer.isErr() && isLocal(answer.error)) {
+			return probe();
+		}
+
+		isDirectUp = true;
+		log.info('own way to the store works again', {});
+	}
+
+	function noteLost(failure: Failure): void {
+		if (!isDirectUp) {
+			return;
+		}
+
+		isDirectUp = false;
+		log.warn('own way to the store is broken', {code: failure.code, reason: failure.message, polls: polls.size});
+		cutPolls();
+		void probe();
+	}
 
 	async function runDirect(call: RelayedCall): Promise<Outcome> {
 		const outcome = await runOn(direct, call);
-		if (outcome.isOk()) {
-			failedAt = Number.NEGATIVE_INFINITY;
-		} else if (isLocal(outcome.error)) {
-			failedAt = clock.monotonic();
+		if (outcome.isErr() && isLocal(outcome.error)) {
+			noteLost(outcome.error);
 		}
 
 		return outcome;
@@ -105,12 +138,25 @@
 
 	/** A poll that is cut off says little of the store: another one shows whether it answers. */
 	async function pollDirect(call: RelayedCall): Promise<Outcome> {
-		const outcome = await runOn(direct, call);
-		return outcome.isErr() && isLocal(outcome.error) ? runDirect({...call, waitMs: 0}) : outcome;
+		const poll = new AbortController();
+		polls.add(poll);
+		const outcome = await runOn(direct, call, poll.signal);
+		polls.delete(poll);
+		if (outcome.isErr() && outcome.error.code === 'stale') {
+			// What this poll missed, others may have missed as well.
+			cutPolls();
+			return outcome;
+		}
+
+		if (outcome.isOk() || !isLocal(outcome.error)) {
+			return outcome;
+		}
+
+		return isDirectUp ? runDirect({...call, waitMs: 0}) : outcome;
 	}
 
 	async function askPeer(peer: PeerDaemon, call: RelayedCall): Promise<Outcome> {
-		const reply = await mesh.call(peer, 'objects', {...call, waitMs: 0}, RELAY_TIMEOUT_MS);
+		const reply = await mesh.call(peer, 'objects', {...call, waitMs: Math.min(RELAY_WAIT_MS, call.waitMs ?? 0)}, RELAY_TIMEOUT_MS + RELAY_WAIT_MS);
 		return reply.andThen(({status, body}): Outcome => {
 			if (status === 200) {
 				return ok(body ?? undefined);
@@ -146,8 +192,8 @@
 	}
 
 	async function run(call: RelayedCall): Promise<Outcome> {
-		if (clock.monotonic() - failedAt < DIRECT_PAUSE_MS && mesh.others().length > 0) {
-			return runByPeers(call, createNotRun('unavailable', {step: `${call.operation} object`, peer: 'store'}, 'the store was out of reach a moment ago'));
+		if (!isDirectUp && mesh.others().length > 0) {
+			return runByPeers(call, createNotRun('unavailable', {step: `${call.operation} object`, peer: 'store'}, 'the own way to the store is broken'));
 		}
 
 		const outcome = call.operation === 'changes' ? await pollDirect(call) : await runDirect(call);
@@ -158,7 +204,7 @@
 		// Only daemons of this version's own protocol call this port.
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 		const call = body as RelayedCall;
-		if (clock.monotonic() - failedAt < RECENT_FAILURE_MS) {
+		if (!isDirectUp) {
 			return {status: 409, body: createNotRun('unavailable', {step: 'relay object call', peer: mesh.self.name}, 'the store is out of reach here too')};
 		}
 
