Let one daemon of a region follow the store, and the others follow it

Ruled out: stale reads (seconds old, over the bound to leave a leaving server); gossip (a word an availability zone and second is enough, and must carry how old it is). Change: the first daemon of a region by rendezvous follows the store; it answers the others after each word of the store, with the age of that word; without a fresh word a daemon asks the store itself at once. Plain requests prefer the server with an open connection.

--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -1,9 +1,10 @@
 /** Registers the gateway: the configuration and the backend servers as the object API holds them, and the way to servers. */
 import {objectApiKey} from '../adapters/common/object-api.js';
-import {joinDisposables} from '../base/common/disposable.js';
+import {joinDisposables, type Disposable} from '../base/common/disposable.js';
 import {createServiceKey, type Context} from '../kernel/common/contribution.js';
 import {registerContribution} from '../kernel/common/registry.js';
 import {followKind} from '../objects/common/kind-follower.js';
+import {peerMeshKey} from '../peers/common/peer-mesh.js';
 import {createDispatcher, type Dispatcher} from '../routing/common/dispatcher.js';
 import {createLoadEstimate} from '../routing/common/load-estimate.js';
 import {createPrefixIndex} from '../routing/common/prefix-index.js';
@@ -13,6 +14,7 @@
 import {serverProtocolKey} from './common/server-protocol.js';
 import {createSharedLoads, type SharedLoads} from './common/shared-loads.js';
 import {createServerView, type ServerView} from './common/server-view.js';
+import {createFeed, type Feed} from './node/feed.js';
 import {createForwarder, type Forwarder} from './node/forwarder.js';
 import {createServerCaller, type ServerCaller} from './node/server-caller.js';
 import {createStreamForwarder, type StreamForwarder} from './node/stream-forwarder.js';
@@ -35,7 +37,7 @@
 const CONFIGURATION_WAIT_MS = 3500;
 const CONFIGURATION_GATHER_MS = 50;
 /** Longest wait of a poll for server entries, and shortest time between polls: half of the time to leave a leaving server. */
-const SERVERS_WAIT_MS = 400;
+const SERVERS_WAIT_MS = 100;
 const SERVERS_GATHER_MS = 1200;
 const EXPIRE_MS = 250;
 /** Prompt prefixes whose engine is remembered. */
@@ -64,7 +66,8 @@
 	};
 }
 
-function followConfiguration(context: Context, gateway: Gateway) {
+/** Follows the configuration in the store. */
+function followConfiguration(context: Context, gateway: Gateway): Disposable {
 	const source = context.use(deploymentSourceKey);
 	return followKind({
 		kind: source.configurationKind,
@@ -81,7 +84,8 @@
 	}, {...context, api: context.use(objectApiKey)});
 }
 
-function followServers(context: Context, gateway: Gateway) {
+/** Follows server entries in the store, and tells the feed of them. */
+function followServers(context: Context, gateway: Gateway, feed: () => Feed): Disposable {
 	const source = context.use(deploymentSourceKey);
 	const problems = new Map<string, string>();
 	return followKind({
@@ -102,6 +106,7 @@
 
 				return [];
 			});
+			feed().noteEntries(entries);
 			const before = new Map(gateway.view.all().map(entry => [entry.id, entry.isLeaving]));
 			gateway.view.update(entries, now);
 			const after = new Map(gateway.view.all().map(entry => [entry.id, entry.isLeaving]));
@@ -116,6 +121,7 @@
 		},
 		onReach(isReached, now) {
 			gateway.view.noteReach(isReached, now);
+			feed().noteReach(isReached, now);
 		},
 	}, {...context, api: context.use(objectApiKey)});
 }
@@ -130,10 +136,18 @@
 
 		const gateway = createGateway(context);
 		context.provide(gatewayKey, gateway);
+		const feeds: Feed[] = [];
+		const feed = createFeed({
+			...context,
+			...gateway,
+			mesh: context.use(peerMeshKey),
+			drainMs: context.use(hostKey).bounds.drainMs,
+			followStore: () => joinDisposables([followConfiguration(context, gateway), followServers(context, gateway, () => feeds[0]!)]),
+		});
+		feeds.push(feed);
 		return joinDisposables([
 			{dispose: gateway.caller.close},
-			followConfiguration(context, gateway),
-			followServers(context, gateway),
+			feed,
 			context.loop.every({name: 'expire servers', periodMs: EXPIRE_MS, run: gateway.view.expire}),
 		]);
 	},
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -51,6 +51,8 @@
 const HEDGE_SHARE = 0.1;
 /** Expected bytes of a plain request and its answer. */
 const EXPECTED_BYTES = 2048;
+/** An open connection to a server counts like a cached prompt of this length: a new one costs two ways and the server's time. */
+const KEPT_CONNECTION_TOKENS = 400;
 /** Time after which a refused caller may come back, when no server could take the request. */
 const RETURN_AFTER_MS = 300;
 
@@ -75,7 +77,7 @@
 		}
 
 		return dispatcher.dispatch({
-			pool, prefixKey: undefined, prefixTokens: 0, expectedTokens: 0, expectedBytes: EXPECTED_BYTES, excluded, allowed: undefined, alone: false,
+			pool, prefixKey: `connections to ${pool}`, prefixTokens: KEPT_CONNECTION_TOKENS, expectedTokens: 0, expectedBytes: EXPECTED_BYTES, excluded, allowed: undefined, alone: false,
 		}, now);
 	}
 
--- /dev/null
+++ b/src/gateway/test/feed.test.ts
@@ -0,0 +1,160 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {createMemoryObjects} from '../../../test/fakes/memory-objects.js';
+import {createMeshNetwork} from '../../../test/fakes/mesh-network.js';
+import {createVirtualTime} from '../../../test/fakes/virtual-loop.js';
+import {joinDisposables} from '../../base/common/disposable.js';
+import {silentLog} from '../../kernel/common/log.js';
+import {followKind} from '../../objects/common/kind-follower.js';
+import type {PeerDaemon} from '../../peers/common/peer-mesh.js';
+import {createDeploymentHolder, type Deployment} from '../common/deployment.js';
+import {chooseSource, createSourceBook} from '../common/feed-choice.js';
+import {createFeedLog} from '../common/feed-log.js';
+import {createServerView, type ServerEntry} from '../common/server-view.js';
+import {createFeed, type Feed} from '../node/feed.js';
+
+const test = suite('feed between daemons');
+const DRAIN_MS = 2500;
+
+function entry(id: string, more: Partial<ServerEntry> = {}): ServerEntry {
+	return {
+		id, pool: 'p', address: id, port: 1, availabilityZone: 'z', slots: 8, isLeaving: false, versions: new Map(), sequence: 1, startedAt: 1, ...more,
+	};
+}
+
+function createWorld(names: readonly string[]) {
+	const time = createVirtualTime();
+	const {clock, loop} = time;
+	const store = createMemoryObjects(loop);
+	const network = createMeshNetwork(loop);
+	const daemons = names.map(name => {
+		const view = createServerView(() => 'r');
+		const deployment = createDeploymentHolder();
+		const parts = {
+			api: store.open(name), clock, loop, random: () => 0.5, log: silentLog,
+		};
+		const feeds: Feed[] = [];
+		const feed = createFeed({
+			mesh: network.join(name),
+			deployment,
+			view,
+			clock,
+			loop,
+			log: silentLog,
+			drainMs: DRAIN_MS,
+			followStore: () => joinDisposables([
+				followKind({
+					kind: 'servers', waitMs: 100, gatherMs: 1200, onObjects(objects, now) {
+						const entries = [...objects.values()].map(object => object.spec as ServerEntry);
+						feeds[0]!.noteEntries(entries);
+						view.update(entries, now);
+					}, onReach(isReached, now) {
+						view.noteReach(isReached, now);
+						feeds[0]!.noteReach(isReached, now);
+					},
+				}, parts),
+				followKind({
+					kind: 'config', waitMs: 3500, gatherMs: 50, onObjects(objects) {
+						objects.forEach(object => {
+							deployment.offer(object.spec as Deployment);
+						});
+					},
+				}, parts),
+			]),
+		});
+		feeds.push(feed);
+		return {name, view, deployment};
+	});
+	return {
+		time, store, network, daemons,
+		configure(version: number) {
+			store.put('config', 'main', {
+				version, routes: [], pools: [], limits: {},
+			});
+		},
+	};
+}
+
+test('most daemons make no calls to the store, and still know what it holds', async () => {
+	const world = createWorld(['d1', 'd2', 'd3', 'd4', 'd5', 'd6', 'd7']);
+	world.store.put('servers', 's1', entry('s1'));
+	world.configure(1);
+	await world.time.advance(5000);
+	const before = world.store.calls.get('changes') ?? 0;
+	await world.time.advance(10_000);
+	const calls = (world.store.calls.get('changes') ?? 0) - before;
+	assert.ok(calls <= 13, `${calls} calls in 10 s, one daemon alone makes 12`);
+	assert.ok(world.daemons.every(daemon => daemon.view.find('s1') !== undefined && daemon.deployment.current()?.version === 1));
+});
+
+test('a leaving server and a new configuration are known everywhere within their bound', async () => {
+	const world = createWorld(['d1', 'd2', 'd3', 'd4']);
+	world.store.put('servers', 's1', entry('s1'));
+	world.configure(1);
+	await world.time.advance(5000);
+	world.store.put('servers', 's1', entry('s1', {isLeaving: true, sequence: 2}));
+	world.configure(2);
+	await world.time.advance(1600);
+	assert.ok(world.daemons.every(daemon => daemon.view.find('s1')?.isLeaving === true));
+	assert.ok(world.daemons.every(daemon => daemon.deployment.current()?.version === 2));
+});
+
+['d1', 'd2', 'd3', 'd4'].forEach(lost => {
+	['silent', 'killed', 'cut from the store'].forEach(fault => {
+		test(`the bound holds for the others when ${lost} is ${fault}, be it their source or not`, async () => {
+			const world = createWorld(['d1', 'd2', 'd3', 'd4']);
+			world.store.put('servers', 's1', entry('s1'));
+			world.configure(1);
+			await world.time.advance(5000);
+			if (fault === 'silent') {
+				world.network.silent.add(lost);
+			} else if (fault === 'killed') {
+				world.network.kill(lost);
+			} else {
+				world.store.cut.add(lost);
+			}
+
+			world.store.put('servers', 's1', entry('s1', {isLeaving: true, sequence: 2}));
+			world.configure(2);
+			await world.time.advance(DRAIN_MS);
+			const others = world.daemons.filter(daemon => daemon.name !== lost);
+			assert.ok(others.every(daemon => daemon.view.find('s1')?.isLeaving === true), 'leaving');
+			assert.ok(others.every(daemon => daemon.deployment.current()?.version === 2), 'configuration');
+		});
+	});
+});
+
+test('a log tells changes since a place, and everything to who asks from too far back', () => {
+	const log = createFeedLog();
+	log.update([entry('s1'), entry('s2')]);
+	const {place} = log.since(-1);
+	assert.not.ok(log.update([entry('s1', {sequence: 9}), entry('s2', {sequence: 9})]), 'a count of writes is no change');
+	log.update([entry('s2', {isLeaving: true})]);
+	const delta = log.since(place);
+	assert.equal(delta.entries.map(changed => changed.id), ['s2']);
+	assert.equal(delta.removed, ['s1']);
+	assert.not.ok(delta.isWhole);
+	assert.ok(log.since(999).isWhole);
+});
+
+test('daemons of one region choose one source; large regions choose by availability zone', () => {
+	const daemon = (index: number, zone: string): PeerDaemon => ({
+		name: `d${index}`, incarnation: '1', ip: `d${index}`, port: 1, region: 'r', availabilityZone: zone,
+	});
+	const sources = (daemons: readonly PeerDaemon[]) => new Set(daemons.map(self => chooseSource(self, daemons.filter(other => other !== self), createSourceBook(), 0)?.name ?? self.name)).size;
+	assert.is(sources(Array.from({length: 9}, (_, index) => daemon(index, `z${index % 3}`))), 1);
+	assert.is(sources(Array.from({length: 60}, (_, index) => daemon(index, `z${index % 3}`))), 3);
+});
+
+test('a source that failed is passed over, longer each time', () => {
+	const book = createSourceBook();
+	book.fail('d1', 0);
+	assert.ok(book.isPassedOver('d1', 3999));
+	assert.not.ok(book.isPassedOver('d1', 4000));
+	book.fail('d1', 5000);
+	assert.ok(book.isPassedOver('d1', 12_000));
+	book.succeed('d1');
+	assert.not.ok(book.isPassedOver('d1', 5001));
+});
+
+test.run();
--- a/src/orders/node/order-lease.ts
+++ b/src/orders/node/order-lease.ts
@@ -46,6 +46,7 @@
 /** Time between looks at the holder. */
 const LOOK_MS = 1000;
 const LOOK_JITTER = 0.4;
+const FIRST_LOOK_MS = 1500;
 const PING_TIMEOUT_MS = 700;
 
 function readSpec(object: ApiObject): LeaseSpec {
@@ -215,7 +216,10 @@
 		});
 	}
 
-	void run();
+	// Daemons that start together look one after another, and find the lease that the first has taken.
+	loop.after(FIRST_LOOK_MS * random(), () => {
+		void run();
+	});
 	return {
 		fencing: now => (held !== undefined && !isLeaving && mayOrder(held.renewedAt, now, times) ? held.fencing : undefined),
 		async release() {
