Probe a broken way to the store twice a second

Cause: after an outage of the store daemons noticed its return up to 1.2 s late, with batches waiting to be stored.

--- a/src/objects/node/relayed-api.ts
+++ b/src/objects/node/relayed-api.ts
@@ -43,7 +43,7 @@
 /** Longest wait of a relayed poll: the daemon that relays it may lose the store meanwhile. */
 const RELAY_WAIT_MS = 500;
 /** Time between looks whether the own way to the store works again. */
-const PROBE_MS = 1000;
+const PROBE_MS = 500;
 const PROBE_JITTER = 0.2;
 /** Daemons, of those that are likely up, among which the peers are drawn. */
 const RELAY_CANDIDATES = 4;
