Do not take an answer without a length for whole

Ruled out: handing it on without a length as well (a caller may take it for whole). Change: an answer without a length or chunks counts as incomplete; idempotent requests go to another server, streams resume after their last event, others end as outcome unknown.

--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -77,7 +77,8 @@
 				...(request.body !== undefined && {body: request.body}),
 				timeoutMs: options.timeoutMs,
 				signal: options.signal,
-				acceptsConnectionEnd: true,
+				// A reset right behind the last bytes is reported as an orderly end, so an answer without a length can't be known to be whole.
+				acceptsConnectionEnd: false,
 				...(options.onData && {onData: options.onData}),
 				onHead(status, headers) {
 					const head = protocol.readHead(status, headers);
--- /dev/null
+++ b/src/gateway/test/server-caller.test.ts
@@ -0,0 +1,123 @@
+import {Buffer} from 'node:buffer';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import type {BackendServer} from '../../routing/common/router.js';
+import {
+	ServerProtocol, type AnswerHead, type EventReader, type ServerAttempt,
+} from '../common/server-protocol.js';
+import {copyEndToEndHeaders, createServerCaller} from '../node/server-caller.js';
+
+const test = suite('one attempt at a backend server');
+
+class IdProtocol extends ServerProtocol {
+	override readonly replacedHeaders = [];
+
+	override headersOf(attempt: ServerAttempt) {
+		return {'Request-Id': attempt.requestId};
+	}
+
+	override readHead(status: number, headers: Readonly<Record<string, unknown>>): AnswerHead {
+		return {
+			status, requestId: typeof headers['request-id'] === 'string' ? headers['request-id'] : undefined, isNotRun: headers['x-skipped'] !== undefined, isOtherServer: status === 421, load: undefined, signature: undefined, version: undefined,
+		};
+	}
+
+	override createEventReader(): EventReader {
+		return {feed: () => undefined};
+	}
+
+	override reportCall() {
+		return {method: 'GET', path: '/', headers: {}};
+	}
+
+	override readReport() {
+		return undefined;
+	}
+
+	override orderCall() {
+		return {method: 'POST', path: '/', headers: {}};
+	}
+
+	override readOrderOutcome() {
+		return 'refused' as const;
+	}
+}
+
+/** Calls a server that answers each request with `answer`. */
+async function callOnce(answer: (socket: Socket) => void) {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			answer(socket);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const caller = createServerCaller(new IdProtocol());
+	const target: BackendServer = {
+		id: 's1', pool: 'p', address: '127.0.0.1', port: (server.address() as AddressInfo).port, availabilityZone: 'z', region: 'r', state: 'live',
+	};
+	const result = await caller.attempt(target, {
+		method: 'POST', path: '/', headers: {}, body: Buffer.from('x'),
+	}, {requestId: 'r1', remainingMs: 1000, serverId: 's1'}, {timeoutMs: 2000, signal: new AbortController().signal});
+	caller.close();
+	server.close();
+	return result;
+}
+
+test('a framed answer with the own id is taken', async () => {
+	const result = await callOnce(socket => {
+		socket.end('HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 4\r\n\r\nbody');
+	});
+	assert.is(Buffer.from(result._unsafeUnwrap().body).toString('utf8'), 'body');
+});
+
+test('an answer without a length is not taken for whole, for a reset right behind it looks like its end', async () => {
+	const head = 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nConnection: close\r\n\r\nhalf a bo';
+	const ends: ReadonlyArray<(socket: Socket) => void> = [
+		socket => {
+			socket.write(head, () => {
+				socket.resetAndDestroy();
+			});
+		},
+		socket => {
+			socket.end(head);
+		},
+	];
+	await ends.reduce(async (previous, end) => {
+		await previous;
+		const result = await callOnce(end);
+		assert.is(result._unsafeUnwrapErr().effect, 'outcomeUnknown');
+	}, Promise.resolve());
+});
+
+test('an answer that is cut short, or of another request, or no answer at all, is not taken', async () => {
+	const answers = [
+		'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 40\r\n\r\nbody',
+		'HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 4\r\n\r\nbody',
+		'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody',
+		'\u0001\u0002 no answer\r\n\r\n',
+	];
+	await answers.reduce(async (previous, answer) => {
+		await previous;
+		const result = await callOnce(socket => {
+			socket.end(answer);
+		});
+		assert.ok(result.isErr(), answer);
+	}, Promise.resolve());
+});
+
+test('a refusal without an id is taken as what it says', async () => {
+	const result = await callOnce(socket => {
+		socket.end('HTTP/1.1 503 Full\r\nX-Skipped: 1\r\nContent-Length: 0\r\n\r\n');
+	});
+	assert.ok(result._unsafeUnwrap().head.isNotRun);
+});
+
+test('headers of one connection stay behind, others pass on with their names and repeats', () => {
+	assert.equal(copyEndToEndHeaders(['Host', 'h', 'Connection', 'close, X-Hop', 'X-Hop', '1', 'X-A', '1', 'X-A', '2', 'Deadline', '5'], ['deadline']), {Host: 'h', 'X-A': ['1', '2']});
+});
+
+test.run();
