Read a batch's log while its items run

An owner read the log before it started a waiting item, but a run that broke went on elsewhere without a look, and an owner whose items all run may write nothing for seconds. Ruled out: the path of the end itself (acknowledged from the log). Change: while items run, the log is read again when the store has not confirmed it for 0.6 of the time to cancel.

--- a/src/batches/batches.contribution.ts
+++ b/src/batches/batches.contribution.ts
@@ -40,6 +40,7 @@
 			scoring: new PQueue({concurrency: CONCURRENT_SCORING}),
 			onTick: exchange.tick,
 			onSubmit: exchange.ask,
+			cancelMs: host.bounds.cancelMs,
 			retentionMs: 2 * host.bounds.resultRetentionMs,
 		});
 		context.provide(batchesKey, service);
--- a/src/batches/node/batch-owner.ts
+++ b/src/batches/node/batch-owner.ts
@@ -39,6 +39,8 @@
 	/** Monotonic time at which this daemon learned of the batch. */
 	readonly knownSince: number;
 	readonly partials: readonly PartialText[];
+	/** Time after the end of a batch within which its items must start nowhere, in milliseconds. */
+	readonly cancelMs: number;
 };
 
 type ItemState = {
@@ -49,6 +51,8 @@
 
 /** The log is read again before a start when the store has not confirmed it for this long, in milliseconds. */
 const CONFIRM_MS = 1000;
+/** Share of the time to cancel after which the log is read again while items run: their runs may start anew elsewhere. */
+const RUNNING_CONFIRM_SHARE = 0.6;
 /** Pause before a failed write is tried again. */
 const WRITE_RETRY_MS = 300;
 /** Pause before a failed scoring call is tried again. */
@@ -268,6 +272,14 @@
 		startWaiting(now);
 	}
 
+	/** Reads the log while items run, so that an end or another owner is noticed without a write. */
+	function confirmWhileRunning(now: number): void {
+		const isDue = now - Math.max(confirmTriedAt, writer.confirmedAt()) > parts.cancelMs * RUNNING_CONFIRM_SHARE;
+		if (!isLost() && isDue && states.some(state => state.phase === 'running')) {
+			confirm();
+		}
+	}
+
 	function stopRuns(): void {
 		stop.abort();
 		states.forEach(state => {
@@ -281,6 +293,7 @@
 				state.run.moveIfSlow(now);
 			});
 			writeIfWorth(now);
+			confirmWhileRunning(now);
 			pump(now);
 		},
 		release() {
--- a/src/batches/test/batches.test.ts
+++ b/src/batches/test/batches.test.ts
@@ -135,6 +135,27 @@
 	assert.ok(world.engines.every(engine => engine.starts.every(start => start.at <= endedAt + 3000)), 'within the bound of 3 s');
 });
 
+test('a run that breaks after an end that its owner did not hear starts nowhere else', async () => {
+	const world = createBatchWorld({daemons: ['d1', 'd2'], engines: 2});
+	await world.finish(world.serviceOf('d1').submit(createBatch('b', Array.from({length: 4}, () => 2000)), 10_000));
+	await world.time.advance(500);
+	world.network.silent.add('d1');
+	let ended = await world.finish(world.serviceOf('d2').end('b'));
+	while (ended.isErr()) {
+		ended = await world.finish(world.serviceOf('d2').end('b'));
+	}
+
+	const endedAt = world.time.clock.monotonic();
+	await world.time.advance(3000);
+	// One engine stays up, so that a broken run would find room at once.
+	world.engines[0]!.isDown = true;
+	await world.time.advance(1000);
+	world.engines[0]!.isDown = false;
+	world.engines[1]!.isDown = true;
+	await world.time.advance(5000);
+	assert.ok(world.engines.every(engine => engine.starts.every(start => start.at <= endedAt + 3000)), 'within the bound of 3 s');
+});
+
 test('a run whose engine crashes goes on elsewhere after its last event', async () => {
 	const world = createBatchWorld({daemons: ['d1'], engines: 2});
 	await world.finish(world.serviceOf('d1').submit(createBatch('b', [60, 60, 60, 60]), 10_000));
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -229,7 +229,7 @@
 			loads, view, mesh, clock, log,
 		});
 		const service = createBatchService({
-			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new WordProtocol(), pace: createServerPace(), refusals: createRefusalMemory(), scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, onTick: exchange.tick, onSubmit: exchange.ask,
+			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new WordProtocol(), pace: createServerPace(), refusals: createRefusalMemory(), scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, onTick: exchange.tick, onSubmit: exchange.ask,
 			dispatcher: createDispatcher({
 				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, reservedElsewhere: () => false,
 			}),
