Send nothing new to a server that says it is leaving

A worker may say so while its entry in the store is still shown as ready, or comes back with a late write. The server view keeps a mark for that start of the server, which outlives the entry and ends with a later start only. Daemons tell each other: followers their source at once, sources their followers, owners of batches the other owners with their loads. A late write of an earlier state no longer brings back an entry that was removed. The server table tells runs under one id apart, so a server that is back under its id is used at once and not after 30 s. Ruled out: calls to all daemons at each mark (N to N at a release of a whole pool).

--- a/src/adapters/common/vm-list.ts
+++ b/src/adapters/common/vm-list.ts
@@ -12,6 +12,8 @@
 	readonly state: 'live' | 'leaving';
 	/** The pool for backend servers; `entry` for VMs that run a daemon (then `port` is the peer port). */
 	readonly pool: string;
+	/** Unix time in milliseconds of the start of what runs there, which tells runs under one id apart; left out when it is not known. */
+	readonly startedAt?: number;
 };
 
 /** The VM list. */
--- a/src/batches/node/load-exchange.ts
+++ b/src/batches/node/load-exchange.ts
@@ -3,6 +3,7 @@
 import type {ServerView} from '../../gateway/common/server-view.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
+import type {LeavingMark} from '../../gateway/common/leaving-marks.js';
 import type {EngineCounts, SharedLoads} from '../../gateway/common/shared-loads.js';
 
 /** The exchange of one daemon. */
@@ -22,6 +23,15 @@
 	readonly log: Log;
 };
 
+/** What owners tell each other. */
+type Word = {
+	readonly owner: string;
+	/** Generations under way by engine. */
+	readonly counts: EngineCounts;
+	/** Servers that the owner knows to be leaving; owners far away may lack them. */
+	readonly leaving: readonly LeavingMark[];
+};
+
 /** Counts that did not change are said again after this time. */
 const REPEAT_MS = 500;
 const CALL_TIMEOUT_MS = 400;
@@ -35,21 +45,32 @@
 	let said = '';
 	let saidAt = Number.NEGATIVE_INFINITY;
 
+	function describe(counts: EngineCounts): Word {
+		return {owner: mesh.self.name, counts, leaving: view.listLeaving(clock.monotonic())};
+	}
+
+	function learn({owner, counts, leaving}: Word): void {
+		const now = clock.monotonic();
+		loads.learn(owner, counts, now);
+		leaving.forEach(mark => {
+			view.noteLeaving(mark, now);
+		});
+	}
+
 	mesh.handle('engine-loads', async body => {
-		// The body is what `tick` sent from another daemon.
+		// The body is what `tell` sent from another daemon.
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const {owner, counts} = body as {owner: string; counts: EngineCounts};
-		loads.learn(owner, counts, clock.monotonic());
-		return {status: 200, body: countOwn()};
+		learn(body as Word);
+		return {status: 200, body: describe(countOwn())};
 	});
 
 	/** Tells an owner what this daemon has under way, and learns the same of it. */
 	async function tell(owner: PeerDaemon, counts: EngineCounts): Promise<void> {
-		const reply = await mesh.call(owner, 'engine-loads', {owner: mesh.self.name, counts}, CALL_TIMEOUT_MS);
+		const reply = await mesh.call(owner, 'engine-loads', describe(counts), CALL_TIMEOUT_MS);
 		reply.match(({body}) => {
 			// The body is what the handler above wrote.
 			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-			loads.learn(owner.name, body as EngineCounts, clock.monotonic());
+			learn(body as Word);
 		}, failure => {
 			log.debug('load not passed on', {to: owner.name, reason: failure.message});
 		});
--- a/src/gateway/common/server-protocol.ts
+++ b/src/gateway/common/server-protocol.ts
@@ -30,6 +30,8 @@
 	readonly isNotRun: boolean;
 	/** Another server than the expected one has the address. */
 	readonly isOtherServer: boolean;
+	/** The server states that it is leaving and must get nothing new. */
+	readonly isLeaving: boolean;
 	readonly load: StatedLoad | undefined;
 	/** The server's signature of the answer. */
 	readonly signature: string | undefined;
--- a/src/gateway/common/server-view.ts
+++ b/src/gateway/common/server-view.ts
@@ -4,6 +4,7 @@
  */
 import type {Vm} from '../../adapters/common/vm-list.js';
 import {createServerTable, type ServerTable} from '../../routing/common/server-table.js';
+import {createLeavingMarks, type LeavingMark} from './leaving-marks.js';
 
 /** A backend server's entry. */
 export type ServerEntry = {
@@ -38,18 +39,32 @@
 	readonly stateVersion: (serverId: string, model: string, version: number) => void;
 	/** The newest weight version known of a server; undefined when the server does not hold the model. */
 	readonly versionOf: (serverId: string, model: string) => number | undefined;
+	/** Notes that a server said itself that it is leaving, or that another daemon heard it say so. */
+	readonly noteLeaving: (mark: LeavingMark, now: number) => void;
+	/** Marks of leaving servers that other daemons may lack. */
+	readonly listLeaving: (now: number) => readonly LeavingMark[];
+	/** Fires the listener with each server that newly said that it is leaving. */
+	readonly onDidLeave: (listener: (mark: LeavingMark) => void) => void;
 	/** Fires the listener when servers or versions have changed. */
 	readonly onDidChange: (listener: () => void) => void;
 };
 
 /** After the store has come back, entries that lapsed meanwhile are written again within this time. */
 const LAPSE_GRACE_MS = 2200;
+/** Writes to the store take effect seconds late at most; entries that vanished are remembered for longer than that. */
+const DEPARTED_MEMORY_MS = 60_000;
 /** The store counts as just back for this long after its first answer. */
 const RETURN_MS = 2500;
 
 function toVm(entry: ServerEntry): Vm {
 	return {
-		id: entry.id, address: entry.address, port: entry.port, availabilityZone: entry.availabilityZone, pool: entry.pool, state: entry.isLeaving ? 'leaving' : 'live',
+		id: entry.id,
+		address: entry.address,
+		port: entry.port,
+		availabilityZone: entry.availabilityZone,
+		pool: entry.pool,
+		state: entry.isLeaving ? 'leaving' : 'live',
+		...(entry.startedAt !== undefined && {startedAt: entry.startedAt}),
 	};
 }
 
@@ -75,8 +90,26 @@
 	let isReached = true;
 	let returnedAt = Number.NEGATIVE_INFINITY;
 	const listeners: Array<() => void> = [];
+	const leaving = createLeavingMarks();
+	const departed = new Map<string, {readonly entry: ServerEntry; readonly at: number}>();
+	const leaveListeners: Array<(mark: LeavingMark) => void> = [];
+
+	function markLeaving(entry: ServerEntry): ServerEntry {
+		return !entry.isLeaving && leaving.isLeaving(entry.id, entry.startedAt) ? {...entry, isLeaving: true} : entry;
+	}
+
+	/** Remembers entries that vanished, so that a late write of an earlier state does not bring them back. */
+	function rememberDeparted(next: ReadonlyMap<string, ServerEntry>, now: number): void {
+		[...entries.values()].filter(entry => !next.has(entry.id)).forEach(entry => {
+			departed.set(entry.id, {entry, at: now});
+		});
+		[...departed].filter(([, {at}]) => now - at > DEPARTED_MEMORY_MS).forEach(([id]) => {
+			departed.delete(id);
+		});
+	}
 
 	function publish(next: ReadonlyMap<string, ServerEntry>, now: number): void {
+		rememberDeparted(next, now);
 		entries = next;
 		[...stated.keys()].filter(id => !next.has(id)).forEach(id => {
 			stated.delete(id);
@@ -94,9 +127,13 @@
 	}
 
 	function merge(offered: readonly ServerEntry[], now: number): ReadonlyMap<string, ServerEntry> {
-		const fresh = offered.map(entry => {
+		const fresh = offered.flatMap(entry => {
 			const known = entries.get(entry.id);
-			return known !== undefined && isOutdated(entry, known) ? known : entry;
+			if (known !== undefined) {
+				return isOutdated(entry, known) ? known : entry;
+			}
+
+			return isOutdated(entry, departed.get(entry.id)?.entry) ? [] : entry;
 		});
 		const freshIds = new Set(fresh.map(entry => entry.id));
 		freshIds.forEach(id => {
@@ -106,7 +143,7 @@
 		const kept = [...entries.values()]
 			.filter(entry => !freshIds.has(entry.id) && !taken.has(`${entry.address}:${entry.port}`))
 			.filter(entry => isKept(entry, now));
-		return new Map([...fresh, ...kept].map(entry => [entry.id, entry]));
+		return new Map([...fresh, ...kept].map(entry => [entry.id, markLeaving(entry)]));
 	}
 
 	let offeredLast: readonly ServerEntry[] = [];
@@ -151,6 +188,20 @@
 			const own = known !== undefined && known.startedAt === entry?.startedAt ? known.versions.get(model) : undefined;
 			return listed === undefined && own === undefined ? undefined : Math.max(listed ?? 0, own ?? 0);
 		},
+		noteLeaving(mark, now) {
+			if (!leaving.note(mark, now)) {
+				return;
+			}
+
+			publish(new Map([...entries].map(([id, entry]) => [id, markLeaving(entry)])), now);
+			leaveListeners.forEach(listener => {
+				listener(mark);
+			});
+		},
+		listLeaving: now => leaving.list(serverId => entries.has(serverId), now),
+		onDidLeave(listener) {
+			leaveListeners.push(listener);
+		},
 		onDidChange(listener) {
 			listeners.push(listener);
 		},
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -55,7 +55,16 @@
 	const dispatcher = createDispatcher({
 		table: view.table, loads, prefixes: createPrefixIndex(REMEMBERED_PREFIXES), weights: WEIGHTS, ownRegion: host.region, random: context.random, reservedElsewhere: () => false,
 	});
-	const caller = createServerCaller(protocol);
+	const caller = createServerCaller({
+		protocol,
+		startOf: serverId => view.find(serverId)?.startedAt,
+		onLeaving(mark) {
+			view.noteLeaving(mark, context.clock.monotonic());
+		},
+	});
+	view.onDidLeave(mark => {
+		context.log.info('backend server says that it is leaving', {serverId: mark.serverId, startedAt: mark.startedAt});
+	});
 	const forwarder = createForwarder({
 		...context, dispatcher, loads, caller, configurationVersion: () => deployment.current()?.version,
 	});
--- a/src/gateway/node/feed.ts
+++ b/src/gateway/node/feed.ts
@@ -12,6 +12,7 @@
 import {
 	createFeedLog, fromFeedEntry, type FeedDelta,
 } from '../common/feed-log.js';
+import type {LeavingMark} from '../common/leaving-marks.js';
 import type {ServerEntry, ServerView} from '../common/server-view.js';
 
 /** The feed of one daemon. */
@@ -41,6 +42,8 @@
 	readonly configuration: number;
 	/** The caller's latest word of the store, as the source counts them. */
 	readonly word: number;
+	/** Servers that the caller knows to be leaving. */
+	readonly leaving: readonly LeavingMark[];
 };
 
 type FeedReply = {
@@ -50,6 +53,8 @@
 	readonly word: number;
 	/** Milliseconds since the source heard from the store. */
 	readonly ageMs: number;
+	/** Servers that the source knows to be leaving. */
+	readonly leaving: readonly LeavingMark[];
 };
 
 const LOOK_MS = 100;
@@ -105,11 +110,44 @@
 		});
 	}
 
+	function noteLeaving(marks: readonly LeavingMark[]): void {
+		marks.forEach(mark => {
+			view.noteLeaving(mark, clock.monotonic());
+		});
+	}
+
+	function wake(): void {
+		word += 1;
+		[...waiting].forEach(finish => {
+			finish();
+		});
+	}
+
+	// Daemons that follow this one are told at once; the source of this one is told without waiting for its reply.
+	view.onDidLeave(mark => {
+		wake();
+		if (own === undefined && source !== undefined) {
+			void mesh.call(source, 'server-leaving', {leaving: [mark]}, REPLY_MS).then(reply => {
+				if (reply.isErr()) {
+					log.debug('leaving server not passed on', {serverId: mark.serverId, reason: reply.error.message});
+				}
+			});
+		}
+	});
+
+	mesh.handle('server-leaving', async body => {
+		// The body is what another daemon's feed sent above.
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+		noteLeaving((body as Pick<FeedCall, 'leaving'>).leaving);
+		return {status: 200, body: null};
+	});
+
 	mesh.handle('feed', async body => {
 		// The body is what `ask` sent from another daemon.
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 		const call = body as FeedCall;
 		const isKnown = call.incarnation === mesh.self.incarnation;
+		noteLeaving(call.leaving);
 		if (own === undefined) {
 			return {status: 410, body: null};
 		}
@@ -122,6 +160,7 @@
 			deployment: current !== undefined && current.version > call.configuration ? current : undefined,
 			word,
 			ageMs: clock.monotonic() - heardAt,
+			leaving: view.listLeaving(clock.monotonic()),
 		};
 		return {status: 200, body: reply};
 	});
@@ -137,6 +176,7 @@
 		received = {
 			name: from.name, incarnation: reply.incarnation, place: reply.delta.place, word: reply.word, entries: known,
 		};
+		noteLeaving(reply.leaving);
 		const now = clock.monotonic();
 		confirmedAt = now - reply.ageMs;
 		if (reply.deployment !== undefined && deployment.offer(reply.deployment)) {
@@ -154,7 +194,7 @@
 		isAsking = true;
 		const last = received?.name === from.name ? received : undefined;
 		const call: FeedCall = {
-			place: last?.place ?? -1, incarnation: last?.incarnation ?? '', configuration: deployment.current()?.version ?? -1, word: last?.word ?? -1,
+			place: last?.place ?? -1, incarnation: last?.incarnation ?? '', configuration: deployment.current()?.version ?? -1, word: last?.word ?? -1, leaving: view.listLeaving(clock.monotonic()),
 		};
 		const replied = await mesh.call(from, 'feed', call, HOLD_MS + REPLY_MS);
 		isAsking = false;
@@ -204,10 +244,7 @@
 			}
 
 			heardAt = now;
-			word += 1;
-			[...waiting].forEach(finish => {
-				finish();
-			});
+			wake();
 		},
 		dispose() {
 			looking.dispose();
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -4,6 +4,7 @@
 import type {Failure} from '../../base/common/failure.js';
 import {exchange, type HttpAnswer} from '../../adapters/node/http-exchange.js';
 import type {BackendServer} from '../../routing/common/router.js';
+import type {LeavingMark} from '../common/leaving-marks.js';
 import type {AnswerHead, ServerAttempt, ServerProtocol} from '../common/server-protocol.js';
 
 /** A request as it goes to a server, without the headers of the attempt. */
@@ -37,6 +38,15 @@
 	readonly close: () => void;
 };
 
+/** What a caller works with. */
+export type ServerCallerParts = {
+	readonly protocol: ServerProtocol;
+	/** Start of the run of a server that is known now, in Unix milliseconds. */
+	readonly startOf: (serverId: string) => number | undefined;
+	/** Called when a server stated that it is leaving. */
+	readonly onLeaving: (mark: LeavingMark) => void;
+};
+
 /** Idle connections are dropped after this time; servers state shorter times themselves. */
 const IDLE_CLOSE_MS = 8000;
 /** Headers that concern one connection only. */
@@ -62,13 +72,14 @@
 }
 
 /** Creates a caller. */
-export function createServerCaller(protocol: ServerProtocol): ServerCaller {
+export function createServerCaller({protocol, startOf, onLeaving}: ServerCallerParts): ServerCaller {
 	const agent = new Agent({keepAlive: true, timeout: IDLE_CLOSE_MS, scheduling: 'lifo'});
 	const freshAgent = new Agent({keepAlive: false});
 
 	return {
 		async attempt(server, request, attempt, options) {
 			const heads: AnswerHead[] = [];
+			const startedAt = startOf(server.id);
 			const {result} = await exchange({
 				step: 'call backend server',
 				method: request.method,
@@ -87,6 +98,10 @@
 					}
 
 					heads.push(head);
+					if (head.isLeaving && !head.isOtherServer) {
+						onLeaving({serverId: server.id, startedAt});
+					}
+
 					options.onHead?.(head, headers);
 					return undefined;
 				},
--- a/src/gateway/test/feed.test.ts
+++ b/src/gateway/test/feed.test.ts
@@ -27,7 +27,7 @@
 	const {clock, loop} = time;
 	const store = createMemoryObjects(loop);
 	const network = createMeshNetwork(loop);
-	const daemons = names.map(name => {
+	function start(name: string) {
 		const view = createServerView(() => 'r');
 		const deployment = createDeploymentHolder();
 		const parts = {
@@ -64,9 +64,11 @@
 		});
 		feeds.push(feed);
 		return {name, view, deployment};
-	});
+	}
+
+	const daemons = names.map(name => start(name));
 	return {
-		time, store, network, daemons,
+		time, store, network, daemons, start,
 		configure(version: number) {
 			store.put('config', 'main', {
 				version, routes: [], pools: [], limits: {},
@@ -124,6 +126,23 @@
 	});
 });
 
+['d1', 'd2', 'd3', 'd4'].forEach(hearer => {
+	test(`what a server says of leaving to ${hearer} is known everywhere soon, also to one that restarts and while the store shows it as ready`, async () => {
+		const world = createWorld(['d1', 'd2', 'd3', 'd4']);
+		world.store.put('servers', 's1', entry('s1'));
+		world.configure(1);
+		await world.time.advance(5000);
+		world.store.cut.add(hearer);
+		world.daemons.find(daemon => daemon.name === hearer)!.view.noteLeaving({serverId: 's1', startedAt: 1}, world.time.clock.monotonic());
+		await world.time.advance(500);
+		const notTold = world.daemons.filter(daemon => daemon.view.find('s1')?.isLeaving !== true);
+		assert.equal(notTold.map(daemon => daemon.name), []);
+		const restarted = world.start('d5');
+		await world.time.advance(5000);
+		assert.ok(restarted.view.find('s1')?.isLeaving, 'a daemon that started later');
+	});
+});
+
 test('a log tells changes since a place, and everything to who asks from too far back', () => {
 	const log = createFeedLog();
 	log.update([entry('s1'), entry('s2')]);
--- a/src/gateway/test/server-caller.test.ts
+++ b/src/gateway/test/server-caller.test.ts
@@ -19,7 +19,7 @@
 
 	override readHead(status: number, headers: Readonly<Record<string, unknown>>): AnswerHead {
 		return {
-			status, requestId: typeof headers['request-id'] === 'string' ? headers['request-id'] : undefined, isNotRun: headers['x-skipped'] !== undefined, isOtherServer: status === 421, load: undefined, signature: undefined, version: undefined,
+			status, requestId: typeof headers['request-id'] === 'string' ? headers['request-id'] : undefined, isNotRun: headers['x-skipped'] !== undefined, isOtherServer: status === 421, isLeaving: headers['x-leaving'] !== undefined, load: undefined, signature: undefined, version: undefined,
 		};
 	}
 
@@ -45,7 +45,7 @@
 }
 
 /** Calls a server that answers each request with `answer`. */
-async function callOnce(answer: (socket: Socket) => void) {
+async function callOnce(answer: (socket: Socket) => void, onLeaving: (mark: unknown) => void = () => undefined) {
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
@@ -55,7 +55,7 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
-	const caller = createServerCaller(new IdProtocol());
+	const caller = createServerCaller({protocol: new IdProtocol(), startOf: () => 1000, onLeaving});
 	const target: BackendServer = {
 		id: 's1', pool: 'p', address: '127.0.0.1', port: (server.address() as AddressInfo).port, availabilityZone: 'z', region: 'r', state: 'live',
 	};
@@ -109,6 +109,24 @@
 	}, Promise.resolve());
 });
 
+test('what an answer says of leaving is noted with the start of the server that the request was sent to', async () => {
+	const answers = [
+		{text: 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n', marks: [{serverId: 's1', startedAt: 1000}]},
+		{text: 'HTTP/1.1 503 Full\r\nX-Skipped: 1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n', marks: [{serverId: 's1', startedAt: 1000}]},
+		{text: 'HTTP/1.1 421 Other\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n', marks: []},
+		{text: 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n', marks: []},
+	];
+	await answers.reduce(async (previous, {text, marks}) => {
+		await previous;
+		const noted: unknown[] = [];
+		const result = await callOnce(socket => {
+			socket.end(text);
+		}, mark => noted.push(mark));
+		assert.ok(result.isOk(), text);
+		assert.equal(noted, marks, text);
+	}, Promise.resolve());
+});
+
 test('a refusal without an id is taken as what it says', async () => {
 	const result = await callOnce(socket => {
 		socket.end('HTTP/1.1 503 Full\r\nX-Skipped: 1\r\nContent-Length: 0\r\n\r\n');
--- a/src/gateway/test/server-view.test.ts
+++ b/src/gateway/test/server-view.test.ts
@@ -65,4 +65,48 @@
 	assert.is(view.find('s1'), undefined);
 });
 
+test('a server that says it is leaving gets nothing new, although the store shows it as ready for long', () => {
+	const view = createView();
+	view.update([entry('s1'), entry('s2')], 0);
+	view.noteLeaving({serverId: 's1', startedAt: 1000}, 100);
+	assert.not.ok(view.table.usable('s1', 100));
+	view.update([entry('s1', {sequence: 6}), entry('s2')], 200);
+	view.update([entry('s2')], 300);
+	view.update([entry('s1', {sequence: 9}), entry('s2')], 120_000);
+	assert.not.ok(view.table.usable('s1', 120_001), 'the mark outlives the entry');
+	assert.ok(view.table.usable('s2', 120_001));
+});
+
+test('only a later start ends what a server said of leaving, and at once', () => {
+	const view = createView();
+	view.update([entry('s1')], 0);
+	view.noteLeaving({serverId: 's1', startedAt: 1000}, 100);
+	view.update([entry('s1', {startedAt: 900, sequence: 99})], 200);
+	assert.not.ok(view.table.usable('s1', 200), 'an entry of an earlier start');
+	view.update([entry('s1', {startedAt: 2000, sequence: 1})], 300);
+	assert.ok(view.table.usable('s1', 300));
+	view.noteLeaving({serverId: 's1', startedAt: 1000}, 400);
+	assert.ok(view.table.usable('s1', 400), 'a late word of the earlier start');
+});
+
+test('a mark heard before the entry is known holds, and is told to others', () => {
+	const view = createView();
+	view.noteLeaving({serverId: 's1', startedAt: 1000}, 0);
+	view.update([entry('s1')], 100);
+	assert.not.ok(view.table.usable('s1', 100));
+	assert.equal(view.listLeaving(200_000), [{serverId: 's1', startedAt: 1000}], 'as long as the entry is listed');
+	view.update([], 200_000);
+	assert.equal(view.listLeaving(200_001), []);
+});
+
+test('a late write of an earlier state does not bring back a server whose entry was removed', () => {
+	const view = createView();
+	view.update([entry('s1', {sequence: 7, isLeaving: true})], 0);
+	view.update([], 1000);
+	view.update([entry('s1', {sequence: 6})], 4000);
+	assert.is(view.find('s1'), undefined);
+	view.update([entry('s1', {sequence: 8})], 5000);
+	assert.ok(view.find('s1'), 'a later write of the same start');
+});
+
 test.run();
--- a/src/gateway/test/try-policy.test.ts
+++ b/src/gateway/test/try-policy.test.ts
@@ -12,7 +12,7 @@
 function answer(status: number, more: Partial<AnswerHead> = {}): TryEnd {
 	return {
 		kind: 'answer', head: {
-			status, requestId: 'r', isNotRun: false, isOtherServer: false, load: undefined, signature: undefined, version: undefined, ...more,
+			status, requestId: 'r', isNotRun: false, isOtherServer: false, isLeaving: false, load: undefined, signature: undefined, version: undefined, ...more,
 		},
 	};
 }
--- a/src/orders/node/order-service.ts
+++ b/src/orders/node/order-service.ts
@@ -80,7 +80,21 @@
 
 	async function callServer(server: ServerEntry, call: ServerCall): Promise<Result<{readonly status: number; readonly body: string}, Failure>> {
 		const {result} = await exchange({
-			step: 'call engine', method: call.method, path: call.path, headers: call.headers, ...(call.body !== undefined && {body: call.body}), timeoutMs: CALL_TIMEOUT_MS, acceptsConnectionEnd: true,
+			step: 'call engine',
+			method: call.method,
+			path: call.path,
+			headers: call.headers,
+			...(call.body !== undefined && {body: call.body}),
+			timeoutMs: CALL_TIMEOUT_MS,
+			acceptsConnectionEnd: true,
+			onHead(status, headers) {
+				const head = protocol.readHead(status, headers);
+				if (head.isLeaving && !head.isOtherServer) {
+					view.noteLeaving({serverId: server.id, startedAt: server.startedAt}, clock.monotonic());
+				}
+
+				return undefined;
+			},
 		}, {base: new URL(`http://${server.address}:${server.port}`), agent});
 		return result.map(answer => ({status: answer.status, body: Buffer.from(answer.body).toString('utf8')}));
 	}
--- a/src/routing/common/server-table.ts
+++ b/src/routing/common/server-table.ts
@@ -40,15 +40,16 @@
 /** Creates an empty table. `regionOf` maps availability zones to regions. */
 export function createServerTable(regionOf: (zone: string) => string | undefined): ServerTable {
 	let servers: ReadonlyMap<string, BackendServer> = new Map();
-	const leavingSeenAt = new Map<string, number>();
+	const leavingSeen = new Map<string, {readonly at: number; readonly startedAt: number | undefined}>();
 	const avoided = new Map<string, Avoidance>();
 
 	function createServer(vm: Vm, now: number): BackendServer {
 		if (vm.state === 'leaving') {
-			leavingSeenAt.set(vm.id, now);
+			leavingSeen.set(vm.id, {at: now, startedAt: vm.startedAt});
 		}
 
-		const held = now - (leavingSeenAt.get(vm.id) ?? Number.NEGATIVE_INFINITY) < LEAVING_HOLD_MS;
+		const seen = leavingSeen.get(vm.id);
+		const held = seen !== undefined && seen.startedAt === vm.startedAt && now - seen.at < LEAVING_HOLD_MS;
 		return {
 			id: vm.id,
 			address: vm.address,
@@ -75,7 +76,7 @@
 	function forgetVanished(vanished: readonly BackendServer[]): void {
 		vanished.forEach(server => {
 			avoided.delete(server.id);
-			leavingSeenAt.delete(server.id);
+			leavingSeen.delete(server.id);
 		});
 	}
 
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -129,7 +129,7 @@
 
 	function headOf(requestId: string, engine: WorldEngine, status: number, isNotRun = false): AnswerHead {
 		return {
-			status, requestId, isNotRun, isOtherServer: false, load: {running: engine.running, queued: 0, slots: engine.slots}, signature: 'sig', version: status === 200 ? engine.version : undefined,
+			status, requestId, isNotRun, isOtherServer: false, isLeaving: false, load: {running: engine.running, queued: 0, slots: engine.slots}, signature: 'sig', version: status === 200 ? engine.version : undefined,
 		};
 	}
 
@@ -220,7 +220,7 @@
 				const status = options.score?.(request.requestId, attempt) ?? 200;
 				return ok({
 					status, headers: {}, body: new Uint8Array(), head: {
-						status, requestId: request.requestId, isNotRun: false, isOtherServer: false, load: undefined, signature: `score of ${request.requestId}`, version: undefined,
+						status, requestId: request.requestId, isNotRun: false, isOtherServer: false, isLeaving: false, load: undefined, signature: `score of ${request.requestId}`, version: undefined,
 					},
 				});
 			},
