Bound all that a peer can send without end

Cause: bytes that are no answer may come without end, in a head or a body. Node's own bounds hold for heads, trailers and chunk extensions. Change: one bounded exchange: heads of 16 KB, four interim answers, bodies by the kind of call (reports of engines 256 KB, errors in place of streams 64 KB, 8 MB else), an event of 256 KB, 32 MB for the bodies of all calls in progress, of which the largest ends. Bodies of callers have a sum of 56 MB. A stream whose caller reads nothing ends at 512 KB unread. A try that so ends counts as the server's failure, and its outcome as unknown. The same for the own interface's engines. Ruled out: a bound for each call alone, as hundreds of calls at 8 MB are more than the 250 MB of the smallest VMs.

--- a/src/adapters/node/http-engine.ts
+++ b/src/adapters/node/http-engine.ts
@@ -6,6 +6,7 @@
 import {
 	Engine, type Chunk, type Endpoint, type EngineOrder, type GenerationRequest,
 } from '../common/engine.js';
+import {createEventBound} from '../common/event-bound.js';
 import {createStatusFailure, readJson} from './http-answers.js';
 import {callJson, createHttpClient} from './http-client.js';
 import {loadReport, REPORT_TIMEOUT_MS, urlOf} from './endpoint-protocol.js';
@@ -32,8 +33,11 @@
 			const step = 'generate';
 			const assembler = createGenerationAssembler(request, {step, peer: client.peer});
 			const decoder = new TextDecoder();
+			const bound = createEventBound();
+			let hasEvent = false;
 			const parser = createParser({
 				onEvent(event) {
+					hasEvent = true;
 					const chunk = assembler.accept(event.event ?? '', event.data);
 					if (chunk && !signal.aborted) {
 						onChunk(chunk);
@@ -48,7 +52,9 @@
 				body: JSON.stringify(request),
 				signal,
 				onData(piece) {
+					hasEvent = false;
 					parser.feed(decoder.decode(piece, {stream: true}));
+					return bound.note(piece.length, hasEvent);
 				},
 			});
 			if (answer.isErr() && answer.error.code === 'aborted' && answer.error.effect === 'outcomeUnknown') {
--- a/src/adapters/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -4,6 +4,7 @@
 	request as startRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import {createByteBudget} from '../../base/common/byte-budget.js';
 import {
 	createNotRun, createOutcomeUnknown, type Failure, type FailureCode, type Origin,
 } from '../../base/common/failure.js';
@@ -27,8 +28,10 @@
 	readonly connection?: 'kept' | 'new';
 	/** Called before the first byte can have left. */
 	readonly onSent?: () => void;
-	/** Receives the body of a successful answer as it comes, in place of the answer's `body`. */
-	readonly onData?: (piece: Uint8Array) => void;
+	/** Receives the body of a successful answer as it comes, in place of the answer's `body`. A text refuses the rest, and names the reason. */
+	readonly onData?: (piece: Uint8Array) => string | undefined;
+	/** Largest body that is read, in bytes; a larger one is a failure. */
+	readonly maximumBytes?: number;
 	/** Inspects status and headers before the body is read. A text refuses the answer, and names the reason. */
 	readonly onHead?: (status: number, headers: IncomingHttpHeaders) => string | undefined;
 	/** Whether the orderly end of the connection may end an answer without a length; otherwise such an answer is incomplete. */
@@ -62,8 +65,18 @@
 	readonly fail: (code: FailureCode, message: string, wasClosed?: boolean) => void;
 };
 
-/** Largest answer that is read; a larger one is a failure. */
-const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Largest body where the call names no other: VM lists and listings of 1,460 VMs come to 0.2 MB, batches and pages of results to 1 MB. */
+const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
+/** Largest body of an error in place of a stream: a text for people. */
+const MAXIMUM_ERROR_BYTES = 64 * 1024;
+/** Largest head of an answer; Node's own default, stated as callers rely on it. */
+const MAXIMUM_HEAD_BYTES = 16 * 1024;
+/** Interim answers (1xx) before the answer; servers send one at most. */
+const MOST_INTERIM_ANSWERS = 4;
+/** Bodies of answers that all calls in progress hold together: with the rest of a daemon they stay under the 250 MB of the smallest VMs. */
+const LARGEST_SUM_BYTES = 32 * 1024 * 1024;
+
+const answerBytes = createByteBudget(LARGEST_SUM_BYTES);
 
 function isDelimited(response: IncomingMessage): boolean {
 	const {headers, statusCode} = response;
@@ -79,23 +92,51 @@
 	}
 
 	const pieces: Uint8Array[] = [];
+	const limit = call.maximumBytes ?? (call.onData === undefined ? MAXIMUM_ANSWER_BYTES : MAXIMUM_ERROR_BYTES);
+	const held = answerBytes.open(refuse);
 	let length = 0;
+	let isRefused = false;
+
+	function refuse(reason: string): void {
+		isRefused = true;
+		pieces.splice(0);
+		onBroken(reason);
+	}
+
+	function take(piece: Uint8Array): void {
+		length += piece.length;
+		pieces.push(piece);
+		held.add(piece.length);
+		if (length > limit) {
+			refuse(`the answer is larger than ${limit} bytes`);
+		}
+	}
+
 	response.on('data', (piece: Uint8Array) => {
-		if (call.onData && status === 200) {
-			call.onData(piece);
+		if (isRefused) {
 			return;
 		}
 
-		length += piece.length;
-		pieces.push(piece);
-		if (length > MAXIMUM_ANSWER_BYTES) {
-			onBroken(`the answer is larger than ${MAXIMUM_ANSWER_BYTES} bytes`);
+		if (call.onData && status === 200) {
+			const problem = call.onData(piece);
+			if (problem !== undefined) {
+				refuse(problem);
+			}
+
+			return;
 		}
+
+		take(piece);
 	});
 	response.on('error', error => {
 		onBroken(error.message);
 	});
 	response.on('close', () => {
+		held.release();
+		if (isRefused) {
+			return;
+		}
+
 		if (response.complete && (call.acceptsConnectionEnd === true || isDelimited(response))) {
 			onDone({status, headers: response.headers, body: Buffer.concat(pieces)});
 			return;
@@ -111,6 +152,7 @@
 		host: base.hostname.replaceAll(/[[\]]/g, ''),
 		port: base.port,
 		method: call.method,
+		maxHeaderSize: MAXIMUM_HEAD_BYTES,
 		path: `${base.pathname.replace(/\/$/, '')}${call.path}`,
 		headers: {...call.headers, ...(call.body !== undefined && {'content-length': Buffer.byteLength(call.body)})},
 	});
@@ -187,6 +229,13 @@
 		request.on('error', error => {
 			ending.fail('unavailable', error.message, request.reusedSocket && !answering);
 		});
+		let interim = 0;
+		request.on('information', () => {
+			interim += 1;
+			if (interim > MOST_INTERIM_ANSWERS) {
+				ending.fail('incomplete', `more than ${MOST_INTERIM_ANSWERS} interim answers`);
+			}
+		});
 		request.on('response', response => {
 			answering = true;
 			receive(response, call, ending.succeed, message => {
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -163,7 +163,7 @@
 				onHead(run, head);
 			},
 			onData(piece) {
-				reader.feed(piece);
+				return reader.feed(piece);
 			},
 		});
 	}
--- a/src/gateway/common/server-protocol.ts
+++ b/src/gateway/common/server-protocol.ts
@@ -49,7 +49,8 @@
 
 /** Splits the bytes of a generation into events. */
 export type EventReader = {
-	readonly feed: (piece: Uint8Array) => void;
+	/** Reads a piece; returns what is wrong with the generation, if anything. */
+	readonly feed: (piece: Uint8Array) => string | undefined;
 };
 
 /** What an engine reports of itself when asked. */
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -26,8 +26,8 @@
 	readonly signal: AbortSignal;
 	/** Gets the head of an answer that is the request's own. */
 	readonly onHead?: (head: AnswerHead, headers: IncomingHttpHeaders) => void;
-	/** Gets the body of a 200 as it comes, in place of the answer's `body`. */
-	readonly onData?: (piece: Uint8Array) => void;
+	/** Gets the body of a 200 as it comes, in place of the answer's `body`; a text refuses the rest. */
+	readonly onData?: (piece: Uint8Array) => string | undefined;
 	/** Opens a connection for this attempt alone. */
 	readonly isFresh?: boolean;
 };
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -2,6 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
+import {LARGEST_EVENT_BYTES} from '../../adapters/common/event-bound.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Random} from '../../base/common/random.js';
 import type {Dispatcher} from '../../routing/common/dispatcher.js';
@@ -32,6 +33,9 @@
 /** Headers of a server's answer that concern its own connection. */
 const OWN_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length']);
 
+/** Bytes of a stream that wait for a caller that does not read, before the stream ends. */
+const LARGEST_UNREAD_BYTES = 512 * 1024;
+
 type StreamState = {
 	used: readonly string[];
 	/** Last whole event that the caller has got. */
@@ -87,7 +91,7 @@
 				}
 			},
 			onData(piece) {
-				lines.feed(piece);
+				return response.writableLength > LARGEST_UNREAD_BYTES ? `the caller leaves more than ${LARGEST_UNREAD_BYTES} bytes unread` : lines.feed(piece);
 			},
 		});
 		request.signal.removeEventListener('abort', onLeave);
@@ -153,7 +157,8 @@
 }
 
 type EventForwarder = {
-	readonly feed: (piece: Uint8Array) => void;
+	/** Passes a piece on; returns what is wrong with the stream, if anything. */
+	readonly feed: (piece: Uint8Array) => string | undefined;
 };
 
 /**
@@ -169,7 +174,7 @@
 		feed(piece) {
 			if (!wholeEvents) {
 				write(piece);
-				return;
+				return undefined;
 			}
 
 			const joined = new Uint8Array(held.length + piece.length);
@@ -182,6 +187,7 @@
 			}
 
 			held = joined.slice(end);
+			return held.length > LARGEST_EVENT_BYTES ? `an event is larger than ${LARGEST_EVENT_BYTES} bytes` : undefined;
 		},
 	};
 }
--- a/src/gateway/test/server-caller.test.ts
+++ b/src/gateway/test/server-caller.test.ts
@@ -121,7 +121,9 @@
 		const noted: unknown[] = [];
 		const result = await callOnce(socket => {
 			socket.end(text);
-		}, mark => noted.push(mark));
+		}, mark => {
+			noted.push(mark);
+		});
 		assert.ok(result.isOk(), text);
 		assert.equal(noted, marks, text);
 	}, Promise.resolve());
--- a/src/hosting/node/caller-server.ts
+++ b/src/hosting/node/caller-server.ts
@@ -128,7 +128,12 @@
 		if (read.isErr()) {
 			// The rest of the body is not read, so the connection carries no further request.
 			response.shouldKeepAlive = false;
-			refuse(response, call.requestId, read.error.code === 'invalid' ? STATUS.tooLarge : STATUS.requestTimeout, read.error.message);
+			if (read.error.code === 'overloaded') {
+				refuseFor(response, call.requestId, read.error, false);
+			} else {
+				refuse(response, call.requestId, read.error.code === 'invalid' ? STATUS.tooLarge : STATUS.requestTimeout, read.error.message);
+			}
+
 			return;
 		}
 
--- a/src/orders/node/order-service.ts
+++ b/src/orders/node/order-service.ts
@@ -51,6 +51,8 @@
 /** A load that is not done by then is planned anew. */
 const LONGEST_LOAD_MS = 6000;
 const CALL_TIMEOUT_MS = 1000;
+/** Largest report of an engine: 1,000 models of 100 bytes, with room. */
+const MAXIMUM_REPORT_BYTES = 256 * 1024;
 /** Pause after an engine refused or did not answer. */
 const REFUSED_PAUSE_MS = 700;
 const VERSIONS_TIMEOUT_MS = 1000;
@@ -87,6 +89,7 @@
 			...(call.body !== undefined && {body: call.body}),
 			timeoutMs: CALL_TIMEOUT_MS,
 			acceptsConnectionEnd: true,
+			maximumBytes: MAXIMUM_REPORT_BYTES,
 			onHead(status, headers) {
 				const head = protocol.readHead(status, headers);
 				if (head.isLeaving && !head.isOtherServer) {
--- a/src/requests/node/read-body.ts
+++ b/src/requests/node/read-body.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
+import {createByteBudget} from '../../base/common/byte-budget.js';
 import type {Loop} from '../../kernel/common/loop.js';
 
 /** Bounds of a body. */
@@ -11,6 +12,12 @@
 	readonly timeoutMs: number;
 };
 
+/** Bodies that all callers together may have under way, beside the bodies of answers: 1,000 batches of 55 KB. */
+const LARGEST_SUM_BYTES = 56 * 1024 * 1024;
+/** Time after which a caller whose body found no room may come back, in milliseconds: bodies arrive within it. */
+const RETURN_AFTER_MS = 1000;
+
+const callerBytes = createByteBudget(LARGEST_SUM_BYTES);
 const origin = {step: 'read body', peer: 'caller'};
 
 /** Resolves with the whole body. On a failure the rest is not read, so the connection must be closed. */
@@ -22,10 +29,14 @@
 
 	return new Promise(resolve => {
 		const pieces: Uint8Array[] = [];
+		const held = callerBytes.open(reason => {
+			settle(err(createNotRun('overloaded', origin, reason, RETURN_AFTER_MS)));
+		});
 		let length = 0;
 
 		function settle(result: Result<Uint8Array, Failure>): void {
 			timer.dispose();
+			held.release();
 			message.off('data', take);
 			if (result.isErr()) {
 				message.pause();
@@ -37,6 +48,7 @@
 		function take(piece: Uint8Array): void {
 			length += piece.length;
 			pieces.push(piece);
+			held.add(piece.length);
 			if (length > bounds.maximumBytes) {
 				settle(tooLarge);
 			}
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -73,6 +73,7 @@
 			feed(piece) {
 				const [id, data] = Buffer.from(piece).toString('utf8').split(' ');
 				onEvent({id: Number(id), data: data ?? '', version: undefined});
+				return undefined;
 			},
 		};
 	}
