Start the items with the least time first over all owners, and end ping-pong of lost batches

(1) Owners shared engines equally and started longest first, so steps of three trainers, two open each, were late together. (2) A daemon that believed an old owner of a batch took the batch over from the owner that the log named by then: at restarts in turn one batch changed hands 14 times and nothing of it was stored. (3) Eight scoring calls at once at 0.3 s, of a step's 80, and again at the worker that had failed. Change: (1) owners tell each other, with their loads, how much time each waiting item has left; the least goes first; items of groups that can not be in time take what is left; places not taken in 0.3 s are open. (2) A batch is taken over only from the owner that was found gone. (3) Scoring takes half of the places of all plain servers, goes on at a second server, and plain requests pass servers over that lately failed a third.

--- a/src/batches/batches.contribution.ts
+++ b/src/batches/batches.contribution.ts
@@ -10,12 +10,12 @@
 import {batchesKey} from './common/batches.js';
 import {createRefusalMemory} from './common/refusals.js';
 import {createServerPace} from './common/server-pace.js';
+import {countScoringCalls} from './common/scoring-places.js';
+import {createStartTurns} from './common/start-turns.js';
+import {createWorkEstimate} from './common/work-estimate.js';
 import {createLoadExchange} from './node/load-exchange.js';
 import {BATCH_TICK_MS, createBatchService} from './node/batch-service.js';
 
-/** Scoring calls that one daemon has under way, so that they leave room for callers' own requests. */
-const CONCURRENT_SCORING = 8;
-
 registerContribution({
 	id: 'batches',
 	requires: ['hosted-platform', 'objects', 'gateway'],
@@ -26,8 +26,14 @@
 		}
 
 		const gateway = context.use(gatewayKey);
+		const turns = createStartTurns();
 		const exchange = createLoadExchange({
-			...context, loads: gateway.loads, view: gateway.view, mesh: context.use(peerMeshKey),
+			...context, turns, loads: gateway.loads, view: gateway.view, mesh: context.use(peerMeshKey),
+		});
+		const scoring = new PQueue({concurrency: countScoringCalls(0)});
+		gateway.view.onDidChange(() => {
+			// Plain servers are those that hold no weights.
+			scoring.concurrency = countScoringCalls(gateway.view.all().filter(entry => entry.versions.size === 0).reduce((sum, entry) => sum + entry.slots, 0));
 		});
 		const service = createBatchService({
 			...context,
@@ -35,9 +41,11 @@
 			protocol: context.use(serverProtocolKey),
 			api: context.use(objectApiKey),
 			mesh: context.use(peerMeshKey),
+			turns,
+			work: createWorkEstimate(),
 			pace: createServerPace(),
 			refusals: createRefusalMemory(),
-			scoring: new PQueue({concurrency: CONCURRENT_SCORING}),
+			scoring,
 			onTick: exchange.tick,
 			onSubmit: exchange.ask,
 			cancelMs: host.bounds.cancelMs,
--- a/src/batches/common/run-order.ts
+++ b/src/batches/common/run-order.ts
@@ -1,12 +1,45 @@
 /** The order in which the items of a batch start, and when results are worth a write. */
 import type {BatchItem} from './batch.js';
 
+/** An item that has not finished, as the order of starts sees it. */
+export type OpenItem = {
+	readonly id: string;
+	readonly group: string;
+	readonly isWaiting: boolean;
+	/** Expected time until it is whole, at one place, in milliseconds. */
+	readonly remainingMs: number;
+};
+
+/** Time from the end of a text until its result is stored: a scoring call and a write. */
+const RESULT_MS = 800;
+
+/** Groups with an item that can not be in time any more. */
+export function listHopeless(items: readonly OpenItem[], dueInMs: number): ReadonlySet<string> {
+	return new Set(items.filter(item => item.remainingMs + RESULT_MS > dueInMs).map(item => item.group));
+}
+
 /**
- * Orders items by expected length, longest first, so that a late start of a long one does not hold the step up. Items of
- * equal length stay in the order of the batch, in which the trainer puts the groups it waits for first.
+ * Orders the starts of waiting items: the longest go first, so that a late start of a long one does not hold the step up.
+ * Items of groups that can not be in time come after all others, the group with the least work left first. Equal ones stay
+ * in the order of the batch, in which the trainer puts the groups it waits for first.
  */
-export function orderItems(items: readonly BatchItem[]): readonly BatchItem[] {
-	return items.toSorted((a, b) => (b.expectedTokens ?? 0) - (a.expectedTokens ?? 0));
+export function orderStarts(items: readonly OpenItem[], hopeless: ReadonlySet<string>): readonly string[] {
+	const workOf = new Map<string, number>();
+	items.forEach(item => {
+		workOf.set(item.group, (workOf.get(item.group) ?? 0) + item.remainingMs);
+	});
+
+	function compare(a: OpenItem, b: OpenItem): number {
+		const isGivenUp = hopeless.has(a.group);
+		if (isGivenUp !== hopeless.has(b.group)) {
+			return isGivenUp ? 1 : -1;
+		}
+
+		const byGroup = isGivenUp ? workOf.get(a.group)! - workOf.get(b.group)! : 0;
+		return byGroup || b.remainingMs - a.remainingMs;
+	}
+
+	return items.filter(item => item.isWaiting).toSorted(compare).map(item => item.id);
 }
 
 /** Whether finished results should be written now. */
--- a/src/batches/node/batch-owner.ts
+++ b/src/batches/node/batch-owner.ts
@@ -5,7 +5,10 @@
 	Batch, BatchItem, ItemResult, LogRecord, PartialText,
 } from '../common/batch.js';
 import type {BatchLog} from '../common/batch-log.js';
-import {countCompleteGroups, isWorthWriting, orderItems} from '../common/run-order.js';
+import {
+	countCompleteGroups, isWorthWriting, listHopeless, orderStarts, type OpenItem,
+} from '../common/run-order.js';
+import type {Demand} from '../common/start-turns.js';
 import {chooseTextParts, takeResults} from '../common/text-parts.js';
 import {
 	createGenerationRun, type GenerationEnd, type GenerationParts, type GenerationRun,
@@ -20,8 +23,8 @@
 	/** Stops all runs; returns the text so far for another owner. */
 	readonly release: () => readonly PartialText[];
 	readonly isActive: () => boolean;
-	/** Items that neither are stored nor under way. */
-	readonly waiting: () => number;
+	/** Items that neither are stored nor under way, and when they are due. */
+	readonly demand: (now: number) => Demand;
 };
 
 /** What an owner works with. */
@@ -32,10 +35,15 @@
 	/** Monotonic time at which this daemon learned of the batch. */
 	readonly knownSince: number;
 	readonly partials: readonly PartialText[];
+	/** Another daemon owned the batch before. */
+	readonly isTakenOver: boolean;
 	/** Time after the end of a batch within which its items must start nowhere, in milliseconds. */
 	readonly cancelMs: number;
 };
 
+/** Share of the time until a batch is due that a batch which was taken over is expected to have left. */
+const TAKEN_OVER_SHARE = 0.5;
+
 type ItemState = {
 	readonly item: BatchItem;
 	readonly run: GenerationRun;
@@ -66,9 +74,15 @@
 	let confirmTriedAt = Number.NEGATIVE_INFINITY;
 	const itemRoute = (item: BatchItem): Route | undefined => deployment.findRoute(batch.host, item.path) ?? deployment.findRoute(batch.host, batch.path);
 
-	const states: readonly ItemState[] = orderItems(batch.items).map(item => ({
+	let hopeless: ReadonlySet<string> = new Set();
+	/** A batch that was taken over has lost time that this daemon does not know. */
+	const dueAt = parts.knownSince + ((itemRoute(batch.items[0]!)?.dueMs ?? 0) * (parts.isTakenOver ? TAKEN_OVER_SHARE : 1));
+
+	const states: readonly ItemState[] = batch.items.map(item => ({
 		item,
-		run: createGenerationRun(batch, item, () => itemRoute(item), parts, parts.partials.find(partial => partial.itemId === item.id)),
+		run: createGenerationRun(batch, item, () => itemRoute(item), {
+			...parts, turnOf: (remainingMs, now) => ({batchId: batch.id, slackMs: dueAt - now - remainingMs, isHopeless: hopeless.has(item.group)}),
+		}, parts.partials.find(partial => partial.itemId === item.id)),
 		phase: batchLog.isListed(item.id) ? 'finished' : 'waiting',
 	}));
 
@@ -216,7 +230,7 @@
 			return;
 		}
 
-		states.filter(state => state.phase === 'waiting').some(state => {
+		listStarts(now).some(state => {
 			const hasRoom = state.run.hasRoom(now);
 			if (hasRoom) {
 				startItem(state);
@@ -226,6 +240,35 @@
 		});
 	}
 
+	function listOpen(now: number): readonly OpenItem[] {
+		return states.filter(state => state.phase !== 'finished').map(state => ({
+			id: state.item.id, group: state.item.group, isWaiting: state.phase === 'waiting', remainingMs: state.run.remainingMs(now),
+		}));
+	}
+
+	/** Items that wait, in the order in which they start. */
+	function listStarts(now: number): readonly ItemState[] {
+		const open = listOpen(now);
+		hopeless = listHopeless(open, dueAt - now);
+		const byId = new Map(states.map(state => [state.item.id, state]));
+		return orderStarts(open, hopeless).flatMap(id => byId.get(id) ?? []);
+	}
+
+	/** What of the batch waits, for the other owners. */
+	function describeDemand(now: number): Demand {
+		const open = isLost() ? [] : listOpen(now);
+		hopeless = listHopeless(open, dueAt - now);
+		const waiting = open.filter(item => item.isWaiting);
+		const hopeful = waiting.filter(item => !hopeless.has(item.group));
+		return {
+			batchId: batch.id,
+			model: batch.model,
+			oldestVersion: batch.oldestVersion,
+			slacksMs: hopeful.map(item => Math.round(dueAt - now - item.remainingMs)),
+			hopeless: waiting.length - hopeful.length,
+		};
+	}
+
 	function pump(now: number): void {
 		if (isLost() || !states.some(state => state.phase === 'waiting')) {
 			return;
@@ -270,7 +313,7 @@
 			return partials;
 		},
 		isActive: () => !isLost() && states.some(state => !batchLog.isListed(state.item.id)),
-		waiting: () => states.filter(state => state.phase === 'waiting').length,
+		demand: describeDemand,
 		dispose: stopRuns,
 	};
 }
--- a/src/batches/node/batch-service.ts
+++ b/src/batches/node/batch-service.ts
@@ -9,6 +9,7 @@
 import type {Random} from '../../base/common/random.js';
 import type {PeerDaemon, PeerReply} from '../../peers/common/peer-mesh.js';
 import type {Batch, PartialText, ResultPage} from '../common/batch.js';
+import type {Demand} from '../common/start-turns.js';
 import type {Batches, OpenedBatch} from '../common/batches.js';
 import {createSubmissions} from './batch-submission.js';
 import {
@@ -19,8 +20,8 @@
 /** What the service works with. */
 export type BatchParts = HeldBatchParts & {
 	readonly random: Random;
-	/** Called with the other daemons that own open batches, for what owners tell each other. */
-	readonly onTick: (owners: readonly PeerDaemon[], now: number) => void;
+	/** Called with the other daemons that own open batches and with what of the own ones waits, for what owners tell each other. */
+	readonly onTick: (owners: readonly PeerDaemon[], waiting: readonly Demand[], now: number) => void;
 	/** Called with the same daemons when a batch comes in. */
 	readonly onSubmit: (owners: readonly PeerDaemon[]) => void;
 };
@@ -152,7 +153,7 @@
 		return {status: 200, body: null};
 	});
 	handle('batch-adopt', async body => {
-		const adopted = await calls.adopt(body.batchId, `handed over by ${body.owner.name}`, body.partials);
+		const adopted = await calls.adopt(body.batchId, body.owner, `handed over by ${body.owner.name}`, body.partials);
 		return {status: adopted.isOk() && batches.isOwned(adopted.value) ? 200 : 503, body: null};
 	});
 
@@ -203,7 +204,9 @@
 		},
 		onDidOpen: opened.event,
 		tick(now) {
-			parts.onTick(batches.listOwners(), now);
+			const waiting = batches.all().flatMap(entry => entry.owner?.demand(now) ?? []).filter(demand => demand.slacksMs.length + demand.hopeless > 0);
+			parts.turns.learn(mesh.self.name, waiting, now);
+			parts.onTick(batches.listOwners(), waiting, now);
 			batches.all().forEach(entry => {
 				entry.owner?.pump(now);
 			});
--- a/src/batches/node/batch-submission.ts
+++ b/src/batches/node/batch-submission.ts
@@ -61,7 +61,7 @@
 			const known = await batches.findOwner(batch.id);
 			if (known.isOk() && isSameDaemon(known.value, mesh.self)) {
 				// The answer to this daemon's own write was lost.
-				void calls.adopt(batch.id, 'own write was lost').then(adopted => {
+				void calls.adopt(batch.id, mesh.self, 'own write was lost').then(adopted => {
 					const entry = batches.get(batch.id);
 					if (adopted.isOk() && entry !== undefined && batches.isOwned(entry) && entry.owner === undefined) {
 						batches.own(entry, []);
--- a/src/batches/node/engine-choice.ts
+++ b/src/batches/node/engine-choice.ts
@@ -2,13 +2,14 @@
 import {err, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import type {Route} from '../../gateway/common/deployment.js';
-import type {ServerView} from '../../gateway/common/server-view.js';
+import type {ServerEntry, ServerView} from '../../gateway/common/server-view.js';
 import type {Dispatch} from '../../routing/common/router.js';
 import type {Dispatcher} from '../../routing/common/dispatcher.js';
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
 import type {Batch, BatchItem} from '../common/batch.js';
 import type {RefusalMemory} from '../common/refusals.js';
 import {isSlow, listFast, type ServerPace} from '../common/server-pace.js';
+import type {StartTurns, Turn} from '../common/start-turns.js';
 
 /** What the choice works with. */
 export type EngineChoiceParts = {
@@ -17,6 +18,7 @@
 	readonly view: ServerView;
 	readonly pace: ServerPace;
 	readonly refusals: RefusalMemory;
+	readonly turns: StartTurns;
 };
 
 /** The choice for one item. */
@@ -45,23 +47,32 @@
 const AVOID_MS = 1500;
 
 /** Creates the choice for an item. `route` is asked anew each time, as the configuration may change. */
-export function createEngineChoice(batch: Batch, item: BatchItem, route: () => Route | undefined, parts: EngineChoiceParts): EngineChoice {
+export function createEngineChoice(batch: Batch, item: BatchItem, route: () => Route | undefined, parts: EngineChoiceParts & {readonly turnOf: (now: number) => Turn}): EngineChoice {
 	const {
-		dispatcher, loads, view, pace, refusals,
+		dispatcher, loads, view, pace, refusals, turns, turnOf,
 	} = parts;
 	let avoided: {readonly serverId: string; readonly until: number} | undefined;
 
-	function allowedServers(now: number): readonly string[] {
+	function freePlaces(entry: ServerEntry, now: number): number {
+		return Math.floor(Math.max(1, entry.slots) - loads.read(entry.id, now).likely);
+	}
+
+	function listFree(now: number): readonly ServerEntry[] {
 		const pools = route()?.pools.map(share => share.pool) ?? [];
-		const fit = pools
+		return pools
 			.flatMap(pool => view.list(pool))
 			.filter(entry => view.table.usable(entry.id, now))
 			.filter(entry => (view.versionOf(entry.id, batch.model) ?? 0) >= batch.oldestVersion)
 			.filter(entry => !refusals.isRecent(entry.id, batch.model, now))
-			.filter(entry => loads.read(entry.id, now).likely + 1 <= Math.max(1, entry.slots))
+			.filter(entry => freePlaces(entry, now) >= 1)
 			.filter(entry => !(avoided?.serverId === entry.id && now < avoided.until));
-		const quick = fit.filter(entry => !isSlow(pace, entry.id, now));
-		return (quick.length > 0 ? quick : fit).map(entry => entry.id);
+	}
+
+	function allowedServers(now: number): readonly string[] {
+		const free = listFree(now).map(entry => ({id: entry.id, places: freePlaces(entry, now)}));
+		const fit = turns.choose(turnOf(now), free, (id, demand) => (view.versionOf(id, demand.model) ?? 0) >= demand.oldestVersion, now);
+		const quick = fit.filter(id => !isSlow(pace, id, now));
+		return quick.length > 0 ? quick : fit;
 	}
 
 	/** Long items go to the fastest engines with room: a slower one costs them more than a wait. */
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -13,6 +13,8 @@
 import type {Batch, BatchItem, PartialText} from '../common/batch.js';
 import {createGenerationProgress, type GenerationProgress} from '../common/generation-progress.js';
 import {isSlow} from '../common/server-pace.js';
+import type {Turn} from '../common/start-turns.js';
+import type {WorkEstimate} from '../common/work-estimate.js';
 import {createEngineChoice, LONG_RUN_EVENTS, type EngineChoiceParts} from './engine-choice.js';
 
 /** How the runs of an item ended. */
@@ -30,6 +32,8 @@
 	readonly run: () => Promise<GenerationEnd>;
 	/** Whether an engine has room for the item now. */
 	readonly hasRoom: (now: number) => boolean;
+	/** Expected time until the text is whole, at one place. */
+	readonly remainingMs: (now: number) => number;
 	/** Ends the run under way. */
 	readonly stop: () => void;
 	readonly partial: () => PartialText;
@@ -45,6 +49,7 @@
 	readonly loop: Loop;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	readonly work: WorkEstimate;
 };
 
 /** Time without an event after which a run goes on elsewhere, in milliseconds: a load of weights fits into it. */
@@ -62,6 +67,8 @@
 
 /** Events that are timed together: a daemon with a small share of a core reads several at a time, in turns of 0.1 s. */
 const PACE_EVENTS = 8;
+/** An item that has run for longer than expected is expected to need this share of its time still. */
+const LEAST_REMAINING_SHARE = 0.2;
 /** Runs in a row that may add nothing before the next one waits: others may have taken the first choice's last place. */
 const FRUITLESS_RUNS = 2;
 const FIRST_PAUSE_MS = 50;
@@ -71,6 +78,8 @@
 	dispatch: Dispatch | undefined;
 	abort: AbortController;
 	readonly startedAt: number;
+	/** Events of earlier runs. */
+	readonly after: number;
 	lastEventAt: number;
 	/** Time of the first event of the block of events that is being timed. */
 	paceSince: number;
@@ -80,7 +89,7 @@
 };
 
 /** Creates the runs of an item. `route` is asked anew for each run, as the configuration may change. */
-export function createGenerationRun(batch: Batch, item: BatchItem, route: () => Route | undefined, parts: GenerationParts, earlier?: PartialText): GenerationRun {
+export function createGenerationRun(batch: Batch, item: BatchItem, route: () => Route | undefined, parts: GenerationParts & {readonly turnOf: (remainingMs: number, now: number) => Turn}, earlier?: PartialText): GenerationRun {
 	const {
 		protocol, caller, loads, view, pace, refusals, clock, loop, log, metrics,
 	} = parts;
@@ -93,7 +102,13 @@
 	let state: RunState | undefined;
 	/** Engines for which the run left its own. */
 	let moveTo: readonly string[] = [];
-	const engines = createEngineChoice(batch, item, route, parts);
+	const engines = createEngineChoice(batch, item, route, {...parts, turnOf: now => parts.turnOf(remainingMs(now), now)});
+
+	function remainingMs(now: number): number {
+		const expected = parts.work.expect(item.expectedTokens);
+		const spentMs = state === undefined ? 0 : now - state.startedAt;
+		return progress.isComplete() ? 0 : Math.max(LEAST_REMAINING_SHARE * expected, expected - spentMs);
+	}
 
 	function breakOff(run: RunState, reason: string): void {
 		run.brokenBy ??= reason;
@@ -237,6 +252,10 @@
 				return undefined;
 			}
 
+			if (run.after === 0) {
+				parts.work.note(item.expectedTokens, clock.monotonic() - run.startedAt);
+			}
+
 			return concludeText();
 		}
 
@@ -257,7 +276,7 @@
 		}
 
 		const run: RunState = {
-			dispatch: chosen.value, abort: new AbortController(), startedAt, lastEventAt: startedAt, paceSince: startedAt, events: 0, brokenBy: undefined,
+			dispatch: chosen.value, abort: new AbortController(), startedAt, after: progress.lastEventId(), lastEventAt: startedAt, paceSince: startedAt, events: 0, brokenBy: undefined,
 		};
 		state = run;
 		log.info('run started', {
@@ -307,6 +326,7 @@
 	return {
 		run,
 		hasRoom: now => engines.list(now).length > 0,
+		remainingMs,
 		stop() {
 			stopped = true;
 			state?.abort.abort();
--- a/src/batches/node/held-batches.ts
+++ b/src/batches/node/held-batches.ts
@@ -25,7 +25,7 @@
 };
 
 /** What the held batches work with. */
-export type HeldBatchParts = Omit<OwnerParts, 'batchLog' | 'writer' | 'knownSince' | 'partials'> & {
+export type HeldBatchParts = Omit<OwnerParts, 'batchLog' | 'writer' | 'knownSince' | 'partials' | 'isTakenOver'> & {
 	readonly api: ObjectApi;
 	readonly mesh: PeerMesh;
 	/** Age from which a batch's objects are removed, in milliseconds. */
@@ -130,7 +130,7 @@
 	function own(entry: HeldBatch, partials: readonly PartialText[]): void {
 		const now = clock.monotonic();
 		entry.owner = createBatchOwner(entry.batch, {
-			...parts, batchLog: entry.batchLog, writer: entry.writer, knownSince: now, partials: chooseLongestTexts([...entry.batchLog.texts(), ...partials]),
+			...parts, batchLog: entry.batchLog, writer: entry.writer, knownSince: now, isTakenOver: entry.batchLog.length() > 0, partials: chooseLongestTexts([...entry.batchLog.texts(), ...partials]),
 		});
 		log.info('own batch', {
 			batchId: entry.batch.id, items: entry.batch.items.length, listed: entry.batchLog.results().length, oldestVersion: entry.batch.oldestVersion,
--- a/src/batches/node/item-scoring.ts
+++ b/src/batches/node/item-scoring.ts
@@ -32,6 +32,8 @@
 /** Deadline of a scoring call whose route is not known. */
 const SCORING_DEADLINE_MS = 2000;
 const STATUS_FAILED = 500;
+/** Servers that one scoring call may reach: the second one where the first fails or is slow. */
+const SERVERS_PER_CALL = 2;
 
 /** Creates the scoring of a batch; `isLost` tells that this daemon no longer owns it, and `signal` aborts calls then. */
 export function createItemScoring(batchId: string, {deployment, forwarder, scoring, clock, loop, log}: ScoringParts, signal: AbortSignal, isLost: () => boolean): ItemScoring {
@@ -42,8 +44,8 @@
 			path: call.path,
 			headers: {Host: call.host},
 			body: Buffer.from(call.body, 'base64'),
-			// Each answer counts, so the repeats are made here.
-			route: {...route, attempts: 1},
+			// Further failures are counted here, so that no item is given up for one bad server.
+			route: {...route, attempts: Math.min(route.attempts, SERVERS_PER_CALL)},
 			deadlineAt: clock.monotonic() + (route.timeoutMs > 0 ? route.timeoutMs : SCORING_DEADLINE_MS),
 			signal,
 			urgency: undefined,
--- a/src/batches/node/load-exchange.ts
+++ b/src/batches/node/load-exchange.ts
@@ -5,11 +5,12 @@
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
 import type {LeavingMark} from '../../gateway/common/leaving-marks.js';
 import type {EngineCounts, SharedLoads} from '../../gateway/common/shared-loads.js';
+import type {Demand, StartTurns} from '../common/start-turns.js';
 
 /** The exchange of one daemon. */
 export type LoadExchange = {
 	/** Sends what has changed to the given owners. */
-	readonly tick: (owners: readonly PeerDaemon[], now: number) => void;
+	readonly tick: (owners: readonly PeerDaemon[], waiting: readonly Demand[], now: number) => void;
 	/** Asks the given owners what they have under way, before this daemon starts to own. */
 	readonly ask: (owners: readonly PeerDaemon[]) => void;
 };
@@ -18,6 +19,7 @@
 export type ExchangeParts = {
 	readonly loads: SharedLoads;
 	readonly view: ServerView;
+	readonly turns: StartTurns;
 	readonly mesh: PeerMesh;
 	readonly clock: Clock;
 	readonly log: Log;
@@ -30,6 +32,8 @@
 	readonly counts: EngineCounts;
 	/** Servers that the owner knows to be leaving; owners far away may lack them. */
 	readonly leaving: readonly LeavingMark[];
+	/** What of the owner's batches waits. */
+	readonly demands: readonly Demand[];
 };
 
 /** Counts that did not change are said again after this time. */
@@ -39,19 +43,25 @@
 /** Creates the exchange. */
 export function createLoadExchange(parts: ExchangeParts): LoadExchange {
 	const {
-		loads, view, mesh, clock, log,
+		loads, view, turns, mesh, clock, log,
 	} = parts;
+	let demands: readonly Demand[] = [];
 	const countOwn = (): EngineCounts => loads.own(view.all().map(entry => entry.id));
 	let said = '';
 	let saidAt = Number.NEGATIVE_INFINITY;
 
 	function describe(counts: EngineCounts): Word {
-		return {owner: mesh.self.name, counts, leaving: view.listLeaving(clock.monotonic())};
+		return {
+			owner: mesh.self.name, counts, leaving: view.listLeaving(clock.monotonic()), demands,
+		};
 	}
 
-	function learn({owner, counts, leaving}: Word): void {
+	function learn({
+		owner, counts, leaving, demands: told,
+	}: Word): void {
 		const now = clock.monotonic();
 		loads.learn(owner, counts, now);
+		turns.learn(owner, told, now);
 		leaving.forEach(mark => {
 			view.noteLeaving(mark, now);
 		});
@@ -77,11 +87,13 @@
 	}
 
 	return {
-		tick(owners, now) {
+		tick(owners, waiting, now) {
+			demands = waiting;
 			const counts = countOwn();
-			const text = JSON.stringify(counts);
+			const text = JSON.stringify({counts, waiting: waiting.map(demand => `${demand.batchId} ${demand.slacksMs.length} ${demand.hopeless}`)});
 			const isSame = text === said;
-			if (isSame && (text === '{}' || now - saidAt < REPEAT_MS)) {
+			const isIdle = Object.keys(counts).length === 0 && waiting.length === 0;
+			if (isSame && (isIdle || now - saidAt < REPEAT_MS)) {
 				return;
 			}
 
--- a/src/batches/node/owner-calls.ts
+++ b/src/batches/node/owner-calls.ts
@@ -25,8 +25,8 @@
 	readonly call: (batchId: string, owner: PeerDaemon, name: string, body: Record<string, unknown>, timeoutMs: number) => Promise<Result<PeerReply | undefined, Failure>>;
 	/** Runs an operation at the owner, or here once the batch was taken over or has ended. */
 	readonly withOwner: <T>(batchId: string, remote: (owner: PeerDaemon) => Promise<Result<PeerReply | undefined, Failure>>, read: (reply: PeerReply) => Result<T, Failure>, local: (entry: HeldBatch) => Promise<Result<T, Failure>>) => Promise<Result<T, Failure>>;
-	/** Takes a batch over, with the text that its owner handed over. */
-	readonly adopt: (batchId: string, reason: string, partials?: readonly PartialText[]) => Promise<Result<HeldBatch, Failure>>;
+	/** Takes a batch over from an owner that is gone or hands it over, with its texts; does nothing when the log names another owner by now. */
+	readonly adopt: (batchId: string, from: PeerDaemon, reason: string, partials?: readonly PartialText[]) => Promise<Result<HeldBatch, Failure>>;
 	/** Hands all batches that run here to other daemons, as far as any takes them. */
 	readonly handOver: () => Promise<void>;
 };
@@ -43,26 +43,30 @@
 	const silentSince = new Map<string, number>();
 	const adoptions = new Map<string, Promise<Result<HeldBatch, Failure>>>();
 
-	async function takeOver(batchId: string, reason: string, partials: readonly PartialText[]): Promise<Result<HeldBatch, Failure>> {
+	async function takeOver(batchId: string, from: PeerDaemon, reason: string, partials: readonly PartialText[]): Promise<Result<HeldBatch, Failure>> {
 		const loaded = await batches.load(batchId);
 		if (loaded.isErr()) {
 			return loaded;
 		}
 
 		const entry = loaded.value;
-		const current = batches.believedOwner(batchId);
 		const isOwnedAlready = batches.isOwned(entry) && entry.owner !== undefined;
 		if (entry.batchLog.isEnded() || isOwnedAlready || isLeaving()) {
 			return ok(entry);
 		}
 
 		const before = entry.batchLog.owner();
+		if (!isSameDaemon(before, from)) {
+			log.info('batch has another owner already', {batchId, from: from.name, owner: before.name});
+			return ok(entry);
+		}
+
 		const appended = await entry.writer.append(writeId => {
 			const hasNewOwner = !isSameDaemon(entry.batchLog.owner(), before);
 			return hasNewOwner || entry.batchLog.isEnded() ? undefined : {type: 'owner', writeId, owner: mesh.self};
 		});
 		log.info('take over batch', {
-			batchId, from: current?.name, reason, outcome: appended.isOk() ? entry.batchLog.owner().name : appended.error.message,
+			batchId, from: from.name, reason, outcome: appended.isOk() ? entry.batchLog.owner().name : appended.error.message,
 		});
 		if (appended.isErr()) {
 			return err(appended.error);
@@ -76,8 +80,8 @@
 		return ok(entry);
 	}
 
-	async function adopt(batchId: string, reason: string, partials: readonly PartialText[] = []): Promise<Result<HeldBatch, Failure>> {
-		const pending = adoptions.get(batchId) ?? takeOver(batchId, reason, partials);
+	async function adopt(batchId: string, from: PeerDaemon, reason: string, partials: readonly PartialText[] = []): Promise<Result<HeldBatch, Failure>> {
+		const pending = adoptions.get(batchId) ?? takeOver(batchId, from, reason, partials);
 		adoptions.set(batchId, pending);
 		const outcome = await pending;
 		adoptions.delete(batchId);
@@ -128,7 +132,7 @@
 			return read(reply.value);
 		}
 
-		const adopted = await adopt(batchId, `owner ${owner.value.name} does not answer for it`);
+		const adopted = await adopt(batchId, owner.value, `owner ${owner.value.name} does not answer for it`);
 		return adopted.isErr() ? err(adopted.error) : local(adopted.value);
 	}
 
--- a/src/batches/test/batches.test.ts
+++ b/src/batches/test/batches.test.ts
@@ -53,6 +53,25 @@
 	assert.equal(await world.readAll('b', ['d1']), results);
 });
 
+test('pattern: an owner is lost while many daemons read. One of them takes the batch over, the others go to it', async () => {
+	const names = ['d1', 'd2', 'd3', 'd4', 'd5', 'd6'];
+	const world = createBatchWorld({daemons: names, engines: 3});
+	const lengths = [60, 70, 80, 90];
+	await world.finish(world.serviceOf('d1').submit(createBatch('b', lengths), 10_000));
+	await world.time.advance(700);
+	world.kill('d1');
+	const readers = names.slice(1);
+	for (let turn = 0; turn < 3; turn += 1) {
+		for (const name of readers) {
+			await world.finish(world.serviceOf(name).read('b', 0, 100));
+		}
+	}
+
+	checkWhole(await world.readAll('b', readers), 'b', lengths);
+	const takeOvers = world.lines.filter(line => line.includes('"take over batch"'));
+	assert.is(takeOvers.length, 1, takeOvers.join('\n'));
+});
+
 test('one late reply does not cost an owner its batch', async () => {
 	const world = createBatchWorld({daemons: ['d1', 'd2'], engines: 2});
 	await world.finish(world.serviceOf('d1').submit(createBatch('b', [60, 60, 60, 60]), 10_000));
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -66,7 +66,7 @@
 		context.log.info('backend server says that it is leaving', {serverId: mark.serverId, startedAt: mark.startedAt});
 	});
 	const forwarder = createForwarder({
-		...context, dispatcher, loads, caller, configurationVersion: () => deployment.current()?.version,
+		...context, dispatcher, loads, caller, configurationVersion: () => deployment.current()?.version, serversOf: pool => view.list(pool).map(entry => entry.id),
 	});
 	const streams = createStreamForwarder({
 		...context, dispatcher, caller, protocol,
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -11,6 +11,7 @@
 import {createRetryBudget} from '../../requests/common/retry-budget.js';
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
 import {choosePool, type Route} from '../common/deployment.js';
+import {createFailureShares} from '../common/failure-shares.js';
 import {decideAfterTry, isNotRun, type TryEnd} from '../common/try-policy.js';
 import type {ServerAnswer, ServerCaller, ServerRequest} from './server-caller.js';
 
@@ -43,6 +44,8 @@
 	readonly metrics: Metrics;
 	/** Version of the configuration in force, for the log. */
 	readonly configurationVersion: () => number | undefined;
+	/** Ids of the servers of a pool. */
+	readonly serversOf: (pool: string) => readonly string[];
 };
 
 /** Time that a try needs at least to be of use, in milliseconds. */
@@ -60,6 +63,9 @@
 /** Time after which a refused caller may come back, when no server could take the request. */
 const RETURN_AFTER_MS = 300;
 
+/** Statuses from here on are failures of the server. */
+const STATUS_FAILED = 500;
+
 type Progress = {
 	readonly used: string[];
 	mayHaveRun: boolean;
@@ -74,7 +80,17 @@
 	} = parts;
 	const hedges = createRetryBudget(HEDGE_SHARE);
 
-	function choose(request: PlainRequest, excluded: readonly string[], now: number): Result<Dispatch, Failure> {
+	const failures = createFailureShares();
+
+	/** Chooses a server that neither was tried nor failed much lately; when there is none, one that was not tried; then any. */
+	function choose(request: PlainRequest, tried: readonly string[], now: number): Result<Dispatch, Failure> {
+		const passedOver = request.route.pools.flatMap(({pool}) => failures.listFailing(parts.serversOf(pool), now));
+		return chooseAmong(request, [...tried, ...passedOver], now)
+			.orElse(() => chooseAmong(request, tried, now))
+			.orElse(() => chooseAmong(request, [], now));
+	}
+
+	function chooseAmong(request: PlainRequest, excluded: readonly string[], now: number): Result<Dispatch, Failure> {
 		const pool = choosePool(request.route, random());
 		if (pool === undefined) {
 			return err(createNotRun('unavailable', {step: 'choose pool', peer: request.route.name}, 'the route names no pool', RETURN_AFTER_MS));
@@ -96,8 +112,16 @@
 				loads.report(dispatch.server.id, {...answer.head.load, tokensPerSecond: 0, ageMs: 0}, now);
 			}
 
+			if (!answer.head.isOtherServer && !answer.head.isNotRun) {
+				failures.note(dispatch.server.id, answer.status >= STATUS_FAILED, now);
+			}
+
 			dispatch.end(now, answer.head.isOtherServer ? 'refused' : (answer.head.isNotRun ? 'cancelled' : 'done'));
 		}, failure => {
+			if (failure.code === 'incomplete') {
+				failures.note(dispatch.server.id, true, now);
+			}
+
 			dispatch.end(now, failure.code === 'aborted' || now >= request.deadlineAt - ANSWER_WAY_MS ? 'cancelled' : 'died');
 		});
 		return result;
@@ -190,7 +214,7 @@
 		}
 
 		function start(): void {
-			const chosen = choose(request, progress.used, clock.monotonic()).orElse(() => choose(request, [], clock.monotonic()));
+			const chosen = choose(request, progress.used, clock.monotonic());
 			if (chosen.isErr()) {
 				if (progress.open === 0) {
 					log.info('no backend server for the request', {requestId: request.requestId, route: request.route.name, tried: progress.used});
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -9,6 +9,8 @@
 } from '../../src/batches/common/batch.js';
 import {createRefusalMemory} from '../../src/batches/common/refusals.js';
 import {createServerPace} from '../../src/batches/common/server-pace.js';
+import {createStartTurns} from '../../src/batches/common/start-turns.js';
+import {createWorkEstimate} from '../../src/batches/common/work-estimate.js';
 import {createBatchService} from '../../src/batches/node/batch-service.js';
 import {createLoadExchange} from '../../src/batches/node/load-exchange.js';
 import {createDeploymentHolder, type Route} from '../../src/gateway/common/deployment.js';
@@ -231,11 +233,12 @@
 				});
 			},
 		};
+		const turns = createStartTurns();
 		const exchange = createLoadExchange({
-			loads, view, mesh, clock, log,
+			loads, view, turns, mesh, clock, log,
 		});
 		const service = createBatchService({
-			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new WordProtocol(), pace: createServerPace(), refusals: createRefusalMemory(), scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, onTick: exchange.tick, onSubmit: exchange.ask,
+			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new WordProtocol(), pace: createServerPace(), turns, work: createWorkEstimate(), refusals: createRefusalMemory(), scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, onTick: exchange.tick, onSubmit: exchange.ask,
 			dispatcher: createDispatcher({
 				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, reservedElsewhere: () => false,
 			}),
