Let strong VMs own batches and feed others, and answer what was accepted last before a stop

Cause: (1) an owner reads over 1,000 events a second; of the 165 entry VMs of the large site most have 0.324 of a core and 18 have 1.35, and a batch was owned by whichever VM it came in at. A daemon that others follow was chosen without regard to its VM too. (2) Owners went on calling all owners of past batches. (3) Planned stop: after the callers' side had drained, the process took connections until its end and cut what it had just accepted. Change: (1) daemons enter what share of cores they have; a weak one passes a batch to the strong one of its region with the fewest open batches, and stores it itself if that one does not in 0.4 s. Sources of the feed and takers of handed-over batches likewise. (2) Owners say how many open batches they run. (3) A draining daemon accepts no further connection, and ends only once the requests under way are answered, within the time of the stop.

--- a/src/batches/batches.contribution.ts
+++ b/src/batches/batches.contribution.ts
@@ -10,11 +10,12 @@
 import {batchesKey} from './common/batches.js';
 import {createRefusalMemory} from './common/refusals.js';
 import {createServerPace} from './common/server-pace.js';
+import {createOwnerChoice} from './common/owner-choice.js';
 import {countScoringCalls} from './common/scoring-places.js';
 import {createStartTurns} from './common/start-turns.js';
 import {createWorkEstimate} from './common/work-estimate.js';
 import {createLoadExchange} from './node/load-exchange.js';
-import {BATCH_TICK_MS, createBatchService} from './node/batch-service.js';
+import {BATCH_TICK_MS, createBatchService, type BatchService} from './node/batch-service.js';
 
 registerContribution({
 	id: 'batches',
@@ -27,8 +28,18 @@
 
 		const gateway = context.use(gatewayKey);
 		const turns = createStartTurns();
+		const services: BatchService[] = [];
 		const exchange = createLoadExchange({
-			...context, turns, loads: gateway.loads, view: gateway.view, mesh: context.use(peerMeshKey),
+			...context,
+			turns,
+			loads: gateway.loads,
+			view: gateway.view,
+			mesh: context.use(peerMeshKey),
+			onOpen(owner, open) {
+				services.forEach(({noteOpen}) => {
+					noteOpen(owner, open);
+				});
+			},
 		});
 		const scoring = new PQueue({concurrency: countScoringCalls(0)});
 		gateway.view.onDidChange(() => {
@@ -42,6 +53,7 @@
 			api: context.use(objectApiKey),
 			mesh: context.use(peerMeshKey),
 			turns,
+			ownerChoice: createOwnerChoice(),
 			work: createWorkEstimate(),
 			pace: createServerPace(),
 			refusals: createRefusalMemory(),
@@ -51,6 +63,7 @@
 			cancelMs: host.bounds.cancelMs,
 			retentionMs: 2 * host.bounds.resultRetentionMs,
 		});
+		services.push(service);
 		context.provide(batchesKey, service);
 		gateway.view.onDidChange(() => {
 			service.tick(context.clock.monotonic());
--- a/src/batches/node/batch-service.ts
+++ b/src/batches/node/batch-service.ts
@@ -9,23 +9,30 @@
 import type {Random} from '../../base/common/random.js';
 import type {PeerDaemon, PeerReply} from '../../peers/common/peer-mesh.js';
 import type {Batch, PartialText, ResultPage} from '../common/batch.js';
-import type {Demand} from '../common/start-turns.js';
 import type {Batches, OpenedBatch} from '../common/batches.js';
-import {createSubmissions} from './batch-submission.js';
+import {createSubmissions, type SubmissionParts} from './batch-submission.js';
 import {
 	createHeldBatches, notFound, type HeldBatch, type HeldBatchParts,
 } from './held-batches.js';
+import type {OwnWork} from './load-exchange.js';
 import {createOwnerCalls} from './owner-calls.js';
 
 /** What the service works with. */
-export type BatchParts = HeldBatchParts & {
+export type BatchParts = HeldBatchParts & Pick<SubmissionParts, 'ownerChoice'> & {
 	readonly random: Random;
-	/** Called with the other daemons that own open batches and with what of the own ones waits, for what owners tell each other. */
-	readonly onTick: (owners: readonly PeerDaemon[], waiting: readonly Demand[], now: number) => void;
+	/** Called with the other daemons that own open batches and with the own work, for what owners tell each other. */
+	readonly onTick: (owners: readonly PeerDaemon[], work: OwnWork, now: number) => void;
 	/** Called with the same daemons when a batch comes in. */
 	readonly onSubmit: (owners: readonly PeerDaemon[]) => void;
 };
 
+/** Batches, with what drives them. */
+export type BatchService = Batches & {
+	readonly tick: (now: number) => void;
+	/** Notes how many open batches another daemon says that it runs. */
+	readonly noteOpen: (owner: string, open: number) => void;
+};
+
 /** Time for an owner's reply beyond the wait that the caller asks for. */
 const OWNER_REPLY_MS = 700;
 const ANNOUNCE_TIMEOUT_MS = 1000;
@@ -38,7 +45,7 @@
 }
 
 /** Creates the batches of one daemon. */
-export function createBatchService(parts: BatchParts): Batches & {readonly tick: (now: number) => void} {
+export function createBatchService(parts: BatchParts): BatchService {
 	const {mesh, loop, log} = parts;
 	const opened = createEmitter<OpenedBatch>();
 	let leaving = false;
@@ -113,6 +120,7 @@
 		readonly itemId: string;
 		readonly owner: PeerDaemon;
 		readonly needs: OpenedBatch;
+		readonly batch: Batch;
 		readonly partials: readonly PartialText[];
 	};
 
@@ -144,6 +152,10 @@
 		const ended = await endHere(entry);
 		return {status: ended.isOk() ? 200 : 503, body: null};
 	});
+	handle('batch-submit', async body => {
+		const stored = await submissions.storePassedOn(body.batch);
+		return {status: stored.isOk() ? 200 : (stored.error.effect === 'notRun' ? 503 : 500), body: null};
+	});
 	handle('batch-announce', async body => {
 		if (batches.get(body.batchId) === undefined) {
 			batches.believe(body.batchId, body.owner);
@@ -203,10 +215,12 @@
 			await calls.handOver();
 		},
 		onDidOpen: opened.event,
+		noteOpen: batches.noteOpen,
 		tick(now) {
-			const waiting = batches.all().flatMap(entry => entry.owner?.demand(now) ?? []).filter(demand => demand.slacksMs.length + demand.hopeless > 0);
-			parts.turns.learn(mesh.self.name, waiting, now);
-			parts.onTick(batches.listOwners(), waiting, now);
+			const active = batches.all().flatMap(entry => (entry.owner?.isActive() === true ? [entry.owner] : []));
+			const demands = active.map(owner => owner.demand(now)).filter(demand => demand.slacksMs.length + demand.hopeless > 0);
+			parts.turns.learn(mesh.self.name, demands, now);
+			parts.onTick(batches.listOwners(), {demands, open: active.length}, now);
 			batches.all().forEach(entry => {
 				entry.owner?.pump(now);
 			});
--- a/src/batches/node/held-batches.ts
+++ b/src/batches/node/held-batches.ts
@@ -51,6 +51,10 @@
 	readonly findOwner: (batchId: string) => Promise<Result<PeerDaemon, Failure>>;
 	/** Other daemons that own batches which may be open. */
 	readonly listOwners: () => readonly PeerDaemon[];
+	/** Notes how many open batches a daemon says that it owns. */
+	readonly noteOpen: (name: string, open: number) => void;
+	/** Batches of a daemon that may be open. */
+	readonly countOpen: (name: string) => number;
 	/** Removes a batch's objects once it is old enough. */
 	readonly retire: (batchId: string) => void;
 };
@@ -75,11 +79,14 @@
 	} = parts;
 	const held = new Map<string, HeldBatch>();
 	const ownerOf = new Map<string, PeerDaemon>();
+	/** When the owner of a batch was heard of. */
+	const heardAt = new Map<string, number>();
+	const saidOpen = new Map<string, {readonly open: number; readonly owner: PeerDaemon | undefined; readonly at: number}>();
 
 	function noteRecord(batchId: string, record: LogRecord): void {
 		const known = held.get(batchId);
 		if (record.type === 'owner') {
-			ownerOf.set(batchId, record.owner);
+			believe(batchId, record.owner);
 			if (!isSameDaemon(record.owner, mesh.self) && known?.owner !== undefined) {
 				log.info('batch was taken over', {batchId, by: record.owner.name});
 				known.owner.dispose();
@@ -99,7 +106,7 @@
 		records.forEach(record => {
 			batchLog.apply(record);
 		});
-		ownerOf.set(batch.id, batchLog.owner());
+		believe(batch.id, batchLog.owner());
 		const writer = createLogWriter(batch.id, batchLog, {
 			api,
 			clock,
@@ -185,11 +192,21 @@
 		return loaded.map(entry => entry.batchLog.owner());
 	}
 
+	/** Owners of the batches that are not known to have ended, one for each. What an owner said last goes before what was heard earlier. */
+	function listOpen(): readonly PeerDaemon[] {
+		return [...ownerOf]
+			.filter(([batchId, owner]) => held.get(batchId)?.batchLog.isEnded() !== true && !((saidOpen.get(owner.name)?.at ?? Number.NEGATIVE_INFINITY) > (heardAt.get(batchId) ?? 0)))
+			.map(([, owner]) => owner);
+	}
+
+	function believe(batchId: string, owner: PeerDaemon): void {
+		ownerOf.set(batchId, owner);
+		heardAt.set(batchId, clock.monotonic());
+	}
+
 	/** Other daemons that own batches which may be open. */
 	function listOwners(): readonly PeerDaemon[] {
-		const owners = [...ownerOf]
-			.filter(([batchId, owner]) => owner.name !== mesh.self.name && held.get(batchId)?.batchLog.isEnded() !== true)
-			.map(([, owner]) => owner);
+		const owners = [...listOpen(), ...[...saidOpen.values()].flatMap(({open, owner}) => (open > 0 && owner !== undefined ? [owner] : []))].filter(owner => owner.name !== mesh.self.name);
 		return [...new Map(owners.map(owner => [owner.name, owner])).values()];
 	}
 
@@ -215,6 +232,7 @@
 		log.info('removed batch', {batchId, outcome: removed.isOk() ? 'removed' : removed.error.message});
 		held.delete(batchId);
 		ownerOf.delete(batchId);
+		heardAt.delete(batchId);
 	}
 
 	return {
@@ -225,11 +243,14 @@
 		own,
 		isOwned,
 		believedOwner: batchId => ownerOf.get(batchId),
-		believe(batchId, owner) {
-			ownerOf.set(batchId, owner);
+		believe,
+		noteOpen(name, open) {
+			const owner = [...ownerOf.values()].findLast(candidate => candidate.name === name);
+			saidOpen.set(name, {open, owner, at: clock.monotonic()});
 		},
 		findOwner,
 		listOwners,
+		countOpen: name => (saidOpen.get(name)?.open ?? 0) + listOpen().filter(owner => owner.name === name).length,
 		retire,
 	};
 }
--- a/src/batches/node/load-exchange.ts
+++ b/src/batches/node/load-exchange.ts
@@ -7,10 +7,18 @@
 import type {EngineCounts, SharedLoads} from '../../gateway/common/shared-loads.js';
 import type {Demand, StartTurns} from '../common/start-turns.js';
 
+/** The work of one owner of batches. */
+export type OwnWork = {
+	/** What of its batches waits. */
+	readonly demands: readonly Demand[];
+	/** Open batches that it runs. */
+	readonly open: number;
+};
+
 /** The exchange of one daemon. */
 export type LoadExchange = {
 	/** Sends what has changed to the given owners. */
-	readonly tick: (owners: readonly PeerDaemon[], waiting: readonly Demand[], now: number) => void;
+	readonly tick: (owners: readonly PeerDaemon[], work: OwnWork, now: number) => void;
 	/** Asks the given owners what they have under way, before this daemon starts to own. */
 	readonly ask: (owners: readonly PeerDaemon[]) => void;
 };
@@ -23,6 +31,8 @@
 	readonly mesh: PeerMesh;
 	readonly clock: Clock;
 	readonly log: Log;
+	/** Called with the open batches that another owner says it runs. */
+	readonly onOpen: (owner: string, open: number) => void;
 };
 
 /** What owners tell each other. */
@@ -34,6 +44,8 @@
 	readonly leaving: readonly LeavingMark[];
 	/** What of the owner's batches waits. */
 	readonly demands: readonly Demand[];
+	/** Open batches that the owner runs. */
+	readonly open: number;
 };
 
 /** Counts that did not change are said again after this time. */
@@ -45,23 +57,24 @@
 	const {
 		loads, view, turns, mesh, clock, log,
 	} = parts;
-	let demands: readonly Demand[] = [];
+	let own: OwnWork = {demands: [], open: 0};
 	const countOwn = (): EngineCounts => loads.own(view.all().map(entry => entry.id));
 	let said = '';
 	let saidAt = Number.NEGATIVE_INFINITY;
 
 	function describe(counts: EngineCounts): Word {
 		return {
-			owner: mesh.self.name, counts, leaving: view.listLeaving(clock.monotonic()), demands,
+			owner: mesh.self.name, counts, leaving: view.listLeaving(clock.monotonic()), ...own,
 		};
 	}
 
 	function learn({
-		owner, counts, leaving, demands: told,
+		owner, counts, leaving, demands, open,
 	}: Word): void {
 		const now = clock.monotonic();
 		loads.learn(owner, counts, now);
-		turns.learn(owner, told, now);
+		turns.learn(owner, demands, now);
+		parts.onOpen(owner, open);
 		leaving.forEach(mark => {
 			view.noteLeaving(mark, now);
 		});
@@ -87,12 +100,12 @@
 	}
 
 	return {
-		tick(owners, waiting, now) {
-			demands = waiting;
+		tick(owners, work, now) {
+			own = work;
 			const counts = countOwn();
-			const text = JSON.stringify({counts, waiting: waiting.map(demand => `${demand.batchId} ${demand.slacksMs.length} ${demand.hopeless}`)});
+			const text = JSON.stringify({counts, open: work.open, waiting: work.demands.map(demand => `${demand.batchId} ${demand.slacksMs.length} ${demand.hopeless}`)});
 			const isSame = text === said;
-			const isIdle = Object.keys(counts).length === 0 && waiting.length === 0;
+			const isIdle = Object.keys(counts).length === 0 && work.open === 0;
 			if (isSame && (isIdle || now - saidAt < REPEAT_MS)) {
 				return;
 			}
--- a/src/batches/node/owner-calls.ts
+++ b/src/batches/node/owner-calls.ts
@@ -5,6 +5,7 @@
 import type {Random} from '../../base/common/random.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {PeerDaemon, PeerMesh, PeerReply} from '../../peers/common/peer-mesh.js';
+import {listStrong} from '../../peers/common/strong-daemons.js';
 import type {PartialText} from '../common/batch.js';
 import {isSameDaemon, type HeldBatch, type HeldBatches} from './held-batches.js';
 
@@ -140,7 +141,12 @@
 		const partials = entry.owner?.release() ?? [];
 		entry.owner = undefined;
 		const near = mesh.others().filter(peer => peer.region === mesh.self.region);
-		const candidates = (near.length > 0 ? near : mesh.others()).map(peer => ({peer, key: random()})).toSorted((a, b) => a.key - b.key).map(({peer}) => peer);
+		const reachable = near.length > 0 ? near : mesh.others();
+		const strong = listStrong(reachable);
+		const candidates = reachable
+			.map(peer => ({peer, key: random() + (strong.includes(peer) ? 0 : 1)}))
+			.toSorted((a, b) => a.key - b.key)
+			.map(({peer}) => peer);
 		await candidates.reduce<Promise<boolean>>(async (previous, peer) => {
 			if (await previous) {
 				return true;
--- a/src/gateway/common/feed-choice.ts
+++ b/src/gateway/common/feed-choice.ts
@@ -1,5 +1,6 @@
 /** Decides whether a daemon follows the store itself or another daemon that does, so that calls to the store grow slowly. */
 import {rankByRendezvous} from '../../base/common/hash.js';
+import {listStrong} from '../../peers/common/strong-daemons.js';
 import type {PeerDaemon} from '../../peers/common/peer-mesh.js';
 
 /** Largest number of daemons that follow one daemon; larger regions are divided by availability zone. */
@@ -34,7 +35,10 @@
 export function chooseSource(self: PeerDaemon, others: readonly PeerDaemon[], book: SourceBook, now: number): PeerDaemon | undefined {
 	const region = others.filter(daemon => daemon.region === self.region);
 	const group = region.length < LARGEST_GROUP ? region : region.filter(daemon => daemon.availabilityZone === self.availabilityZone);
-	const ranked = rankByRendezvous('feed', [self, ...group], daemon => daemon.name);
+	const members = [self, ...group];
+	const strong = listStrong(members);
+	// A source answers all daemons of its group, so those on strong VMs come first.
+	const ranked = rankByRendezvous('feed', members, daemon => daemon.name).toSorted((a, b) => Number(strong.includes(b)) - Number(strong.includes(a)));
 	const first = ranked.find(daemon => daemon.name === self.name || !book.isPassedOver(daemon.name, now));
 	return first === undefined || first.name === self.name ? undefined : first;
 }
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -41,6 +41,8 @@
 /** Shortest time between such polls, as a share of the time to leave a leaving server; the rest is for the way to daemons that follow this one. */
 const SERVERS_GATHER_SHARE = 0.48;
 const EXPIRE_MS = 250;
+/** Time for the last answers to leave the process once their servers have answered. */
+const DELIVERY_MS = 50;
 /** Prompt prefixes whose engine is remembered. */
 const REMEMBERED_PREFIXES = 2000;
 /** Weights in the choice of a server: prompts are read fast, and links between regions cost time and money. */
@@ -160,10 +162,17 @@
 			followStore: () => joinDisposables([followConfiguration(context, gateway), followServers(context, gateway, () => feeds[0]!)]),
 		});
 		feeds.push(feed);
-		return joinDisposables([
-			{dispose: gateway.caller.close},
-			feed,
-			context.loop.every({name: 'expire servers', periodMs: EXPIRE_MS, run: gateway.view.expire}),
-		]);
+		return {
+			...joinDisposables([
+				{dispose: gateway.caller.close},
+				feed,
+				context.loop.every({name: 'expire servers', periodMs: EXPIRE_MS, run: gateway.view.expire}),
+			]),
+			// Drained after the callers' side and batches: requests that were accepted last end here, within the time of the stop.
+			async drain() {
+				await gateway.forwarder.whenIdle();
+				await context.loop.sleep(DELIVERY_MS);
+			},
+		};
 	},
 });
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -30,6 +30,8 @@
 export type Forwarder = {
 	/** Resolves with a server's whole answer, or with a failure whose effect may be told to the caller. */
 	readonly forward: (request: PlainRequest) => Promise<Result<ServerAnswer, Failure>>;
+	/** Resolves when no request is under way. */
+	readonly whenIdle: () => Promise<void>;
 };
 
 /** What a forwarder works with. */
@@ -242,7 +244,22 @@
 		return promise;
 	}
 
-	return {forward};
+	const underWay = new Set<Promise<unknown>>();
+
+	return {
+		async forward(request) {
+			const running = forward(request);
+			underWay.add(running);
+			const result = await running;
+			underWay.delete(running);
+			return result;
+		},
+		async whenIdle() {
+			while (underWay.size > 0) {
+				await Promise.all(underWay);
+			}
+		},
+	};
 }
 
 type Deferred<T> = {
--- a/src/gateway/test/server-caller.test.ts
+++ b/src/gateway/test/server-caller.test.ts
@@ -129,6 +129,48 @@
 	}, Promise.resolve());
 });
 
+[0, 30].forEach(pauseMs => {
+	test(`a second copy of an answer, ${pauseMs} ms before the next request on the connection, reaches no other request`, async () => {
+		const ids: string[] = [];
+		const server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.on('data', data => {
+				const id = /request-id: (\S+)/i.exec(String(data))?.[1] ?? '';
+				ids.push(id);
+				const answer = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nContent-Length: 2\r\n\r\n${id}`;
+				socket.write(answer);
+				if (id === 'r1') {
+					setTimeout(() => socket.write(answer), 10);
+				}
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const caller = createServerCaller({protocol: new IdProtocol(), startOf: () => undefined, onLeaving: () => undefined});
+		const target: BackendServer = {
+			id: 's1', pool: 'p', address: '127.0.0.1', port: (server.address() as AddressInfo).port, availabilityZone: 'z', region: 'r', state: 'live',
+		};
+		const attempt = async (requestId: string) => caller.attempt(target, {
+			method: 'POST', path: '/', headers: {}, body: Buffer.from('x'),
+		}, {requestId, remainingMs: 1000, serverId: 's1'}, {timeoutMs: 2000, signal: new AbortController().signal});
+		const bodies: string[] = [];
+		for (const id of ['r1', 'r2', 'r3', 'r4']) {
+			const result = await attempt(id);
+			bodies.push(result.match(answer => Buffer.from(answer.body).toString('utf8'), failure => failure.code));
+			await new Promise(resolve => {
+				setTimeout(resolve, pauseMs);
+			});
+		}
+
+		caller.close();
+		server.close();
+		assert.is(bodies[0], 'r1');
+		assert.ok(bodies.slice(1).every((body, index) => body === `r${index + 2}` || body === 'incomplete' || body === 'unavailable'), bodies.join(' '));
+		assert.is(bodies[3], 'r4', 'a connection with a strange answer is not used again');
+	});
+});
+
 test('a refusal without an id is taken as what it says', async () => {
 	const result = await callOnce(socket => {
 		socket.end('HTTP/1.1 503 Full\r\nX-Skipped: 1\r\nContent-Length: 0\r\n\r\n');
--- a/src/hosting/node/caller-server.ts
+++ b/src/hosting/node/caller-server.ts
@@ -298,7 +298,8 @@
 		},
 		async drain() {
 			isDraining = true;
-			server.closeIdleConnections();
+			// Accepts no further connection and closes idle ones; those in use close with their next answer.
+			server.close();
 			if (open > 0) {
 				await new Promise<void>(resolve => {
 					onIdle.push(resolve);
--- a/src/hosting/test/caller-server.test.ts
+++ b/src/hosting/test/caller-server.test.ts
@@ -70,7 +70,7 @@
 	};
 	const clock = createSystemClock();
 	const server = createCallerServer({
-		callers: {ip: '127.0.0.1', port: callers!}, readiness: {ip: '127.0.0.1', port: readiness!}, protocol: new PlainProtocol(), deployment: holder, forwarder: {forward}, streams: {forward: async () => undefined}, batches, isReady: () => true, clock, loop: createTimerLoop(clock, Math.random, silentLog), log: silentLog, metrics: silentMetrics,
+		callers: {ip: '127.0.0.1', port: callers!}, readiness: {ip: '127.0.0.1', port: readiness!}, protocol: new PlainProtocol(), deployment: holder, forwarder: {forward, whenIdle: async () => undefined}, streams: {forward: async () => undefined}, batches, isReady: () => true, clock, loop: createTimerLoop(clock, Math.random, silentLog), log: silentLog, metrics: silentMetrics,
 	});
 	await server.listen();
 	return {server, callers: callers!, readiness: readiness!};
@@ -194,4 +194,40 @@
 	behind.server.close();
 });
 
+test('pattern: a planned stop under load. Every request that was accepted is answered whole, and none is accepted that is not', async () => {
+	const opened = await openServer(async () => {
+		await delay(150);
+		return answered(200, {'server-signature': 'x'}, 'answer');
+	});
+	const outcomes: string[] = [];
+	let isOpen = true;
+
+	async function callAgain(): Promise<void> {
+		if (!isOpen) {
+			return;
+		}
+
+		const outcome = await call(opened.callers, '/a/x', 'body').then(({status, body}) => `${status} ${body}`, (error: unknown) => (error as {code?: string}).code ?? String(error));
+		outcomes.push(outcome);
+		if (outcome !== '200 answer') {
+			return;
+		}
+
+		await callAgain();
+	}
+
+	const callers = Array.from({length: 40}, async (_, index) => {
+		await delay(index * 5);
+		await callAgain();
+	});
+	await delay(400);
+	await opened.server.drain();
+	opened.server.close();
+	isOpen = false;
+	await Promise.all(callers);
+	const kinds = [...new Set(outcomes)].toSorted();
+	assert.ok(outcomes.filter(outcome => outcome === '200 answer').length >= 80, outcomes.join(', '));
+	assert.equal(kinds.filter(kind => kind !== '200 answer' && kind !== 'ECONNREFUSED'), [], 'a refused connection carried no request');
+});
+
 test.run();
--- a/src/objects/common/daemon-directory.ts
+++ b/src/objects/common/daemon-directory.ts
@@ -12,7 +12,7 @@
 	const entry = object.spec as Partial<PeerDaemon> | undefined;
 	return typeof entry?.name === 'string' && typeof entry.ip === 'string' && typeof entry.port === 'number' && typeof entry.incarnation === 'string'
 		? {
-			name: entry.name, incarnation: entry.incarnation, ip: entry.ip, port: entry.port, region: entry.region ?? '', availabilityZone: entry.availabilityZone ?? '',
+			name: entry.name, incarnation: entry.incarnation, ip: entry.ip, port: entry.port, region: entry.region ?? '', availabilityZone: entry.availabilityZone ?? '', ...(typeof entry.capacity === 'number' && {capacity: entry.capacity}),
 		}
 		: undefined;
 }
--- a/src/objects/objects.contribution.ts
+++ b/src/objects/objects.contribution.ts
@@ -70,7 +70,7 @@
 	start(context) {
 		const host = context.use(hostKey);
 		const self: PeerDaemon = {
-			name: host.name, incarnation: host.incarnation, ip: host.peers.ip, port: host.peers.port, region: host.region, availabilityZone: host.availabilityZone,
+			name: host.name, incarnation: host.incarnation, ip: host.peers.ip, port: host.peers.port, region: host.region, availabilityZone: host.availabilityZone, capacity: host.capacity,
 		};
 		const mesh = createPeerMesh(self, context.clock, context.log);
 		mesh.learn(host.seeds.filter(seed => seed.ip !== self.ip).map(seed => seedDaemon(seed)));
--- a/src/peers/common/peer-mesh.ts
+++ b/src/peers/common/peer-mesh.ts
@@ -11,6 +11,8 @@
 	readonly port: number;
 	readonly region: string;
 	readonly availabilityZone: string;
+	/** Share of cores that the daemon may use; left out by those that do not say. */
+	readonly capacity?: number;
 };
 
 /** The outcome of a call as the called daemon states it. */
--- a/src/settings/common/host.ts
+++ b/src/settings/common/host.ts
@@ -31,6 +31,8 @@
 	readonly availabilityZone: string;
 	readonly region: string;
 	readonly regionByZone: Readonly<Record<string, string>>;
+	/** Cores of the VM by their share that the process may use and by their speed; 1 is one whole core of today. */
+	readonly capacity: number;
 	/** Where callers connect; undefined on VMs that serve none. */
 	readonly callers: HostAddress | undefined;
 	/** Where the balancer asks for readiness. */
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -7,11 +7,12 @@
 import type {
 	Batch, BatchItem, ItemResult, PartialText,
 } from '../../src/batches/common/batch.js';
+import {createOwnerChoice} from '../../src/batches/common/owner-choice.js';
 import {createRefusalMemory} from '../../src/batches/common/refusals.js';
 import {createServerPace} from '../../src/batches/common/server-pace.js';
 import {createStartTurns} from '../../src/batches/common/start-turns.js';
 import {createWorkEstimate} from '../../src/batches/common/work-estimate.js';
-import {createBatchService} from '../../src/batches/node/batch-service.js';
+import {createBatchService, type BatchService} from '../../src/batches/node/batch-service.js';
 import {createLoadExchange} from '../../src/batches/node/load-exchange.js';
 import {createDeploymentHolder, type Route} from '../../src/gateway/common/deployment.js';
 import {
@@ -117,7 +118,7 @@
 }
 
 /** Creates a world. */
-export function createBatchWorld(options: {readonly daemons: readonly string[]; readonly engines: number; readonly seed?: number; readonly score?: (requestId: string, attempt: number) => number}) {
+export function createBatchWorld(options: {readonly daemons: readonly string[]; readonly engines: number; readonly seed?: number; readonly score?: (requestId: string, attempt: number) => number; readonly capacityOf?: (name: string) => number}) {
 	const random: Random = createSeededRandom(options.seed ?? 1);
 	const time = createVirtualTime(random);
 	const {clock, loop} = time;
@@ -209,7 +210,7 @@
 		const log = createLineLog(name);
 		const view = createServerView(() => 'r');
 		const loads = createSharedLoads(createLoadEstimate(id => view.find(id)?.slots ?? 1), () => true);
-		const mesh = network.join(name, incarnation);
+		const mesh = network.join(name, incarnation, options.capacityOf?.(name));
 		const deployment = createDeploymentHolder();
 		deployment.offer({
 			version: 1, routes: [route, scoringRoute], pools: [{
@@ -221,6 +222,7 @@
 			close: () => undefined,
 		};
 		const forwarder: Forwarder = {
+			whenIdle: async () => undefined,
 			async forward(request) {
 				const attempt = (scoreAttempts.get(request.requestId) ?? 0) + 1;
 				scoreAttempts.set(request.requestId, attempt);
@@ -234,15 +236,21 @@
 			},
 		};
 		const turns = createStartTurns();
+		const services: BatchService[] = [];
 		const exchange = createLoadExchange({
-			loads, view, turns, mesh, clock, log,
+			loads, view, turns, mesh, clock, log, onOpen(owner, open) {
+				services.forEach(({noteOpen}) => {
+					noteOpen(owner, open);
+				});
+			},
 		});
 		const service = createBatchService({
-			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new WordProtocol(), pace: createServerPace(), turns, work: createWorkEstimate(), refusals: createRefusalMemory(), scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, onTick: exchange.tick, onSubmit: exchange.ask,
+			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new WordProtocol(), pace: createServerPace(), turns, work: createWorkEstimate(), ownerChoice: createOwnerChoice(), refusals: createRefusalMemory(), scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, onTick: exchange.tick, onSubmit: exchange.ask,
 			dispatcher: createDispatcher({
 				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, reservedElsewhere: () => false,
 			}),
 		});
+		services.push(service);
 		const look = () => {
 			view.update(engines.map(entryOf), clock.monotonic());
 		};
--- a/test/fakes/mesh-network.ts
+++ b/test/fakes/mesh-network.ts
@@ -6,7 +6,7 @@
 
 /** The network and its controls. */
 export type MeshNetwork = {
-	readonly join: (name: string, incarnation?: string) => PeerMesh;
+	readonly join: (name: string, incarnation?: string, capacity?: number) => PeerMesh;
 	/** Daemons that do not answer, and whose calls get no answer. */
 	readonly silent: Set<string>;
 	/** Ends a daemon's process: its port refuses connections. */
@@ -25,9 +25,9 @@
 		kill(name) {
 			members.delete(name);
 		},
-		join(name, incarnation = '1') {
+		join(name, incarnation = '1', capacity?: number) {
 			const self: PeerDaemon = {
-				name, incarnation, ip: name, port: 1, region: 'r', availabilityZone: 'z',
+				name, incarnation, ip: name, port: 1, region: 'r', availabilityZone: 'z', ...(capacity !== undefined && {capacity}),
 			};
 			const handlers = new Map<string, PeerHandler>();
 			members.set(name, {daemon: self, handlers});
