--- a/src/batches/test/batches.test.ts
+++ b/src/batches/test/batches.test.ts
@@ -326,6 +326,43 @@
 	assert.is(world.startsOf('b-0').length, 1);
 });
 
+test('a stream that drips bytes and never an event is left after 3 s; a slow one that makes events is not', async () => {
+	const world = createBatchWorld({daemons: ['d1'], engines: 2});
+	world.engines[0]!.drips = true;
+	await world.finish(world.serviceOf('d1').submit(createBatch('b', [10, 10, 10, 10]), 10_000));
+	checkWhole(await world.readAll('b', ['d1']), 'b', [10, 10, 10, 10]);
+	const dripping = world.engines[0]!.starts.length;
+	assert.ok(dripping > 0 && dripping <= 8, `${dripping} runs on the dripping engine`);
+
+	const slow = createBatchWorld({daemons: ['d1'], engines: 1});
+	slow.engines[0]!.gapMs = 2000;
+	await slow.finish(slow.serviceOf('d1').submit(createBatch('s', [8]), 10_000));
+	checkWhole(await slow.readAll('s', ['d1']), 's', [8]);
+	assert.is(slow.startsOf('s-0').length, 1);
+});
+
+test('a time of day that jumps changes nothing of what runs, where and when', async () => {
+	const play = async (wall: (() => number) | undefined) => {
+		const world = createBatchWorld({daemons: ['d1', 'd2', 'd3'], engines: 2, ...(wall && {wall})});
+		const lengths = [30, 40, 35, 45, 50, 20, 25, 60];
+		await world.finish(world.serviceOf('d1').submit(createBatch('b', lengths), 10_000));
+		await world.time.advance(600);
+		world.kill('d1');
+		const results = await world.readAll('b', ['d2', 'd3']);
+		checkWhole(results, 'b', lengths);
+		return {results, starts: world.engines.map(engine => engine.starts)};
+	};
+
+	let calls = 0;
+	const jumping = () => {
+		calls += 1;
+		return 1_700_000_000_000 + (calls % 2 === 0 ? 5000 : -5000) + (calls % 7 === 0 ? 86_400_000 : 0);
+	};
+
+	assert.equal(await play(jumping), await play(undefined));
+	assert.ok(calls > 0);
+});
+
 test('runs that add nothing come at growing pauses', async () => {
 	const world = createBatchWorld({daemons: ['d1'], engines: 2});
 	world.engines.forEach(engine => {
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -42,6 +42,8 @@
 	/** Refuses all work, as engines do while they load. */
 	isRefusing: boolean;
 	isLeaving: boolean;
+	/** Sends a byte now and then, and never a whole event. */
+	drips?: boolean;
 	/** Ends each run in whole before its first event. */
 	breaksAtHead?: boolean;
 	/** Requests that it refused. */
@@ -78,6 +80,10 @@
 	override createEventReader(onEvent: (event: GenerationEvent) => void): EventReader {
 		return {
 			feed(piece) {
+				if (piece.length === 0) {
+					return undefined;
+				}
+
 				const [id, data] = Buffer.from(piece).toString('utf8').split(' ');
 				onEvent({id: Number(id), data: data ?? '', version: undefined});
 				return undefined;
@@ -118,10 +124,11 @@
 }
 
 /** Creates a world. */
-export function createBatchWorld(options: {readonly daemons: readonly string[]; readonly engines: number; readonly seed?: number; readonly score?: (requestId: string, attempt: number) => number; readonly capacityOf?: (name: string) => number}) {
+export function createBatchWorld(options: {readonly daemons: readonly string[]; readonly engines: number; readonly seed?: number; readonly score?: (requestId: string, attempt: number) => number; readonly capacityOf?: (name: string) => number; readonly wall?: () => number}) {
 	const random: Random = createSeededRandom(options.seed ?? 1);
 	const time = createVirtualTime(random);
-	const {clock, loop} = time;
+	const {loop} = time;
+	const clock = {...time.clock, ...(options.wall && {wall: options.wall})};
 	const store = createMemoryObjects(loop);
 	const network = createMeshNetwork(loop);
 	const scoreAttempts = new Map<string, number>();
@@ -185,7 +192,12 @@
 				return 'reset';
 			}
 
-			options_.onData?.(Buffer.from(`${id} ${itemId}.${id}`));
+			if (engine.drips === true) {
+				id -= 1;
+				options_.onData?.(new Uint8Array(0));
+			} else {
+				options_.onData?.(Buffer.from(`${id} ${itemId}.${id}`));
+			}
 		}
 
 		return undefined;
