--- a/src/batches/node/batch-owner.ts
+++ b/src/batches/node/batch-owner.ts
@@ -6,9 +6,10 @@
 } from '../common/batch.js';
 import type {BatchLog} from '../common/batch-log.js';
 import {
-	countCompleteGroups, isWorthWriting, listHopeless, orderStarts, type OpenItem,
+	countCompleteGroups, isWorthWriting, type OpenItem,
 } from '../common/run-order.js';
 import type {Demand} from '../common/start-turns.js';
+import {createItemOrder} from '../common/item-order.js';
 import {chooseTextParts, takeResults} from '../common/text-parts.js';
 import {
 	createGenerationRun, type GenerationEnd, type GenerationParts, type GenerationRun,
@@ -74,18 +75,26 @@
 	let confirmTriedAt = Number.NEGATIVE_INFINITY;
 	const itemRoute = (item: BatchItem): Route | undefined => deployment.findRoute(batch.host, item.path) ?? deployment.findRoute(batch.host, batch.path);
 
-	let hopeless: ReadonlySet<string> = new Set();
 	/** A batch that was taken over has lost time that this daemon does not know. */
 	const dueAt = parts.knownSince + ((itemRoute(batch.items[0]!)?.dueMs ?? 0) * (parts.isTakenOver ? TAKEN_OVER_SHARE : 1));
+	const order = createItemOrder(batch, dueAt, now => listOpen(now));
 
 	const states: readonly ItemState[] = batch.items.map(item => ({
 		item,
 		run: createGenerationRun(batch, item, () => itemRoute(item), {
-			...parts, turnOf: (remainingMs, now) => ({batchId: batch.id, slackMs: dueAt - now - remainingMs, isHopeless: hopeless.has(item.group)}),
+			...parts, turnOf: (remainingMs, now) => order.turnOf(item, remainingMs, now),
 		}, parts.partials.find(partial => partial.itemId === item.id)),
 		phase: batchLog.isListed(item.id) ? 'finished' : 'waiting',
 	}));
 
+	const byId = new Map(states.map(state => [state.item.id, state]));
+
+	function listOpen(now: number): readonly OpenItem[] {
+		return states.filter(state => state.phase !== 'finished').map(state => ({
+			id: state.item.id, group: state.item.group, isWaiting: state.phase === 'waiting', remainingMs: state.run.remainingMs(now),
+		}));
+	}
+
 	const isFinished = (itemId: string): boolean => batchLog.isListed(itemId) || unwritten.has(itemId);
 
 	function isLost(): boolean {
@@ -230,7 +239,8 @@
 			return;
 		}
 
-		listStarts(now).some(state => {
+		order.listStarts(now).some(id => {
+			const state = byId.get(id)!;
 			const hasRoom = state.run.hasRoom(now);
 			if (hasRoom) {
 				startItem(state);
@@ -240,35 +250,6 @@
 		});
 	}
 
-	function listOpen(now: number): readonly OpenItem[] {
-		return states.filter(state => state.phase !== 'finished').map(state => ({
-			id: state.item.id, group: state.item.group, isWaiting: state.phase === 'waiting', remainingMs: state.run.remainingMs(now),
-		}));
-	}
-
-	/** Items that wait, in the order in which they start. */
-	function listStarts(now: number): readonly ItemState[] {
-		const open = listOpen(now);
-		hopeless = listHopeless(open, dueAt - now);
-		const byId = new Map(states.map(state => [state.item.id, state]));
-		return orderStarts(open, hopeless).flatMap(id => byId.get(id) ?? []);
-	}
-
-	/** What of the batch waits, for the other owners. */
-	function describeDemand(now: number): Demand {
-		const open = isLost() ? [] : listOpen(now);
-		hopeless = listHopeless(open, dueAt - now);
-		const waiting = open.filter(item => item.isWaiting);
-		const hopeful = waiting.filter(item => !hopeless.has(item.group));
-		return {
-			batchId: batch.id,
-			model: batch.model,
-			oldestVersion: batch.oldestVersion,
-			slacksMs: hopeful.map(item => Math.round(dueAt - now - item.remainingMs)),
-			hopeless: waiting.length - hopeful.length,
-		};
-	}
-
 	function pump(now: number): void {
 		if (isLost() || !states.some(state => state.phase === 'waiting')) {
 			return;
@@ -313,7 +294,7 @@
 			return partials;
 		},
 		isActive: () => !isLost() && states.some(state => !batchLog.isListed(state.item.id)),
-		demand: describeDemand,
+		demand: now => order.describeDemand(now, isLost()),
 		dispose: stopRuns,
 	};
 }
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -12,6 +12,7 @@
 import type {Dispatch} from '../../routing/common/router.js';
 import type {Batch, BatchItem, PartialText} from '../common/batch.js';
 import {createGenerationProgress, type GenerationProgress} from '../common/generation-progress.js';
+import {createRunPauses} from '../common/run-pauses.js';
 import {isSlow} from '../common/server-pace.js';
 import type {Turn} from '../common/start-turns.js';
 import type {WorkEstimate} from '../common/work-estimate.js';
@@ -69,11 +70,6 @@
 const PACE_EVENTS = 8;
 /** An item that has run for longer than expected is expected to need this share of its time still. */
 const LEAST_REMAINING_SHARE = 0.2;
-/** Runs in a row that may add nothing before the next one waits: others may have taken the first choice's last place. */
-const FRUITLESS_RUNS = 2;
-const FIRST_PAUSE_MS = 50;
-const LONGEST_PAUSE_MS = 1000;
-
 type RunState = {
 	dispatch: Dispatch | undefined;
 	abort: AbortController;
@@ -96,8 +92,7 @@
 	const progress: GenerationProgress = createGenerationProgress(earlier);
 	const body = Buffer.from(item.body, 'base64');
 	let failures = 0;
-	/** Runs in a row that added no event. */
-	let fruitless = 0;
+	const pauses = createRunPauses();
 	let stopped = false;
 	let state: RunState | undefined;
 	/** Engines for which the run left its own. */
@@ -296,14 +291,6 @@
 		return readEnd(run, result);
 	}
 
-	/** Pauses before the next run when runs in a row have added nothing. */
-	async function pauseAfter(events: number): Promise<void> {
-		fruitless = progress.lastEventId() > events ? 0 : fruitless + 1;
-		if (fruitless >= FRUITLESS_RUNS) {
-			await loop.sleep(Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * (2 ** (fruitless - FRUITLESS_RUNS))));
-		}
-	}
-
 	async function run(): Promise<GenerationEnd> {
 		if (stopped) {
 			return {kind: 'stopped'};
@@ -319,7 +306,7 @@
 			return end;
 		}
 
-		await pauseAfter(events);
+		await loop.sleep(pauses.next(progress.lastEventId() > events));
 		return run();
 	}
 
--- a/src/gateway/node/feed.ts
+++ b/src/gateway/node/feed.ts
@@ -130,7 +130,7 @@
 	view.onDidLeave(mark => {
 		wake();
 		if (own === undefined && source !== undefined) {
-			void mesh.call(source, 'server-leaving', {leaving: [mark]}, REPLY_MS).then(reply => {
+			void mesh.call(source, 'leaving-servers', {leaving: [mark]}, REPLY_MS).then(reply => {
 				if (reply.isErr()) {
 					log.debug('leaving server not passed on', {serverId: mark.serverId, reason: reply.error.message});
 				}
@@ -138,7 +138,7 @@
 		}
 	});
 
-	mesh.handle('server-leaving', async body => {
+	mesh.handle('leaving-servers', async body => {
 		// The body is what another daemon's feed sent above.
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 		noteLeaving((body as Pick<FeedCall, 'leaving'>).leaving);
