--- a/src/batches/common/start-turns.ts
+++ b/src/batches/common/start-turns.ts
@@ -44,6 +44,9 @@
 /** Places that were left to others for this long without being taken are open: a call between regions and a turn of a small VM fit into it. */
 const LONGEST_YIELD_MS = 300;
 
+/** What a batch that ended had left to others is forgotten after this time. */
+const FORGET_YIELD_MS = 60_000;
+
 type Word = {
 	readonly demands: readonly Demand[];
 	readonly at: number;
@@ -85,6 +88,9 @@
 			const wanted = engines.filter(engine => first.some(({demand}) => fits(engine.id, demand)));
 			const places = wanted.reduce((sum, engine) => sum + engine.places, 0);
 			const waiting = first.reduce((sum, {count}) => sum + count, 0);
+			[...yieldingSince].filter(([, at]) => now - at > FORGET_YIELD_MS).forEach(([batchId]) => {
+				yieldingSince.delete(batchId);
+			});
 			if (places === 0 || places > waiting) {
 				yieldingSince.delete(own.batchId);
 				return engines.map(engine => engine.id);
