Log who knows of a backend server's request limit, and what each daemon sends while it knows

Change: the head of a response is decoded with the limit that it names; each daemon keeps the newest statement of each run of a server. Log lines `backend server limits its requests`, `backend server no longer limits its requests` and, every 4 s, `requests sent to a server with a limit`; gauge server_limit.per_second, counter server_limit.requests. What servers say in heads (leaving, limit) is recorded in one place for plain calls, streams, items, orders and reports. No request is decided differently. Ruled out: a line for each request: a batch owner sends some tens a second.

--- a/src/gateway/common/server-protocol.ts
+++ b/src/gateway/common/server-protocol.ts
@@ -32,6 +32,8 @@
 	readonly isOtherServer: boolean;
 	/** The server states that it is leaving and must not get new requests. */
 	readonly isLeaving: boolean;
+	/** Requests a second that the server takes from all daemons together; undefined when it states no limit. */
+	readonly limitPerSecond: number | undefined;
 	readonly load: ReportedLoad | undefined;
 	/** The server's signature of the response. */
 	readonly signature: string | undefined;
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -4,6 +4,8 @@
 import {createServiceKey, type Context} from '../kernel/common/contribution.js';
 import {registerContribution} from '../kernel/common/registry.js';
 import {followKind} from '../objects/common/kind-follower.js';
+import {createLimitUsage, type LimitUsage} from '../limits/common/limit-usage.js';
+import {createServerLimits, type ServerLimits} from '../limits/common/server-limits.js';
 import {peerMeshKey} from '../peers/common/peer-mesh.js';
 import {createDispatcher, type Dispatcher} from '../routing/common/dispatcher.js';
 import {createLoadEstimate} from '../routing/common/load-estimate.js';
@@ -13,6 +15,7 @@
 import {deploymentSourceKey} from './common/deployment-source.js';
 import {serverProtocolKey} from './common/server-protocol.js';
 import {createSharedLoads, type SharedLoads} from './common/shared-loads.js';
+import {createServerStatements, type ServerStatements} from './common/server-statements.js';
 import {createServerView, type ServerView} from './common/server-view.js';
 import {createFeed, type Feed} from './node/feed.js';
 import {createForwarder, type Forwarder} from './node/forwarder.js';
@@ -28,6 +31,9 @@
 	readonly caller: ServerCaller;
 	readonly forwarder: Forwarder;
 	readonly streams: StreamForwarder;
+	readonly limits: ServerLimits;
+	readonly limitUsage: LimitUsage;
+	readonly statements: ServerStatements;
 };
 
 /** Service key of the daemon's gateway. */
@@ -41,6 +47,8 @@
 /** Minimum time between these polls, as a share of the drain time of a leaving server. The rest of that time is left for forwarding changes to followers. */
 const SERVERS_POLL_INTERVAL_SHARE = 0.48;
 const EXPIRY_CHECK_MS = 250;
+/** Time between log lines on the requests that were sent to servers with a limit. */
+const LIMIT_USE_PERIOD_MS = 4000;
 /** Time for the last responses to be written to callers after the backend servers have responded. */
 const RESPONSE_FLUSH_MS = 50;
 /** Maximum number of prompt prefixes whose engine is remembered. */
@@ -57,16 +65,21 @@
 	const dispatcher = createDispatcher({
 		table: view.table, loads, prefixes: createPrefixIndex(MAXIMUM_PREFIXES), weights: COST_WEIGHTS, ownRegion: host.region, random: context.random, isReservedElsewhere: () => false,
 	});
-	const caller = createServerCaller({
-		protocol,
-		startTimeOf: serverId => view.find(serverId)?.startedAt,
-		onLeaving(notice) {
-			view.recordLeaving(notice, context.clock.monotonic());
-		},
+	const limits = createServerLimits();
+	const limitUsage = createLimitUsage(limits);
+	const statements = createServerStatements({
+		limits, limitUsage, startTimeOf: serverId => view.find(serverId)?.startedAt, onLeaving: view.recordLeaving,
 	});
+	const caller = createServerCaller({...context, protocol, statements});
 	view.onDidStartLeaving(notice => {
 		context.log.info('backend server says that it is leaving', {serverId: notice.serverId, startedAt: notice.startedAt});
 	});
+	limits.onDidChange(({limit: {serverId, startedAt, perSecond}, previousPerSecond, isOwn}) => {
+		context.log.info(perSecond === undefined ? 'backend server no longer limits its requests' : 'backend server limits its requests', {
+			serverId, startedAt, perSecond, previousPerSecond, from: isOwn ? 'its response' : 'another daemon',
+		});
+		context.metrics.gauge('server_limit.per_second', perSecond ?? Number.POSITIVE_INFINITY, {server: serverId});
+	});
 	const forwarder = createForwarder({
 		...context, dispatcher, loads, caller, configurationVersion: () => deployment.current()?.version, serverIdsOf: pool => view.list(pool).map(entry => entry.id),
 	});
@@ -74,7 +87,7 @@
 		...context, dispatcher, caller, protocol,
 	});
 	return {
-		deployment, view, loads, dispatcher, caller, forwarder, streams,
+		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements,
 	};
 }
 
@@ -167,6 +180,16 @@
 				{dispose: gateway.caller.close},
 				feed,
 				context.loop.every({name: 'expire servers', periodMs: EXPIRY_CHECK_MS, run: gateway.view.expire}),
+				context.loop.every({
+					name: 'use of limited servers',
+					periodMs: LIMIT_USE_PERIOD_MS,
+					run() {
+						gateway.limitUsage.takeCounts().forEach(use => {
+							context.log.info('requests sent to a server with a limit', {...use, periodMs: LIMIT_USE_PERIOD_MS});
+							context.metrics.count('server_limit.requests', use.sent, {server: use.serverId});
+						});
+					},
+				}),
 			]),
 			// Runs after the caller server and the batches have drained, so that the last accepted requests end here, within the stop timeout.
 			async drain() {
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -1,11 +1,12 @@
 /** Makes one attempt of a request at one backend server, over keep-alive connections, and checks that the response is complete and belongs to the request. */
 import {Agent, type IncomingHttpHeaders} from 'node:http';
 import type {Result} from 'neverthrow';
+import type {Clock} from '../../base/common/clock.js';
 import type {Failure} from '../../base/common/failure.js';
 import {exchange, type HttpResponse} from '../../adapters/node/http-exchange.js';
 import type {BackendServer} from '../../routing/common/router.js';
-import type {LeavingNotice} from '../common/leaving-notices.js';
 import type {ResponseHead, ServerAttempt, ServerProtocol} from '../common/server-protocol.js';
+import type {ServerStatements} from '../common/server-statements.js';
 
 /** A request to a server, without the headers that an attempt adds. */
 export type ServerRequest = {
@@ -41,10 +42,8 @@
 /** Dependencies of a server caller. */
 export type ServerCallerDependencies = {
 	readonly protocol: ServerProtocol;
-	/** Unix time in milliseconds at which the currently known run of a server started. */
-	readonly startTimeOf: (serverId: string) => number | undefined;
-	/** Called when a server states in a response that it is leaving. */
-	readonly onLeaving: (notice: LeavingNotice) => void;
+	readonly statements: ServerStatements;
+	readonly clock: Clock;
 };
 
 /** Idle connections are closed after this time, unless the server states a shorter one. */
@@ -72,14 +71,14 @@
 }
 
 /** Creates a server caller. */
-export function createServerCaller({protocol, startTimeOf, onLeaving}: ServerCallerDependencies): ServerCaller {
+export function createServerCaller({protocol, statements, clock}: ServerCallerDependencies): ServerCaller {
 	const agent = new Agent({keepAlive: true, timeout: IDLE_CONNECTION_TIMEOUT_MS, scheduling: 'lifo'});
 	const singleUseAgent = new Agent({keepAlive: false});
 
 	return {
 		async attempt(server, request, attempt, options) {
 			const heads: ResponseHead[] = [];
-			const startedAt = startTimeOf(server.id);
+			const recordHead = statements.begin(server.id, clock.monotonic());
 			const {result} = await exchange({
 				step: 'call backend server',
 				method: request.method,
@@ -98,10 +97,7 @@
 					}
 
 					heads.push(head);
-					if (head.isLeaving && !head.isOtherServer) {
-						onLeaving({serverId: server.id, startedAt});
-					}
-
+					recordHead(head, clock.monotonic());
 					options.onHead?.(head, headers);
 					return undefined;
 				},
--- a/src/gateway/test/attempt-policy.test.ts
+++ b/src/gateway/test/attempt-policy.test.ts
@@ -12,7 +12,7 @@
 function answer(status: number, more: Partial<ResponseHead> = {}): AttemptEnd {
 	return {
 		kind: 'answer', head: {
-			status, requestId: 'r', isNotRun: false, isOtherServer: false, isLeaving: false, load: undefined, signature: undefined, version: undefined, ...more,
+			status, requestId: 'r', isNotRun: false, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: undefined, signature: undefined, version: undefined, ...more,
 		},
 	};
 }
--- a/src/gateway/test/server-caller.test.ts
+++ b/src/gateway/test/server-caller.test.ts
@@ -3,10 +3,14 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
+import {createVirtualTime} from '../../../test/fakes/virtual-loop.js';
+import {createLimitUsage} from '../../limits/common/limit-usage.js';
+import {createServerLimits} from '../../limits/common/server-limits.js';
 import type {BackendServer} from '../../routing/common/router.js';
 import {
 	ServerProtocol, type ResponseHead, type EventReader, type ServerAttempt,
 } from '../common/server-protocol.js';
+import {createServerStatements} from '../common/server-statements.js';
 import {copyEndToEndHeaders, createServerCaller} from '../node/server-caller.js';
 
 const test = suite('one attempt at a backend server');
@@ -20,7 +24,7 @@
 
 	override readHead(status: number, headers: Readonly<Record<string, unknown>>): ResponseHead {
 		return {
-			status, requestId: typeof headers['request-id'] === 'string' ? headers['request-id'] : undefined, isNotRun: headers['x-skipped'] !== undefined, isOtherServer: status === 421, isLeaving: headers['x-leaving'] !== undefined, load: undefined, signature: undefined, version: undefined,
+			status, requestId: typeof headers['request-id'] === 'string' ? headers['request-id'] : undefined, isNotRun: headers['x-skipped'] !== undefined, isOtherServer: status === 421, isLeaving: headers['x-leaving'] !== undefined, limitPerSecond: undefined, load: undefined, signature: undefined, version: undefined,
 		};
 	}
 
@@ -45,6 +49,17 @@
 	}
 }
 
+function createCaller(startTimeOf: () => number | undefined, onLeaving: (notice: unknown) => void) {
+	const limits = createServerLimits();
+	return createServerCaller({
+		protocol: new IdProtocol(),
+		statements: createServerStatements({
+			startTimeOf, onLeaving, limits, limitUsage: createLimitUsage(limits),
+		}),
+		clock: createVirtualTime().clock,
+	});
+}
+
 /** Starts a server that calls `respond` for each request, and makes one attempt at it. */
 async function callOnce(respond: (socket: Socket) => void, onLeaving: (notice: unknown) => void = () => undefined) {
 	const server = createServer(socket => {
@@ -56,7 +71,7 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
-	const caller = createServerCaller({protocol: new IdProtocol(), startTimeOf: () => 1000, onLeaving});
+	const caller = createCaller(() => 1000, onLeaving);
 	const target: BackendServer = {
 		id: 's1', pool: 'p', address: '127.0.0.1', port: (server.address() as AddressInfo).port, availabilityZone: 'z', region: 'r', state: 'live',
 	};
@@ -154,7 +169,7 @@
 		await new Promise<void>(resolve => {
 			server.listen(0, '127.0.0.1', resolve);
 		});
-		const caller = createServerCaller({protocol: new IdProtocol(), startTimeOf: () => undefined, onLeaving: () => undefined});
+		const caller = createCaller(() => undefined, () => undefined);
 		const target: BackendServer = {
 			id: 's1', pool: 'p', address: '127.0.0.1', port: (server.address() as AddressInfo).port, availabilityZone: 'z', region: 'r', state: 'live',
 		};
--- a/src/hosting/test/caller-server.test.ts
+++ b/src/hosting/test/caller-server.test.ts
@@ -101,7 +101,7 @@
 function answered(status: number, headers: Readonly<Record<string, string>>, body: string) {
 	return ok({
 		status, headers, body: new TextEncoder().encode(body), head: {
-			status, requestId: 'r1', isNotRun: false, isOtherServer: false, isLeaving: false, load: undefined, signature: undefined, version: undefined,
+			status, requestId: 'r1', isNotRun: false, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: undefined, signature: undefined, version: undefined,
 		},
 	});
 }
--- a/src/orders/node/order-service.ts
+++ b/src/orders/node/order-service.ts
@@ -10,6 +10,7 @@
 import type {
 	EngineReport, OrderOutcome, ServerCall, ServerProtocol,
 } from '../../gateway/common/server-protocol.js';
+import type {ServerStatements} from '../../gateway/common/server-statements.js';
 import type {ServerEntry, ServerView} from '../../gateway/common/server-view.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
@@ -28,6 +29,7 @@
 	readonly loads: LoadEstimate;
 	readonly mesh: PeerMesh;
 	readonly lease: OrderLease;
+	readonly statements: ServerStatements;
 	readonly clock: Clock;
 	readonly loop: Loop;
 	readonly log: Log;
@@ -69,7 +71,7 @@
 /** Creates the service. */
 export function createOrderService(dependencies: OrderServiceDependencies): OrderService {
 	const {
-		protocol, deployment, view, loads, mesh, lease, clock, loop, log,
+		protocol, deployment, view, loads, mesh, lease, statements, clock, loop, log,
 	} = dependencies;
 	const agent = new Agent({keepAlive: true});
 	/** Engines with an unfinished order: the model that each loads, by engine id. */
@@ -81,6 +83,7 @@
 	let assignment: Assignment = new Map();
 
 	async function callServer(server: ServerEntry, call: ServerCall): Promise<Result<{readonly status: number; readonly body: string}, Failure>> {
+		const recordHead = statements.begin(server.id, clock.monotonic());
 		const {result} = await exchange({
 			step: 'call engine',
 			method: call.method,
@@ -91,11 +94,7 @@
 			acceptsConnectionEnd: true,
 			maximumBytes: MAXIMUM_REPORT_BYTES,
 			onHead(status, headers) {
-				const head = protocol.readHead(status, headers);
-				if (head.isLeaving && !head.isOtherServer) {
-					view.recordLeaving({serverId: server.id, startedAt: server.startedAt}, clock.monotonic());
-				}
-
+				recordHead(protocol.readHead(status, headers), clock.monotonic());
 				return undefined;
 			},
 		}, {base: new URL(`http://${server.address}:${server.port}`), agent});
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -144,7 +144,7 @@
 
 	function createResponseHead(requestId: string, engine: SimulatedEngine, status: number, isNotRun = false): ResponseHead {
 		return {
-			status, requestId, isNotRun, isOtherServer: false, isLeaving: false, load: {running: engine.running, queued: 0, slots: engine.slots}, signature: 'sig', version: status === 200 ? engine.version : undefined,
+			status, requestId, isNotRun, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: {running: engine.running, queued: 0, slots: engine.slots}, signature: 'sig', version: status === 200 ? engine.version : undefined,
 		};
 	}
 
@@ -242,7 +242,7 @@
 				const status = options.score?.(request.requestId, attempt) ?? 200;
 				return ok({
 					status, headers: {}, body: new Uint8Array(), head: {
-						status, requestId: request.requestId, isNotRun: false, isOtherServer: false, isLeaving: false, load: undefined, signature: `score of ${request.requestId}`, version: undefined,
+						status, requestId: request.requestId, isNotRun: false, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: undefined, signature: `score of ${request.requestId}`, version: undefined,
 					},
 				});
 			},
