--- /dev/null
+++ b/test/fakes/limited-fleet.ts
@@ -0,0 +1,238 @@
+/** Simulates daemons that forward requests to servers with request limits, in virtual time. */
+import {ok} from 'neverthrow';
+import type {Random} from '../../src/base/common/random.js';
+import type {Route} from '../../src/gateway/common/deployment.js';
+import type {ResponseHead} from '../../src/gateway/common/server-protocol.js';
+import {createServerStatements} from '../../src/gateway/common/server-statements.js';
+import {createServerView, type ServerEntry} from '../../src/gateway/common/server-view.js';
+import {createForwarder, type Forwarder} from '../../src/gateway/node/forwarder.js';
+import type {ServerCaller} from '../../src/gateway/node/server-caller.js';
+import {silentLog} from '../../src/kernel/common/log.js';
+import {silentMetrics} from '../../src/kernel/common/metrics.js';
+import {createLimitUsage} from '../../src/limits/common/limit-usage.js';
+import {createServerLimits} from '../../src/limits/common/server-limits.js';
+import {createDispatcher} from '../../src/routing/common/dispatcher.js';
+import {createLoadEstimate} from '../../src/routing/common/load-estimate.js';
+import {createPrefixIndex} from '../../src/routing/common/prefix-index.js';
+import {createMeshNetwork} from './mesh-network.js';
+import {createSeededRandom, createVirtualTime} from './virtual-loop.js';
+
+/** A simulated server; tests change its limit while it runs. */
+export type LimitedServer = {
+	readonly id: string;
+	/** Requests a second from all daemons together; undefined when it states no limit. */
+	perSecond: number | undefined;
+};
+
+/** A request that reached a server. */
+export type Arrival = {
+	readonly serverId: string;
+	readonly daemon: string;
+	readonly at: number;
+};
+
+/** A response that stated a limit. */
+export type Statement = Arrival & {
+	readonly perSecond: number;
+};
+
+/** What a caller got. */
+export type CallerAnswer = {
+	readonly kind: 'caller' | 'background';
+	readonly sentAt: number;
+	readonly answeredAt: number;
+	readonly isServed: boolean;
+	readonly retryAfterMs: number | undefined;
+};
+
+/** The simulation. */
+export type LimitedFleet = ReturnType<typeof createLimitedFleet>;
+
+const POOL = 'plain';
+const WORK_MS = 35;
+const LATENCY_MS = 1;
+const SLOTS = 6;
+/** Target response time of callers' requests, in milliseconds. */
+export const GOAL_MS = 236;
+const CALLER_DEADLINE_MS = 2000;
+const route: Route = {
+	name: 'r', host: 'h', pathPrefix: '/', repeatability: 'idempotent', timeoutMs: 2000, goalMs: GOAL_MS, priority: 1, attempts: 2, pools: [{pool: POOL, weight: 1}], canResume: false, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
+};
+
+/** Creates the simulation with running daemons and servers without limits. */
+export function createLimitedFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number}) {
+	const random: Random = createSeededRandom(options.seed);
+	const time = createVirtualTime(random);
+	const {loop, clock} = time;
+	const network = createMeshNetwork(loop);
+	const servers: readonly LimitedServer[] = Array.from({length: options.servers}, (_, index) => ({id: `s${index}`, perSecond: undefined}));
+	const names = Array.from({length: options.daemons}, (_, index) => `d${index}`);
+	const arrivals: Arrival[] = [];
+	const statements: Statement[] = [];
+	const answers: CallerAnswer[] = [];
+	const running = new Map<string, number>();
+	let requestCount = 0;
+
+	function toEntry(server: LimitedServer): ServerEntry {
+		return {
+			id: server.id, pool: POOL, address: server.id, port: 1, availabilityZone: 'z', slots: SLOTS, isLeaving: false, versions: new Map(), sequence: undefined, startedAt: 1000,
+		};
+	}
+
+	function createHead(server: LimitedServer, requestId: string, status: number): ResponseHead {
+		return {
+			status, requestId, isNotRun: status === 503, isOtherServer: false, isLeaving: false, limitPerSecond: server.perSecond, load: undefined, signature: 'sig', version: undefined,
+		};
+	}
+
+	/** Receives a request from a daemon; resolves with the head of the response. */
+	async function serve(server: LimitedServer, daemon: string, requestId: string): Promise<ResponseHead> {
+		await loop.sleep(LATENCY_MS);
+		arrivals.push({serverId: server.id, daemon, at: clock.monotonic()});
+		const count = running.get(server.id) ?? 0;
+		const isFull = count >= 2 * SLOTS;
+		running.set(server.id, count + (isFull ? 0 : 1));
+		if (!isFull) {
+			await loop.sleep(WORK_MS * (0.7 + (0.6 * random())));
+			running.set(server.id, (running.get(server.id) ?? 1) - 1);
+		}
+
+		const head = createHead(server, requestId, isFull ? 503 : 200);
+		await loop.sleep(LATENCY_MS);
+		return head;
+	}
+
+	function startDaemon(name: string, incarnation: string): {readonly forwarder: Forwarder; readonly end: () => void} {
+		const view = createServerView(() => 'r');
+		view.update(servers.map(toEntry), clock.monotonic());
+		network.join(name, incarnation);
+		const loads = createLoadEstimate(() => SLOTS);
+		const limits = createServerLimits();
+		const limitUsage = createLimitUsage(limits);
+		const records = createServerStatements({
+			limits, limitUsage, startTimeOf: () => 1000, onLeaving: () => undefined,
+		});
+		const caller: ServerCaller = {
+			async attempt(target, _request, attempt) {
+				const server = servers.find(candidate => candidate.id === target.id)!;
+				const recordHead = records.begin(target.id, clock.monotonic());
+				const head = await serve(server, name, attempt.requestId);
+				recordHead(head, clock.monotonic());
+				if (head.limitPerSecond !== undefined) {
+					statements.push({
+						serverId: target.id, daemon: name, at: clock.monotonic(), perSecond: head.limitPerSecond,
+					});
+				}
+
+				return ok({
+					status: head.status, headers: {}, body: new Uint8Array(), head,
+				});
+			},
+			close: () => undefined,
+		};
+		const forwarder = createForwarder({
+			clock,
+			loop,
+			random,
+			log: silentLog,
+			metrics: silentMetrics,
+			loads,
+			caller,
+			configurationVersion: () => 1,
+			serverIdsOf: () => servers.map(server => server.id),
+			dispatcher: createDispatcher({
+				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, isReservedElsewhere: () => false,
+			}),
+		});
+		return {forwarder, end: () => undefined};
+	}
+
+	const daemons = new Map(names.map(name => [name, startDaemon(name, '1')]));
+
+	/** Sends a request through a daemon; a background request is repeated until it is served, like a scoring call. */
+	async function send(name: string, kind: CallerAnswer['kind']): Promise<void> {
+		const daemon = daemons.get(name);
+		if (daemon === undefined) {
+			return;
+		}
+
+		requestCount += 1;
+		const sentAt = clock.monotonic();
+		const result = await daemon.forwarder.forward({
+			requestId: `q${requestCount}`, method: 'POST', path: '/', headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: new AbortController().signal, urgency: undefined,
+		});
+		const isServed = result.isOk() && result.value.status === 200;
+		answers.push({
+			kind, sentAt, answeredAt: clock.monotonic(), isServed, retryAfterMs: result.isErr() ? result.error.retryAfterMs : undefined,
+		});
+		if (!isServed && kind === 'background') {
+			await loop.sleep(150);
+			await send(name, kind);
+		}
+	}
+
+	return {
+		time, network, servers, names, arrivals, statements, answers, random,
+		/** Sends requests at random daemons for a time; `share` is the share of callers' requests. */
+		async play(durationMs: number, perSecond: number, share: number, pick: () => string = () => names[Math.floor(random() * names.length)]!) {
+			const task = loop.every({
+				name: 'traffic',
+				periodMs: 1000 / perSecond,
+				jitterShare: 0.9,
+				run() {
+					void send(pick(), random() < share ? 'caller' : 'background');
+				},
+			});
+			await time.advance(durationMs);
+			task.dispose();
+		},
+		kill(name: string) {
+			network.kill(name);
+			daemons.get(name)?.end();
+			daemons.delete(name);
+		},
+		start(name: string, incarnation: string) {
+			daemons.set(name, startDaemon(name, incarnation));
+		},
+	};
+}
+
+/** A disturbance that excuses a daemon. */
+export type Excuse = {
+	readonly daemon: string;
+	readonly from: number;
+	readonly until: number;
+};
+
+const SETTLE_MS = 4000;
+const WINDOW_MS = 4000;
+const TOLD_MS = 500;
+const ALLOWED_FACTOR = 1.5;
+const ALLOWED_EXTRA = 5;
+
+/**
+ * Lists the windows in which a server got more requests than its highest limit of the window allows, from daemons that knew the limit
+ * for some time, and that were neither restarted, paused nor partitioned around the window.
+ */
+export function findLimitViolations({arrivals, statements}: Pick<LimitedFleet, 'arrivals' | 'statements'>, excuses: readonly Excuse[] = []): readonly string[] {
+	return [...new Set(statements.map(statement => statement.serverId))].flatMap(serverId => {
+		const stated = statements.filter(statement => statement.serverId === serverId);
+		const firstAt = stated[0]!.at;
+		const lastAt = stated.at(-1)!.at;
+		const firstByDaemon = new Map<string, number>();
+		stated.forEach(({daemon, at}) => {
+			firstByDaemon.set(daemon, firstByDaemon.get(daemon) ?? at);
+		});
+		const counted = arrivals.filter(({serverId: id, daemon, at}) => id === serverId
+			&& at >= (firstByDaemon.get(daemon) ?? Number.POSITIVE_INFINITY) + TOLD_MS
+			&& at >= firstAt + SETTLE_MS - WINDOW_MS && at <= lastAt
+			&& !excuses.some(excuse => excuse.daemon === daemon && at >= excuse.from && at <= excuse.until + SETTLE_MS));
+		return counted.flatMap(({at}) => {
+			const end = at + WINDOW_MS;
+			const perSecond = Math.max(...stated.filter(statement => statement.at > at - WINDOW_MS && statement.at <= end).map(statement => statement.perSecond));
+			const count = counted.filter(arrival => arrival.at >= at && arrival.at < end).length;
+			const allowed = (ALLOWED_FACTOR * perSecond * WINDOW_MS / 1000) + ALLOWED_EXTRA;
+			return end >= firstAt + SETTLE_MS && count > allowed ? [`${serverId} got ${count} requests in 4 s from ${Math.round(at)} ms on, allowed ${allowed.toFixed(1)}`] : [];
+		});
+	});
+}
