--- a/src/batches/node/engine-choice.ts
+++ b/src/batches/node/engine-choice.ts
@@ -3,6 +3,7 @@
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import type {Route} from '../../gateway/common/deployment.js';
 import type {ServerEntry, ServerView} from '../../gateway/common/server-view.js';
+import type {ServerPermits} from '../../limits/common/server-permits.js';
 import type {Dispatch} from '../../routing/common/router.js';
 import type {Dispatcher} from '../../routing/common/dispatcher.js';
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
@@ -18,6 +19,7 @@
 	readonly view: ServerView;
 	readonly eventIntervals: EventIntervals;
 	readonly refusals: RecentRefusals;
+	readonly permits: ServerPermits;
 	readonly startPriorities: StartPriorities;
 };
 
@@ -54,7 +56,7 @@
 	dependencies: EngineChoiceDependencies & {readonly priorityOf: (now: number) => StartPriority},
 ): EngineChoice {
 	const {
-		dispatcher, loads, view, eventIntervals, refusals, startPriorities, priorityOf,
+		dispatcher, loads, view, eventIntervals, refusals, permits, startPriorities, priorityOf,
 	} = dependencies;
 	let avoided: {readonly serverId: string; readonly until: number} | undefined;
 
@@ -70,6 +72,7 @@
 			.filter(entry => (view.versionOf(entry.id, batch.model) ?? 0) >= batch.oldestVersion)
 			.filter(entry => !refusals.isRecent(entry.id, batch.model, now))
 			.filter(entry => countFreeSlots(entry, now) >= 1)
+			.filter(entry => permits.waitMs(entry.id, 'background', now) <= 0)
 			.filter(entry => !(avoided?.serverId === entry.id && now < avoided.until));
 	}
 
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -57,6 +57,8 @@
 const SILENCE_TIMEOUT_MS = 2500;
 /** Time without a first event after which a run is started on another engine. */
 const FIRST_EVENT_TIMEOUT_MS = 3000;
+/** Time for which an item waits for a permit of an engine that limits its requests, before it looks at all engines again. */
+const PERMIT_PATIENCE_MS = 300;
 const SILENCE_CHECK_PERIOD_MS = 250;
 /** Time limit of one run on an engine. */
 const MAXIMUM_RUN_MS = 60_000;
@@ -87,12 +89,13 @@
 /** Creates the runs of an item. `route` is called for each run, because the configuration may change. */
 export function createGenerationRun(batch: Batch, item: BatchItem, route: () => Route | undefined, dependencies: GenerationDependencies & {readonly priorityOf: (remainingMs: number, now: number) => StartPriority}, earlier?: PartialText): GenerationRun {
 	const {
-		protocol, caller, loads, view, eventIntervals, refusals, clock, loop, log, metrics,
+		protocol, caller, loads, view, eventIntervals, refusals, permits, clock, loop, log, metrics,
 	} = dependencies;
 	const progress: GenerationProgress = createGenerationProgress(earlier);
 	const body = Buffer.from(item.body, 'base64');
 	let failures = 0;
 	const backoff = createRunBackoff();
+	const waitingSince = clock.monotonic();
 	let stopped = false;
 	let state: RunState | undefined;
 	/** Faster engines because of which the last run was aborted; the next run prefers them. */
@@ -270,6 +273,14 @@
 			return {kind: 'waiting'};
 		}
 
+		if (permits.isLimited(chosen.value.server.id)) {
+			const permit = await permits.obtain(chosen.value.server.id, {urgency: 'background', waitedMs: startedAt - waitingSince, patienceMs: PERMIT_PATIENCE_MS});
+			if (!permit.isGranted || stopped) {
+				chosen.value.end(clock.monotonic(), 'cancelled');
+				return {kind: stopped ? 'stopped' : 'waiting'};
+			}
+		}
+
 		const run: RunState = {
 			dispatch: chosen.value, abort: new AbortController(), startedAt, after: progress.lastEventId(), lastEventAt: startedAt, measuredSince: startedAt, events: 0, brokenBy: undefined,
 		};
--- a/src/batches/node/item-scoring.ts
+++ b/src/batches/node/item-scoring.ts
@@ -37,7 +37,7 @@
 
 /** Creates the scoring of a batch. `isLost` tells that this daemon no longer owns the batch; `signal` aborts calls in that case. */
 export function createItemScoring(batchId: string, {deployment, forwarder, scoring, clock, loop, log}: ScoringDependencies, signal: AbortSignal, isLost: () => boolean): ItemScoring {
-	async function callScorer(call: ScoringCall, route: Route): Promise<Result<{readonly status: number; readonly score: string | undefined}, Failure>> {
+	async function callScorer(call: ScoringCall, route: Route, waitingSince: number): Promise<Result<{readonly status: number; readonly score: string | undefined}, Failure>> {
 		const response = await forwarder.forward({
 			requestId: call.requestId,
 			method: 'POST',
@@ -49,17 +49,19 @@
 			deadlineAt: clock.monotonic() + (route.timeoutMs > 0 ? route.timeoutMs : SCORING_DEADLINE_MS),
 			signal,
 			urgency: undefined,
+			permitUrgency: 'background',
+			waitingSince,
 		});
 		return response.map(({status, head}) => ({status, score: head.signature}));
 	}
 
-	async function score(call: ScoringCall, failures = 0): Promise<string | undefined> {
+	async function score(call: ScoringCall, waitingSince: number, failures = 0): Promise<string | undefined> {
 		if (isLost()) {
 			return undefined;
 		}
 
 		const route = deployment.findRoute(call.host, call.path);
-		const response = route === undefined ? undefined : await scoring.add(async () => callScorer(call, route));
+		const response = route === undefined ? undefined : await scoring.add(async () => callScorer(call, route, waitingSince));
 		const outcome = response?.unwrapOr(undefined);
 		if (outcome !== undefined && outcome.status >= 200 && outcome.status < 300 && outcome.score !== undefined) {
 			return outcome.score;
@@ -74,8 +76,8 @@
 		}
 
 		await loop.sleep(SCORING_RETRY_MS);
-		return score(call, failureCount);
+		return score(call, waitingSince, failureCount);
 	}
 
-	return {score: async call => score(call)};
+	return {score: async call => score(call, clock.monotonic())};
 }
--- a/src/batches/node/owner-calls.ts
+++ b/src/batches/node/owner-calls.ts
@@ -5,6 +5,7 @@
 import type {Random} from '../../base/common/random.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {PeerDaemon, PeerMesh, PeerReply} from '../../peers/common/peer-mesh.js';
+import {isRefusedConnection} from '../../peers/common/process-end.js';
 import {listHighCapacityDaemons} from '../../peers/common/high-capacity-daemons.js';
 import type {PartialText} from '../common/batch.js';
 import {isSameDaemon, type HeldBatch, type HeldBatches} from './held-batches.js';
@@ -101,7 +102,7 @@
 		const earlier = silentSince.get(batchId);
 		const since = earlier ?? startedAt;
 		silentSince.set(batchId, since);
-		const hasProcessEnded = reply.error.effect === 'notRun' && reply.error.message.includes('ECONNREFUSED');
+		const hasProcessEnded = isRefusedConnection(reply.error);
 		const isSilent = earlier !== undefined && clock.monotonic() - since >= OWNER_SILENCE_MS;
 		return hasProcessEnded || isSilent ? ok(undefined) : err(reply.error);
 	}
--- a/src/gateway/common/feed-choice.ts
+++ b/src/gateway/common/feed-choice.ts
@@ -31,18 +31,31 @@
 	};
 }
 
-/** Chooses the daemon to follow; undefined means to poll the store directly. */
-export function chooseSource(self: PeerDaemon, others: readonly PeerDaemon[], failures: SourceFailureTable, now: number): PeerDaemon | undefined {
-	const regionDaemons = others.filter(daemon => daemon.region === self.region);
-	const group = regionDaemons.length < MAXIMUM_GROUP_SIZE ? regionDaemons : regionDaemons.filter(daemon => daemon.availabilityZone === self.availabilityZone);
-	const members = [self, ...group];
+/** Ranks the daemons that may have the same source as `daemon`, itself included, by their suitability as that source. */
+function rankGroup(daemon: PeerDaemon, others: readonly PeerDaemon[]): readonly PeerDaemon[] {
+	const regionDaemons = others.filter(other => other.region === daemon.region);
+	const group = regionDaemons.length < MAXIMUM_GROUP_SIZE ? regionDaemons : regionDaemons.filter(other => other.availabilityZone === daemon.availabilityZone);
+	const members = [daemon, ...group];
 	const highCapacity = listHighCapacityDaemons(members);
 	// The source serves all daemons of its group, so daemons on high-capacity VMs are preferred.
-	const ranked = rankByRendezvous('feed', members, daemon => daemon.name).toSorted((a, b) => Number(highCapacity.includes(b)) - Number(highCapacity.includes(a)));
-	const first = ranked.find(daemon => daemon.name === self.name || !failures.isSkipped(daemon.name, now));
+	return rankByRendezvous('feed', members, member => member.name).toSorted((a, b) => Number(highCapacity.includes(b)) - Number(highCapacity.includes(a)));
+}
+
+/** Chooses the daemon to follow; undefined means to poll the store directly. */
+export function chooseSource(self: PeerDaemon, others: readonly PeerDaemon[], failures: SourceFailureTable, now: number): PeerDaemon | undefined {
+	const first = rankGroup(self, others).find(daemon => daemon.name === self.name || !failures.isSkipped(daemon.name, now));
 	return first === undefined || first.name === self.name ? undefined : first;
 }
 
+/** Lists the daemons that probably are the sources of the groups to which `self` does not belong. */
+export function listSourcesOfOtherGroups(self: PeerDaemon, others: readonly PeerDaemon[]): readonly PeerDaemon[] {
+	const own = new Set(rankGroup(self, others).map(daemon => daemon.name));
+	const outside = others.filter(daemon => !own.has(daemon.name));
+	const zones = new Map(outside.map(daemon => [`${daemon.region} ${daemon.availabilityZone}`, daemon]));
+	const sources = [...zones.values()].flatMap(daemon => rankGroup(daemon, outside.filter(other => other.name !== daemon.name)).slice(0, 1));
+	return [...new Map(sources.map(daemon => [daemon.name, daemon])).values()];
+}
+
 /** Whether data from a source is still fresh. `confirmedAt` is the time at which the store last answered the source. */
 export function isFresh(confirmedAt: number, now: number, drainMs: number): boolean {
 	return now - confirmedAt < drainMs * FRESHNESS_SHARE;
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -5,6 +5,8 @@
 import {registerContribution} from '../kernel/common/registry.js';
 import {followKind} from '../objects/common/kind-follower.js';
 import {createLimitUsage, type LimitUsage} from '../limits/common/limit-usage.js';
+import type {ServerPermits} from '../limits/common/server-permits.js';
+import {createServerPermits} from '../limits/node/server-permits.js';
 import {createServerLimits, type ServerLimits} from '../limits/common/server-limits.js';
 import {peerMeshKey} from '../peers/common/peer-mesh.js';
 import {createDispatcher, type Dispatcher} from '../routing/common/dispatcher.js';
@@ -19,6 +21,7 @@
 import {createServerView, type ServerView} from './common/server-view.js';
 import {createFeed, type Feed} from './node/feed.js';
 import {createForwarder, type Forwarder} from './node/forwarder.js';
+import {createServerAcquisition} from './node/server-acquisition.js';
 import {createServerCaller, type ServerCaller} from './node/server-caller.js';
 import {createStreamForwarder, type StreamForwarder} from './node/stream-forwarder.js';
 
@@ -34,6 +37,7 @@
 	readonly limits: ServerLimits;
 	readonly limitUsage: LimitUsage;
 	readonly statements: ServerStatements;
+	readonly permits: ServerPermits & Disposable;
 };
 
 /** Service key of the daemon's gateway. */
@@ -80,14 +84,25 @@
 		});
 		context.metrics.gauge('server_limit.per_second', perSecond ?? Number.POSITIVE_INFINITY, {server: serverId});
 	});
+	const permits = createServerPermits({
+		...context,
+		limits,
+		mesh: context.use(peerMeshKey),
+		describeServer(serverId) {
+			const entry = view.find(serverId);
+			return {startedAt: entry?.startedAt, region: entry === undefined ? undefined : host.regionByZone[entry.availabilityZone]};
+		},
+	});
+	const acquisition = createServerAcquisition({...context, permits});
+	const serverIdsOf = (pool: string) => view.list(pool).map(entry => entry.id);
 	const forwarder = createForwarder({
-		...context, dispatcher, loads, caller, configurationVersion: () => deployment.current()?.version, serverIdsOf: pool => view.list(pool).map(entry => entry.id),
+		...context, dispatcher, loads, caller, acquisition, serverIdsOf, configurationVersion: () => deployment.current()?.version,
 	});
 	const streams = createStreamForwarder({
-		...context, dispatcher, caller, protocol,
+		...context, dispatcher, caller, acquisition, serverIdsOf, protocol,
 	});
 	return {
-		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements,
+		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements, permits,
 	};
 }
 
@@ -179,6 +194,7 @@
 			...joinDisposables([
 				{dispose: gateway.caller.close},
 				feed,
+				gateway.permits,
 				context.loop.every({name: 'expire servers', periodMs: EXPIRY_CHECK_MS, run: gateway.view.expire}),
 				context.loop.every({
 					name: 'use of limited servers',
--- a/src/gateway/node/feed.ts
+++ b/src/gateway/node/feed.ts
@@ -7,9 +7,12 @@
 import type {Disposable} from '../../base/common/disposable.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
+import type {ServerLimitNotice, ServerLimits} from '../../limits/common/server-limits.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
 import type {DeploymentHolder} from '../common/deployment.js';
-import {chooseSource, createSourceFailureTable, isFresh} from '../common/feed-choice.js';
+import {
+	chooseSource, createSourceFailureTable, isFresh, listSourcesOfOtherGroups,
+} from '../common/feed-choice.js';
 import {
 	createFeedLog, fromFeedEntry, type FeedDelta,
 } from '../common/feed-log.js';
@@ -30,6 +33,7 @@
 	readonly mesh: PeerMesh;
 	readonly deployment: DeploymentHolder;
 	readonly view: ServerView;
+	readonly limits: ServerLimits;
 	readonly clock: Clock;
 	readonly loop: Loop;
 	readonly log: Log;
@@ -46,6 +50,10 @@
 	readonly word: number;
 	/** Servers that the follower knows to be leaving. */
 	readonly leaving: readonly LeavingNotice[];
+	/** Revision of the source's request limits that the follower has. */
+	readonly limitRevision: number;
+	/** All request limits that the follower knows, in its first request to a source. */
+	readonly limits: readonly ServerLimitNotice[];
 };
 
 type FeedResponse = {
@@ -59,6 +67,8 @@
 	readonly ageMs: number;
 	/** Servers that the source knows to be leaving. */
 	readonly leaving: readonly LeavingNotice[];
+	/** Changes of request limits since the follower's revision. */
+	readonly limits: ReturnType<ServerLimits['since']>;
 };
 
 const CHECK_INTERVAL_MS = 100;
@@ -69,7 +79,7 @@
 /** Creates the feed and registers its side that serves other daemons. */
 export function createFeed(dependencies: FeedDependencies): Feed {
 	const {
-		mesh, deployment, view, clock, loop, log,
+		mesh, deployment, view, limits, clock, loop, log,
 	} = dependencies;
 	const feedLog = createFeedLog();
 	const failures = createSourceFailureTable();
@@ -81,7 +91,7 @@
 	let source: PeerDaemon | undefined;
 	let confirmedAt = Number.NEGATIVE_INFINITY;
 	let isRequesting = false;
-	let received: {readonly name: string; incarnation: string; place: number; word: number; entries: Map<string, ServerEntry>} | undefined;
+	let received: {readonly name: string; incarnation: string; place: number; word: number; limitRevision: number; entries: Map<string, ServerEntry>} | undefined;
 
 	function startStoreFollower(reason: string): void {
 		if (storeFollower === undefined) {
@@ -140,6 +150,41 @@
 		}
 	});
 
+	function recordLimits(notices: readonly ServerLimitNotice[]): void {
+		notices.forEach(notice => {
+			limits.recordNotice(notice, clock.monotonic());
+		});
+	}
+
+	// A change is sent at once to the followers. The daemon that received it from the server also sends it to its source and to the other groups.
+	limits.onDidChange(({limit, isOwn, isSignificant}) => {
+		if (!isSignificant) {
+			return;
+		}
+
+		signalUpdate();
+		const notice = limits.notice(limit.serverId, clock.monotonic());
+		if (!isOwn || notice === undefined) {
+			return;
+		}
+
+		const ownSource = storeFollower === undefined && source !== undefined ? [source] : [];
+		[...ownSource, ...listSourcesOfOtherGroups(mesh.self, mesh.others())].forEach(daemon => {
+			void mesh.call(daemon, 'server-limits', {limits: [notice]}, RESPONSE_TIMEOUT_MS).then(response => {
+				if (response.isErr()) {
+					log.debug('request limit not delivered to feed source', {serverId: notice.serverId, peer: daemon.name, reason: response.error.message});
+				}
+			});
+		});
+	});
+
+	mesh.handle('server-limits', async body => {
+		// The body was sent by the feed of another daemon, in the listener above.
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+		recordLimits((body as Pick<FeedRequest, 'limits'>).limits);
+		return {status: 200, body: null};
+	});
+
 	mesh.handle('leaving-servers', async body => {
 		// The body was sent by the feed of another daemon, in the listener above.
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
@@ -153,6 +198,7 @@
 		const request = body as FeedRequest;
 		const isKnown = request.incarnation === mesh.self.incarnation;
 		recordLeaving(request.leaving);
+		recordLimits(request.limits);
 		if (storeFollower === undefined) {
 			return {status: 410, body: null};
 		}
@@ -166,6 +212,7 @@
 			word: updateCount,
 			ageMs: clock.monotonic() - storeAnsweredAt,
 			leaving: view.listLeavingNotices(clock.monotonic()),
+			limits: limits.since(isKnown ? request.limitRevision : 0, clock.monotonic()),
 		};
 		return {status: 200, body: response};
 	});
@@ -190,9 +237,10 @@
 			entryById.delete(id);
 		});
 		received = {
-			name: from.name, incarnation: response.incarnation, place: response.delta.place, word: response.word, entries: entryById,
+			name: from.name, incarnation: response.incarnation, place: response.delta.place, word: response.word, limitRevision: response.limits.revision, entries: entryById,
 		};
 		recordLeaving(response.leaving);
+		recordLimits(response.limits.notices);
 		const now = clock.monotonic();
 		confirmedAt = now - response.ageMs;
 		applyDeployment(from, response.deployment);
@@ -209,7 +257,13 @@
 		isRequesting = true;
 		const last = received?.name === from.name ? received : undefined;
 		const request: FeedRequest = {
-			place: last?.place ?? -1, incarnation: last?.incarnation ?? '', configuration: deployment.current()?.version ?? -1, word: last?.word ?? -1, leaving: view.listLeavingNotices(clock.monotonic()),
+			place: last?.place ?? -1,
+			incarnation: last?.incarnation ?? '',
+			configuration: deployment.current()?.version ?? -1,
+			word: last?.word ?? -1,
+			leaving: view.listLeavingNotices(clock.monotonic()),
+			limitRevision: last?.limitRevision ?? 0,
+			limits: last === undefined ? limits.since(0, clock.monotonic()).notices : [],
 		};
 		const replied = await mesh.call(from, 'feed', request, LONG_POLL_MS + RESPONSE_TIMEOUT_MS);
 		isRequesting = false;
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -6,6 +6,8 @@
 import type {Log} from '../../kernel/common/log.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {Random} from '../../base/common/random.js';
+import type {PermitUrgency} from '../../limits/common/permit-ledger.js';
+import {computePatience} from '../../limits/common/permit-plan.js';
 import type {Dispatcher} from '../../routing/common/dispatcher.js';
 import type {Dispatch} from '../../routing/common/router.js';
 import {createRetryBudget} from '../../requests/common/retry-budget.js';
@@ -13,6 +15,7 @@
 import {choosePool, type Route} from '../common/deployment.js';
 import {createFailureRates} from '../common/failure-rates.js';
 import {decideAfterAttempt, isNotRun, type AttemptEnd} from '../common/attempt-policy.js';
+import type {ServerAcquisition} from './server-acquisition.js';
 import type {BackendResponse, ServerCaller, ServerRequest} from './server-caller.js';
 
 /** A plain request to forward. */
@@ -24,6 +27,10 @@
 	/** Aborts when the caller has disconnected. */
 	readonly signal: AbortSignal;
 	readonly urgency: number | undefined;
+	/** Whether a caller waits for the response, or only work in the background. */
+	readonly permitUrgency: PermitUrgency;
+	/** Monotonic time since which the request has been waiting, if it was refused before because of a request limit. */
+	readonly waitingSince?: number;
 };
 
 /** Forwards plain requests. */
@@ -39,6 +46,7 @@
 	readonly dispatcher: Dispatcher;
 	readonly loads: LoadEstimate;
 	readonly caller: ServerCaller;
+	readonly acquisition: ServerAcquisition;
 	readonly clock: Clock;
 	readonly loop: Loop;
 	readonly random: Random;
@@ -72,37 +80,54 @@
 	readonly triedServers: string[];
 	mayHaveRun: boolean;
 	openAttempts: number;
+	/** Attempts that were sent or that wait for a server. */
+	startedAttempts: number;
 	lastResponse: Result<BackendResponse, Failure> | undefined;
 };
 
 /** Creates a forwarder. */
 export function createForwarder(dependencies: ForwarderDependencies): Forwarder {
 	const {
-		dispatcher, loads, caller, clock, loop, random, log, metrics,
+		dispatcher, loads, caller, acquisition, clock, loop, random, log, metrics,
 	} = dependencies;
 	const hedgeBudget = createRetryBudget(HEDGES_PER_REQUEST);
 
 	const failureRates = createFailureRates();
 
-	/** Chooses a server that was not tried and is not failing. If there is none, chooses one that was not tried, and otherwise any server. */
-	function chooseServer(request: PlainRequest, tried: readonly string[], now: number): Result<Dispatch, Failure> {
-		const failing = request.route.pools.flatMap(({pool}) => failureRates.listFailing(dependencies.serverIdsOf(pool), now));
-		return chooseExcluding(request, [...tried, ...failing], now)
-			.orElse(() => chooseExcluding(request, tried, now))
-			.orElse(() => chooseExcluding(request, [], now));
+	const listServers = (request: PlainRequest): readonly string[] => request.route.pools.flatMap(({pool}) => dependencies.serverIdsOf(pool));
+
+	/** Chooses an allowed server that was not tried and is not failing. If there is none, chooses one that was not tried, and otherwise any of the allowed. */
+	function chooseServer(request: PlainRequest, tried: readonly string[], allowed: readonly string[], now: number): Result<Dispatch, Failure> {
+		const failing = failureRates.listFailing(listServers(request), now);
+		return chooseExcluding(request, [...tried, ...failing], allowed, now)
+			.orElse(() => chooseExcluding(request, tried, allowed, now))
+			.orElse(() => chooseExcluding(request, [], allowed, now));
 	}
 
-	function chooseExcluding(request: PlainRequest, excluded: readonly string[], now: number): Result<Dispatch, Failure> {
+	function chooseExcluding(request: PlainRequest, excluded: readonly string[], allowed: readonly string[], now: number): Result<Dispatch, Failure> {
 		const pool = choosePool(request.route, random());
 		if (pool === undefined) {
 			return err(createNotRun('unavailable', {step: 'choose pool', peer: request.route.name}, 'the route has no pools', RETRY_AFTER_MS));
 		}
 
 		return dispatcher.dispatch({
-			pool, prefixKey: `connections to ${pool}`, prefixTokens: OPEN_CONNECTION_TOKENS, expectedTokens: 0, expectedBytes: EXPECTED_BYTES, excluded, allowed: undefined, alone: false,
+			pool, prefixKey: `connections to ${pool}`, prefixTokens: OPEN_CONNECTION_TOKENS, expectedTokens: 0, expectedBytes: EXPECTED_BYTES, excluded, allowed, alone: false,
 		}, now);
 	}
 
+	/** Acquires a server. `canWait` tells whether the request may wait for a server that limits its requests. */
+	async function acquireServer(request: PlainRequest, tried: readonly string[], arrivedAt: number, canWait: boolean): Promise<Result<Dispatch, Failure>> {
+		return acquisition.acquire({
+			serverIds: () => listServers(request),
+			dispatch: (allowed, now) => chooseServer(request, tried, allowed, now),
+			urgency: request.permitUrgency,
+			arrivedAt: request.waitingSince ?? arrivedAt,
+			patienceMs: now => (canWait
+				? computePatience(request.permitUrgency, {elapsedMs: now - arrivedAt, remainingMs: request.deadlineAt - now - RESPONSE_MARGIN_MS, goalMs: request.route.goalMs})
+				: 0),
+		});
+	}
+
 	async function attemptServer(dispatch: Dispatch, request: PlainRequest, signal: AbortSignal): Promise<Result<BackendResponse, Failure>> {
 		const remainingMs = request.deadlineAt - clock.monotonic() - RESPONSE_MARGIN_MS;
 		const result = await caller.attempt(dispatch.server, request, {
@@ -139,7 +164,7 @@
 
 	async function forward(request: PlainRequest): Promise<Result<BackendResponse, Failure>> {
 		const progress: Progress = {
-			triedServers: [], mayHaveRun: false, openAttempts: 0, lastResponse: undefined,
+			triedServers: [], mayHaveRun: false, openAttempts: 0, startedAttempts: 0, lastResponse: undefined,
 		};
 		const abortController = new AbortController();
 		const onDisconnect = () => {
@@ -171,10 +196,10 @@
 			hedgeTimer.dispose();
 		}
 
-		function finishWithFailure(decision: 'refuse' | 'fail'): void {
+		function finishWithFailure(decision: 'refuse' | 'fail', retryAfterMs = RETRY_AFTER_MS): void {
 			const origin = {step: 'forward request', peer: progress.triedServers.at(-1) ?? request.route.name};
 			finish(decision === 'refuse'
-				? err(createNotRun('unavailable', origin, 'no backend server took the request', RETRY_AFTER_MS))
+				? err(createNotRun('unavailable', origin, 'no backend server took the request', retryAfterMs))
 				: err(createOutcomeUnknown('unavailable', origin, 'no backend server sent a complete response')));
 		}
 
@@ -189,7 +214,7 @@
 
 			const decision = decideAfterAttempt(end, {
 				repeatability: request.route.repeatability,
-				servers: progress.triedServers.length,
+				servers: progress.startedAttempts,
 				attempts: request.route.attempts,
 				remainingMs: request.deadlineAt - now,
 				minimumAttemptMs: MINIMUM_ATTEMPT_MS,
@@ -205,48 +230,61 @@
 			if (decision === 'deliver') {
 				finish(result);
 			} else if (decision === 'tryAgain') {
-				startAttempt();
+				void startAttempt(true);
 			} else if (progress.openAttempts === 0) {
 				finishUndelivered(decision);
 			}
 		}
 
 		/** Ends the request without a successful response. An error response of a server is preferred, because it tells the caller more than a failure made here. */
-		function finishUndelivered(decision: 'refuse' | 'fail'): void {
+		function finishUndelivered(decision: 'refuse' | 'fail', retryAfterMs?: number): void {
 			if (progress.lastResponse === undefined) {
-				finishWithFailure(progress.mayHaveRun ? 'fail' : decision);
+				finishWithFailure(progress.mayHaveRun ? 'fail' : decision, retryAfterMs);
 				return;
 			}
 
 			finish(progress.lastResponse);
 		}
 
-		function startAttempt(): void {
-			const chosen = chooseServer(request, progress.triedServers, clock.monotonic());
-			if (chosen.isErr()) {
-				if (progress.openAttempts === 0) {
-					log.info('no backend server for the request', {requestId: request.requestId, route: request.route.name, tried: progress.triedServers});
-					finishUndelivered(progress.mayHaveRun ? 'fail' : 'refuse');
-				}
-
+		async function startAttempt(canWait: boolean): Promise<void> {
+			progress.openAttempts += 1;
+			progress.startedAttempts += 1;
+			const chosen = await acquireServer(request, progress.triedServers, startedAt, canWait);
+			if (chosen.isErr() || abortController.signal.aborted) {
+				progress.openAttempts -= 1;
+				progress.startedAttempts -= 1;
+				handleUnsent(chosen);
 				return;
 			}
 
 			progress.triedServers.push(chosen.value.server.id);
-			progress.openAttempts += 1;
-			void attemptServer(chosen.value, request, abortController.signal).then(result => {
-				handleAttemptEnd(result, chosen.value.server.id);
+			handleAttemptEnd(await attemptServer(chosen.value, request, abortController.signal), chosen.value.server.id);
+		}
+
+		/** Handles an attempt for which no server was found, or whose request ended meanwhile. */
+		function handleUnsent(chosen: Result<Dispatch, Failure>): void {
+			chosen.match(dispatch => {
+				dispatch.end(clock.monotonic(), 'cancelled');
+				finish(err(createNotRun('aborted', {step: 'forward request', peer: dispatch.server.id}, 'the request ended before it was sent')));
+			}, failure => {
+				if (progress.openAttempts === 0) {
+					log.info('no backend server for the request', {
+						requestId: request.requestId, route: request.route.name, tried: progress.triedServers, reason: failure.message, retryAfterMs: failure.retryAfterMs,
+					});
+					finishUndelivered(progress.mayHaveRun ? 'fail' : 'refuse', failure.retryAfterMs);
+				}
 			});
 		}
 
 		const hedgeTimer = loop.after(request.route.goalMs * HEDGE_DELAY_SHARE, () => {
-			const hasAttempts = progress.triedServers.length < request.route.attempts;
-			if (request.route.repeatability === 'idempotent' && progress.openAttempts === 1 && hasAttempts && hedgeBudget.spend()) {
+			const hasAttempts = progress.startedAttempts < request.route.attempts;
+			const isSent = progress.triedServers.length > 0;
+			if (request.route.repeatability === 'idempotent' && isSent && progress.openAttempts === 1 && hasAttempts && hedgeBudget.spend()) {
 				log.debug('hedging a slow attempt', {requestId: request.requestId, slow: progress.triedServers.at(-1)});
-				startAttempt();
+				void startAttempt(false);
 			}
 		});
-		startAttempt();
+		void startAttempt(true);
 		return promise;
 	}
 
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -1,14 +1,18 @@
 /** Forwards streams as their bytes arrive. A stream that has begun is continued from another server only if the route allows resuming. */
 import type {ServerResponse} from 'node:http';
+import {err, type Result} from 'neverthrow';
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import {MAXIMUM_EVENT_BYTES} from '../../adapters/common/event-bound.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Random} from '../../base/common/random.js';
+import {computePatience} from '../../limits/common/permit-plan.js';
 import type {Dispatcher} from '../../routing/common/dispatcher.js';
+import type {Dispatch} from '../../routing/common/router.js';
 import {choosePool} from '../common/deployment.js';
 import type {ServerProtocol} from '../common/server-protocol.js';
 import type {PlainRequest} from './forwarder.js';
+import type {ServerAcquisition} from './server-acquisition.js';
 import type {ServerCaller} from './server-caller.js';
 
 /** Forwards streams. */
@@ -21,6 +25,9 @@
 export type StreamForwarderDependencies = {
 	readonly dispatcher: Dispatcher;
 	readonly caller: ServerCaller;
+	readonly acquisition: ServerAcquisition;
+	/** Ids of the servers of a pool. */
+	readonly serverIdsOf: (pool: string) => readonly string[];
 	readonly protocol: ServerProtocol;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -43,28 +50,46 @@
 	hasBegun: boolean;
 	/** Whether a server may have begun to run the request. */
 	mayHaveRun: boolean;
+	/** Time after which the caller may return, if the servers' request limits are the reason that the stream was not accepted. */
+	retryAfterMs: number | undefined;
+	readonly arrivedAt: number;
 };
 
 /** Creates the forwarder. */
 export function createStreamForwarder(dependencies: StreamForwarderDependencies): StreamForwarder {
 	const {
-		dispatcher, caller, protocol, clock, random, log,
+		dispatcher, caller, acquisition, protocol, clock, random, log,
 	} = dependencies;
 
+	async function acquireServer(request: PlainRequest, state: StreamState): Promise<Result<Dispatch, Failure>> {
+		const dispatch = (allowed: readonly string[], now: number): Result<Dispatch, Failure> => {
+			const pool = choosePool(request.route, random());
+			return pool === undefined
+				? err(createNotRun('unavailable', {step: 'choose pool', peer: request.route.name}, 'the route has no pools', RETRY_AFTER_MS))
+				: dispatcher.dispatch({
+					pool, prefixKey: undefined, prefixTokens: 0, expectedTokens: 0, expectedBytes: EXPECTED_BYTES, excluded: state.triedServers, allowed, alone: false,
+				}, now);
+		};
+
+		return acquisition.acquire({
+			serverIds: () => request.route.pools.flatMap(({pool}) => dependencies.serverIdsOf(pool)),
+			dispatch,
+			urgency: request.permitUrgency,
+			arrivedAt: state.arrivedAt,
+			patienceMs: now => computePatience(request.permitUrgency, {elapsedMs: now - state.arrivedAt, remainingMs: request.deadlineAt - now, goalMs: request.route.goalMs}),
+		});
+	}
+
 	async function attemptOnce(request: PlainRequest, response: ServerResponse, state: StreamState, isLast: boolean): Promise<'done' | 'next' | 'stop'> {
-		const now = clock.monotonic();
-		const pool = choosePool(request.route, random());
-		const chosen = pool === undefined
-			? undefined
-			: dispatcher.dispatch({
-				pool, prefixKey: undefined, prefixTokens: 0, expectedTokens: 0, expectedBytes: EXPECTED_BYTES, excluded: state.triedServers, allowed: undefined, alone: false,
-			}, now).unwrapOr(undefined);
-		if (chosen === undefined) {
+		const acquired = await acquireServer(request, state);
+		if (acquired.isErr()) {
+			state.retryAfterMs = acquired.error.retryAfterMs;
 			return 'stop';
 		}
 
+		const chosen = acquired.value;
 		state.triedServers = [...state.triedServers, chosen.server.id];
-		const remainingMs = Math.max(1, request.deadlineAt - now);
+		const remainingMs = Math.max(1, request.deadlineAt - clock.monotonic());
 		const abortController = new AbortController();
 		const onDisconnect = () => {
 			abortController.abort();
@@ -144,13 +169,13 @@
 		const origin = {step: 'forward stream', peer: state.triedServers.at(-1) ?? request.route.name};
 		return state.mayHaveRun
 			? createOutcomeUnknown('unavailable', origin, 'the stream broke before its first event')
-			: createNotRun('unavailable', origin, 'no backend server accepted the stream', RETRY_AFTER_MS);
+			: createNotRun('unavailable', origin, 'no backend server accepted the stream', state.retryAfterMs ?? RETRY_AFTER_MS);
 	}
 
 	return {
 		async forward(request, response, isLast) {
 			return forwardWithRetries(request, response, {
-				triedServers: [], lastEventId: undefined, hasBegun: false, mayHaveRun: false,
+				triedServers: [], lastEventId: undefined, hasBegun: false, mayHaveRun: false, retryAfterMs: undefined, arrivedAt: clock.monotonic(),
 			}, isLast);
 		},
 	};
--- a/src/gateway/test/feed.test.ts
+++ b/src/gateway/test/feed.test.ts
@@ -5,10 +5,11 @@
 import {createVirtualTime} from '../../../test/fakes/virtual-loop.js';
 import {joinDisposables} from '../../base/common/disposable.js';
 import {silentLog} from '../../kernel/common/log.js';
+import {createServerLimits} from '../../limits/common/server-limits.js';
 import {followKind} from '../../objects/common/kind-follower.js';
 import type {PeerDaemon} from '../../peers/common/peer-mesh.js';
 import {createDeploymentHolder, type Deployment} from '../common/deployment.js';
-import {chooseSource, createSourceFailureTable} from '../common/feed-choice.js';
+import {chooseSource, createSourceFailureTable, listSourcesOfOtherGroups} from '../common/feed-choice.js';
 import {createFeedLog} from '../common/feed-log.js';
 import {createServerView, type ServerEntry} from '../common/server-view.js';
 import {createFeed, type Feed} from '../node/feed.js';
@@ -29,6 +30,7 @@
 	const network = createMeshNetwork(loop);
 	function start(name: string) {
 		const view = createServerView(() => 'r');
+		const limits = createServerLimits();
 		const deployment = createDeploymentHolder();
 		const dependencies = {
 			api: store.open(name), clock, loop, random: () => 0.5, log: silentLog,
@@ -38,6 +40,7 @@
 			mesh: network.join(name),
 			deployment,
 			view,
+			limits,
 			clock,
 			loop,
 			log: silentLog,
@@ -63,7 +66,9 @@
 			]),
 		});
 		feeds.push(feed);
-		return {name, view, deployment};
+		return {
+			name, view, limits, deployment,
+		};
 	}
 
 	const daemons = names.map(name => start(name));
@@ -177,4 +182,36 @@
 	assert.not.ok(failures.isSkipped('d1', 5001));
 });
 
+test('a request limit that one daemon hears of, and its end, are known to all others, and to one that starts later', async () => {
+	const world = createWorld(['d1', 'd2', 'd3', 'd4']);
+	world.store.put('servers', 's1', entry('s1'));
+	world.configure(1);
+	await world.time.advance(5000);
+	const now = world.time.clock.monotonic();
+	world.daemons[2]!.limits.recordResponse({
+		serverId: 's1', startedAt: 1, perSecond: 2.5, sentAt: now,
+	}, now);
+	await world.time.advance(500);
+	assert.equal(world.daemons.map(daemon => daemon.limits.perSecondOf('s1', 1)), [2.5, 2.5, 2.5, 2.5]);
+	const late = world.start('d5');
+	await world.time.advance(2500);
+	assert.is(late.limits.perSecondOf('s1', 1), 2.5);
+	const endedAt = world.time.clock.monotonic();
+	world.daemons[1]!.limits.recordResponse({
+		serverId: 's1', startedAt: 1, perSecond: undefined, sentAt: endedAt,
+	}, endedAt + 5);
+	await world.time.advance(500);
+	assert.equal([...world.daemons, late].map(daemon => daemon.limits.perSecondOf('s1', 1)), Array.from({length: 5}, () => undefined));
+});
+
+test('one daemon of each other group is told of a request limit', () => {
+	const daemons: readonly PeerDaemon[] = Array.from({length: 120}, (_, index) => ({
+		name: `d${index}`, incarnation: '1', ip: `d${index}`, port: 1, region: index < 20 ? 'small' : 'large', availabilityZone: `z${index % 4}`,
+	}));
+	const others = listSourcesOfOtherGroups(daemons[0]!, daemons.slice(1));
+	assert.is(others.length, 4);
+	assert.ok(others.every(daemon => daemon.region === 'large'));
+	assert.is(new Set(others.map(daemon => daemon.availabilityZone)).size, 4);
+});
+
 test.run();
--- a/src/hosting/node/caller-server.ts
+++ b/src/hosting/node/caller-server.ts
@@ -189,6 +189,7 @@
 			deadlineAt: receivedAt + allowedMs,
 			signal,
 			urgency: Math.min(route.priority, 9),
+			permitUrgency: 'caller' as const,
 		};
 		if (route.repeatability === 'stream') {
 			const failure = await streams.forward(plainRequest, response, isDraining);
--- a/src/orders/node/order-lease.ts
+++ b/src/orders/node/order-lease.ts
@@ -6,6 +6,7 @@
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
+import {isRefusedConnection} from '../../peers/common/process-end.js';
 import {canOrder, canTake, type LeaseTimes} from '../common/lease-policy.js';
 
 /** The lease as one daemon sees it. */
@@ -137,7 +138,7 @@
 	async function ping(holder: PeerDaemon): Promise<'holds' | 'gone' | 'unknown'> {
 		const reply = await mesh.call(holder, 'order-lease', {}, PING_TIMEOUT_MS);
 		if (reply.isErr()) {
-			return reply.error.effect === 'notRun' && reply.error.message.includes('ECONNREFUSED') ? 'gone' : 'unknown';
+			return isRefusedConnection(reply.error) ? 'gone' : 'unknown';
 		}
 
 		// The handler below creates the body on the other daemon.
--- a/src/orders/node/order-service.ts
+++ b/src/orders/node/order-service.ts
@@ -14,6 +14,7 @@
 import type {ServerEntry, ServerView} from '../../gateway/common/server-view.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
+import type {ServerPermits} from '../../limits/common/server-permits.js';
 import type {PeerMesh} from '../../peers/common/peer-mesh.js';
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
 import {
@@ -30,6 +31,7 @@
 	readonly mesh: PeerMesh;
 	readonly lease: OrderLease;
 	readonly statements: ServerStatements;
+	readonly permits: ServerPermits;
 	readonly clock: Clock;
 	readonly loop: Loop;
 	readonly log: Log;
@@ -53,6 +55,8 @@
 /** Time after which an unfinished load is planned again. */
 const LOAD_TIMEOUT_MS = 6000;
 const CALL_TIMEOUT_MS = 1000;
+/** Time for which a call waits for an engine that limits its requests. */
+const PERMIT_PATIENCE_MS = 1500;
 /** Maximum size of an engine's report: 1,000 models of 100 bytes each, with a margin. */
 const MAXIMUM_REPORT_BYTES = 256 * 1024;
 /** Delay after an engine refused an order or did not respond. */
@@ -71,7 +75,7 @@
 /** Creates the service. */
 export function createOrderService(dependencies: OrderServiceDependencies): OrderService {
 	const {
-		protocol, deployment, view, loads, mesh, lease, statements, clock, loop, log,
+		protocol, deployment, view, loads, mesh, lease, statements, permits, clock, loop, log,
 	} = dependencies;
 	const agent = new Agent({keepAlive: true});
 	/** Engines with an unfinished order: the model that each loads, by engine id. */
@@ -125,8 +129,15 @@
 		return {status: 200, body: null};
 	});
 
+	/** Waits until a server takes another request; fails when its request limit does not allow one soon. */
+	async function awaitPermit(server: ServerEntry): Promise<Result<void, Failure>> {
+		const permit = await permits.obtain(server.id, {urgency: 'caller', waitedMs: 0, patienceMs: PERMIT_PATIENCE_MS});
+		return permit.isGranted ? ok(undefined) : err(createNotRun('overloaded', {step: 'obtain permit', peer: server.id}, 'the engine has reached its request limit', permit.waitMs));
+	}
+
 	async function readReport(server: ServerEntry): Promise<Result<EngineReport, Failure>> {
-		const response = await callServer(server, protocol.buildReportCall());
+		const permit = await awaitPermit(server);
+		const response = permit.isErr() ? err(permit.error) : await callServer(server, protocol.buildReportCall());
 		return response.andThen(({status, body}) => {
 			const report = status === 200 ? protocol.readReport(body) : undefined;
 			if (report === undefined) {
@@ -150,9 +161,10 @@
 
 	async function giveOrder(server: ServerEntry, load: PlannedLoad): Promise<OrderOutcome | undefined> {
 		const expectedOrders = await countOrders(server);
+		const permit = await awaitPermit(server);
 		// The lease is checked again immediately before the order is sent.
 		const fencing = lease.fencing(clock.monotonic());
-		if (fencing === undefined || expectedOrders === undefined) {
+		if (fencing === undefined || expectedOrders === undefined || permit.isErr()) {
 			return undefined;
 		}
 
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -22,6 +22,7 @@
 import {createSharedLoads} from '../../src/gateway/common/shared-loads.js';
 import type {Forwarder} from '../../src/gateway/node/forwarder.js';
 import type {BackendResponse, ServerCaller} from '../../src/gateway/node/server-caller.js';
+import {unlimitedPermits} from '../../src/limits/common/server-permits.js';
 import type {Log, LogFields} from '../../src/kernel/common/log.js';
 import {silentMetrics} from '../../src/kernel/common/metrics.js';
 import {createDispatcher} from '../../src/routing/common/dispatcher.js';
@@ -257,7 +258,7 @@
 			},
 		});
 		const service = createBatchService({
-			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new TextEventProtocol(), eventIntervals: createEventIntervals(), startPriorities, workEstimate: createWorkEstimate(), ownerChoice: createOwnerChoice(), refusals: createRecentRefusals(), scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, onTick: exchange.tick, onSubmit: exchange.exchangeReports,
+			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new TextEventProtocol(), eventIntervals: createEventIntervals(), startPriorities, workEstimate: createWorkEstimate(), ownerChoice: createOwnerChoice(), refusals: createRecentRefusals(), permits: unlimitedPermits, scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, onTick: exchange.tick, onSubmit: exchange.exchangeReports,
 			dispatcher: createDispatcher({
 				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, isReservedElsewhere: () => false,
 			}),
--- a/test/fakes/limited-fleet.ts
+++ b/test/fakes/limited-fleet.ts
@@ -6,21 +6,24 @@
 import {createServerStatements} from '../../src/gateway/common/server-statements.js';
 import {createServerView, type ServerEntry} from '../../src/gateway/common/server-view.js';
 import {createForwarder, type Forwarder} from '../../src/gateway/node/forwarder.js';
+import {createServerAcquisition} from '../../src/gateway/node/server-acquisition.js';
 import type {ServerCaller} from '../../src/gateway/node/server-caller.js';
 import {silentLog} from '../../src/kernel/common/log.js';
 import {silentMetrics} from '../../src/kernel/common/metrics.js';
 import {createLimitUsage} from '../../src/limits/common/limit-usage.js';
-import {createServerLimits} from '../../src/limits/common/server-limits.js';
+import {createServerLimits, type ServerLimits} from '../../src/limits/common/server-limits.js';
+import {unlimitedPermits} from '../../src/limits/common/server-permits.js';
+import {createServerPermits} from '../../src/limits/node/server-permits.js';
 import {createDispatcher} from '../../src/routing/common/dispatcher.js';
 import {createLoadEstimate} from '../../src/routing/common/load-estimate.js';
 import {createPrefixIndex} from '../../src/routing/common/prefix-index.js';
 import {createMeshNetwork} from './mesh-network.js';
 import {createSeededRandom, createVirtualTime} from './virtual-loop.js';
 
-/** A simulated server; tests change its limit while it runs. */
+/** A simulated server. */
 export type LimitedServer = {
 	readonly id: string;
-	/** Requests a second from all daemons together; undefined when it states no limit. */
+	/** Requests a second from all daemons together; undefined when it states no limit. Set by `setLimit`. */
 	perSecond: number | undefined;
 };
 
@@ -32,8 +35,13 @@
 };
 
 /** A response that stated a limit. */
-export type Statement = Arrival & {
-	readonly perSecond: number;
+export type Statement = Arrival;
+
+/** A change of a server's limit. */
+export type LimitSetting = {
+	readonly serverId: string;
+	readonly at: number;
+	readonly perSecond: number | undefined;
 };
 
 /** What a caller got. */
@@ -52,6 +60,7 @@
 const WORK_MS = 35;
 const LATENCY_MS = 1;
 const SLOTS = 6;
+const SPREAD_DELAY_MS = 30;
 /** Target response time of callers' requests, in milliseconds. */
 export const GOAL_MS = 236;
 const CALLER_DEADLINE_MS = 2000;
@@ -59,17 +68,22 @@
 	name: 'r', host: 'h', pathPrefix: '/', repeatability: 'idempotent', timeoutMs: 2000, goalMs: GOAL_MS, priority: 1, attempts: 2, pools: [{pool: POOL, weight: 1}], canResume: false, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
 };
 
-/** Creates the simulation with running daemons and servers without limits. */
-export function createLimitedFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number}) {
+/**
+ * Creates the simulation with running daemons and servers without limits. With `isSpread`, daemons tell each other about limits, as the
+ * feed does. Without `isEnforced`, requests need no permits.
+ */
+export function createLimitedFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number; readonly isSpread?: boolean; readonly isEnforced?: boolean}) {
 	const random: Random = createSeededRandom(options.seed);
 	const time = createVirtualTime(random);
 	const {loop, clock} = time;
 	const network = createMeshNetwork(loop);
 	const servers: readonly LimitedServer[] = Array.from({length: options.servers}, (_, index) => ({id: `s${index}`, perSecond: undefined}));
-	const names = Array.from({length: options.daemons}, (_, index) => `d${index}`);
+	const names: string[] = Array.from({length: options.daemons}, (_, index) => `d${index}`);
 	const arrivals: Arrival[] = [];
 	const statements: Statement[] = [];
+	const settings: LimitSetting[] = [];
 	const answers: CallerAnswer[] = [];
+	const limitsByDaemon = new Map<string, ServerLimits>();
 	const running = new Map<string, number>();
 	let requestCount = 0;
 
@@ -102,12 +116,30 @@
 		return head;
 	}
 
+	/** Tells the other reachable daemons what a daemon knows about a server. */
+	async function spread(from: string, serverId: string): Promise<void> {
+		await loop.sleep(SPREAD_DELAY_MS);
+		const now = clock.monotonic();
+		const notice = limitsByDaemon.get(from)!.notice(serverId, now)!;
+		[...limitsByDaemon].filter(([name]) => name !== from && !network.unresponsive.has(name) && !network.unresponsive.has(from)).forEach(([, limits]) => {
+			limits.recordNotice(notice, now);
+		});
+	}
+
 	function startDaemon(name: string, incarnation: string): {readonly forwarder: Forwarder; readonly end: () => void} {
 		const view = createServerView(() => 'r');
 		view.update(servers.map(toEntry), clock.monotonic());
-		network.join(name, incarnation);
 		const loads = createLoadEstimate(() => SLOTS);
 		const limits = createServerLimits();
+		limitsByDaemon.set(name, limits);
+		limits.onDidChange(({limit, isOwn, isSignificant}) => {
+			if (options.isSpread === true && isOwn && isSignificant) {
+				void spread(name, limit.serverId);
+			}
+		});
+		const permits = createServerPermits({
+			limits, mesh: network.join(name, incarnation), clock, loop, log: silentLog, metrics: silentMetrics, describeServer: () => ({startedAt: 1000, region: 'r'}),
+		});
 		const limitUsage = createLimitUsage(limits);
 		const records = createServerStatements({
 			limits, limitUsage, startTimeOf: () => 1000, onLeaving: () => undefined,
@@ -119,9 +151,7 @@
 				const head = await serve(server, name, attempt.requestId);
 				recordHead(head, clock.monotonic());
 				if (head.limitPerSecond !== undefined) {
-					statements.push({
-						serverId: target.id, daemon: name, at: clock.monotonic(), perSecond: head.limitPerSecond,
-					});
+					statements.push({serverId: target.id, daemon: name, at: clock.monotonic()});
 				}
 
 				return ok({
@@ -138,19 +168,20 @@
 			metrics: silentMetrics,
 			loads,
 			caller,
+			acquisition: createServerAcquisition({permits: options.isEnforced === false ? unlimitedPermits : permits, clock, random}),
 			configurationVersion: () => 1,
 			serverIdsOf: () => servers.map(server => server.id),
 			dispatcher: createDispatcher({
 				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, isReservedElsewhere: () => false,
 			}),
 		});
-		return {forwarder, end: () => undefined};
+		return {forwarder, end: permits.dispose};
 	}
 
 	const daemons = new Map(names.map(name => [name, startDaemon(name, '1')]));
 
 	/** Sends a request through a daemon; a background request is repeated until it is served, like a scoring call. */
-	async function send(name: string, kind: CallerAnswer['kind']): Promise<void> {
+	async function send(name: string, kind: CallerAnswer['kind'], waitingSince = clock.monotonic()): Promise<void> {
 		const daemon = daemons.get(name);
 		if (daemon === undefined) {
 			return;
@@ -159,7 +190,7 @@
 		requestCount += 1;
 		const sentAt = clock.monotonic();
 		const result = await daemon.forwarder.forward({
-			requestId: `q${requestCount}`, method: 'POST', path: '/', headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: new AbortController().signal, urgency: undefined,
+			requestId: `q${requestCount}`, method: 'POST', path: '/', headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: new AbortController().signal, urgency: undefined, permitUrgency: kind, waitingSince,
 		});
 		const isServed = result.isOk() && result.value.status === 200;
 		answers.push({
@@ -167,12 +198,20 @@
 		});
 		if (!isServed && kind === 'background') {
 			await loop.sleep(150);
-			await send(name, kind);
+			await send(name, kind, waitingSince);
 		}
 	}
 
 	return {
-		time, network, servers, names, arrivals, statements, answers, random,
+		time, network, names, arrivals, statements, settings, answers, random,
+		/** Sets the limit of a server; undefined ends it. */
+		setLimit(index: number, perSecond: number | undefined) {
+			const server = servers[index]!;
+			if (server.perSecond !== perSecond) {
+				server.perSecond = perSecond;
+				settings.push({serverId: server.id, at: clock.monotonic(), perSecond});
+			}
+		},
 		/** Sends requests at random daemons for a time; `share` is the share of callers' requests. */
 		async play(durationMs: number, perSecond: number, share: number, pick: () => string = () => names[Math.floor(random() * names.length)]!) {
 			const task = loop.every({
@@ -210,29 +249,51 @@
 const ALLOWED_FACTOR = 1.5;
 const ALLOWED_EXTRA = 5;
 
+type LimitPeriod = {
+	readonly serverId: string;
+	readonly from: number;
+	readonly until: number;
+	readonly settings: readonly LimitSetting[];
+};
+
+/** Lists the periods in which servers stated limits without a break. */
+function listPeriods(settings: readonly LimitSetting[]): readonly LimitPeriod[] {
+	return [...new Set(settings.map(setting => setting.serverId))].flatMap(serverId => {
+		const own = settings.filter(setting => setting.serverId === serverId);
+		const starts = own.filter((setting, index) => setting.perSecond !== undefined && own[index - 1]?.perSecond === undefined);
+		return starts.map(start => {
+			const until = own.find(setting => setting.at > start.at && setting.perSecond === undefined)?.at ?? Number.POSITIVE_INFINITY;
+			return {
+				serverId, from: start.at, until, settings: own.filter(setting => setting.at >= start.at && setting.at < until),
+			};
+		});
+	});
+}
+
+/** Returns the highest limit that was in force in a window, or shortly before it. */
+function highestLimit(settings: readonly LimitSetting[], from: number, until: number): number {
+	const first = settings.findLastIndex(setting => setting.at <= from - TOLD_MS);
+	return Math.max(...settings.filter((setting, index) => index >= first && setting.at < until).map(setting => setting.perSecond ?? 0));
+}
+
 /**
- * Lists the windows in which a server got more requests than its highest limit of the window allows, from daemons that knew the limit
- * for some time, and that were neither restarted, paused nor partitioned around the window.
+ * Lists the windows in which a server got more requests than its highest limit of the window allows, from daemons that had known of the
+ * limit for some time, and that were neither restarted, paused nor partitioned around the window.
  */
-export function findLimitViolations({arrivals, statements}: Pick<LimitedFleet, 'arrivals' | 'statements'>, excuses: readonly Excuse[] = []): readonly string[] {
-	return [...new Set(statements.map(statement => statement.serverId))].flatMap(serverId => {
-		const stated = statements.filter(statement => statement.serverId === serverId);
-		const firstAt = stated[0]!.at;
-		const lastAt = stated.at(-1)!.at;
-		const firstByDaemon = new Map<string, number>();
-		stated.forEach(({daemon, at}) => {
-			firstByDaemon.set(daemon, firstByDaemon.get(daemon) ?? at);
+export function findLimitViolations({arrivals, statements, settings}: Pick<LimitedFleet, 'arrivals' | 'statements' | 'settings'>, excuses: readonly Excuse[] = []): readonly string[] {
+	return listPeriods(settings).flatMap(period => {
+		const told = new Map<string, number>();
+		statements.filter(({serverId, at}) => serverId === period.serverId && at >= period.from && at < period.until).forEach(({daemon, at}) => {
+			told.set(daemon, told.get(daemon) ?? at);
 		});
-		const counted = arrivals.filter(({serverId: id, daemon, at}) => id === serverId
-			&& at >= (firstByDaemon.get(daemon) ?? Number.POSITIVE_INFINITY) + TOLD_MS
-			&& at >= firstAt + SETTLE_MS - WINDOW_MS && at <= lastAt
+		const counted = arrivals.filter(({serverId, daemon, at}) => serverId === period.serverId && at < period.until
+			&& at >= (told.get(daemon) ?? Number.POSITIVE_INFINITY) + TOLD_MS
 			&& !excuses.some(excuse => excuse.daemon === daemon && at >= excuse.from && at <= excuse.until + SETTLE_MS));
 		return counted.flatMap(({at}) => {
 			const end = at + WINDOW_MS;
-			const perSecond = Math.max(...stated.filter(statement => statement.at > at - WINDOW_MS && statement.at <= end).map(statement => statement.perSecond));
 			const count = counted.filter(arrival => arrival.at >= at && arrival.at < end).length;
-			const allowed = (ALLOWED_FACTOR * perSecond * WINDOW_MS / 1000) + ALLOWED_EXTRA;
-			return end >= firstAt + SETTLE_MS && count > allowed ? [`${serverId} got ${count} requests in 4 s from ${Math.round(at)} ms on, allowed ${allowed.toFixed(1)}`] : [];
+			const allowed = (ALLOWED_FACTOR * highestLimit(period.settings, at, end) * WINDOW_MS / 1000) + ALLOWED_EXTRA;
+			return end >= period.from + SETTLE_MS && count > allowed ? [`${period.serverId} got ${count} requests in 4 s from ${Math.round(at)} ms on, allowed ${allowed.toFixed(1)}`] : [];
 		});
 	});
 }
