Look at the server and the caller again after a request has waited for a permit

A daemon that starts while the store is away knows only seeds, ranked itself first, and would have granted itself a whole limit. Change: after a permit was granted, the server must still be usable, else another one is chosen; a stream whose caller has left is not sent. Without a directory, a daemon passes its calls on to a seed, and grants a quarter if none replies. A keeper keeps its bucket until a daemon that ranks before it has replied. Ruled out: shorter waits: they only make the window smaller.

--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -275,7 +275,7 @@
 
 		if (permits.isLimited(chosen.value.server.id)) {
 			const permit = await permits.obtain(chosen.value.server.id, {urgency: 'background', waitedMs: startedAt - waitingSince, patienceMs: PERMIT_PATIENCE_MS});
-			if (!permit.isGranted || stopped) {
+			if (!permit.isGranted || stopped || !view.table.isUsable(chosen.value.server.id, clock.monotonic())) {
 				chosen.value.end(clock.monotonic(), 'cancelled');
 				return {kind: stopped ? 'stopped' : 'waiting'};
 			}
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -93,7 +93,7 @@
 			return {startedAt: entry?.startedAt, region: entry === undefined ? undefined : host.regionByZone[entry.availabilityZone]};
 		},
 	});
-	const acquisition = createServerAcquisition({...context, permits});
+	const acquisition = createServerAcquisition({...context, permits, isUsable: view.table.isUsable});
 	const serverIdsOf = (pool: string) => view.list(pool).map(entry => entry.id);
 	const forwarder = createForwarder({
 		...context, dispatcher, loads, caller, acquisition, serverIdsOf, configurationVersion: () => deployment.current()?.version,
--- a/src/gateway/node/server-acquisition.ts
+++ b/src/gateway/node/server-acquisition.ts
@@ -30,6 +30,8 @@
 /** Dependencies of the acquisition. */
 export type ServerAcquisitionDependencies = {
 	readonly permits: ServerPermits;
+	/** Whether a server takes new requests, as far as this daemon knows. */
+	readonly isUsable: (serverId: string, now: number) => boolean;
 	readonly clock: Clock;
 	readonly random: Random;
 };
@@ -42,7 +44,9 @@
 const RETRY_AFTER_JITTER = 0.2;
 
 /** Creates the acquisition. */
-export function createServerAcquisition({permits, clock, random}: ServerAcquisitionDependencies): ServerAcquisition {
+export function createServerAcquisition({
+	permits, isUsable, clock, random,
+}: ServerAcquisitionDependencies): ServerAcquisition {
 	function refuse(retryAfterMs: number): Result<Dispatch, Failure> {
 		return err(createNotRun('overloaded', {step: 'obtain permit', peer: 'backend servers'}, 'all backend servers have reached their request limits', Math.max(MINIMUM_RETRY_AFTER_MS, jitter(retryAfterMs, RETRY_AFTER_JITTER, random))));
 	}
@@ -70,7 +74,8 @@
 	async function confirm(dispatch: Dispatch, patienceMs: number, wish: ServerWish, triesLeft: number): Promise<Result<Dispatch, Failure>> {
 		const startedAt = clock.monotonic();
 		const decision = await permits.obtain(dispatch.server.id, {urgency: wish.urgency, waitedMs: startedAt - wish.arrivedAt, patienceMs});
-		if (decision.isGranted) {
+		// The server may have started to leave while the request waited.
+		if (decision.isGranted && isUsable(dispatch.server.id, clock.monotonic())) {
 			return ok(dispatch);
 		}
 
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -88,6 +88,11 @@
 		}
 
 		const chosen = acquired.value;
+		if (request.signal.aborted) {
+			chosen.end(clock.monotonic(), 'cancelled');
+			return 'stop';
+		}
+
 		state.triedServers = [...state.triedServers, chosen.server.id];
 		const remainingMs = Math.max(1, request.deadlineAt - clock.monotonic());
 		const abortController = new AbortController();
--- a/src/limits/node/server-permits.ts
+++ b/src/limits/node/server-permits.ts
@@ -106,6 +106,12 @@
 	}
 
 	function choose(serverId: string, region: string | undefined, now: number): KeeperChoice {
+		if (!isDirectoryKnown()) {
+			// Any other daemon passes the call on. Without one, this daemon can not know who grants permits.
+			const seed = mesh.others().find(daemon => !reachability.isSkipped(daemon.name, now));
+			return seed === undefined ? {kind: 'self', rateShare: CONTESTED_RATE_SHARE} : {kind: 'peer', daemon: seed};
+		}
+
 		return chooseKeeper(rankKeepers(serverId, region, listDaemons(now)), mesh.self.name, reachability, now);
 	}
 
@@ -219,12 +225,12 @@
 			return decideHere(serverId, call.region, choice.rateShare, {...call, patienceMs});
 		}
 
-		stopKeeping(serverId, `${choice.daemon.name} ranks before this daemon`);
 		const reply = await callKeeper(choice.daemon, {...call, patienceMs, hops: call.hops + 1});
 		if (reply === undefined) {
 			return triesLeft > 1 ? decide(call, deadline, triesLeft - 1) : {isGranted: false, waitMs: REPLY_TIMEOUT_MS};
 		}
 
+		stopKeeping(serverId, `${choice.daemon.name} ranks before this daemon`);
 		if (reply.notice !== undefined) {
 			limits.recordNotice(reply.notice, clock.monotonic());
 		}
--- a/test/fakes/limited-fleet.ts
+++ b/test/fakes/limited-fleet.ts
@@ -168,7 +168,9 @@
 			metrics: silentMetrics,
 			loads,
 			caller,
-			acquisition: createServerAcquisition({permits: options.isEnforced === false ? unlimitedPermits : permits, clock, random}),
+			acquisition: createServerAcquisition({
+				permits: options.isEnforced === false ? unlimitedPermits : permits, isUsable: view.table.isUsable, clock, random,
+			}),
 			configurationVersion: () => 1,
 			serverIdsOf: () => servers.map(server => server.id),
 			dispatcher: createDispatcher({
