Place samples again under which engines crashed, however often

Cause, in the own interface: a sample ran alone after two crashes, and when its third server died for whatever reason, the sample was marked as the cause for good; its group was left out, and the step ended as `suspect`. The rule for callers' requests, which may crash servers, had been applied to samples, which do not. Change: samples are not marked, and do not run alone. They wait longer after each failure (5 s at most), avoid the last two servers and keep their text. Ruled out: a verdict that ends after some time: the users say that items never crash servers by themselves, so there is nothing to find guilty; running alone only: a burst would leave dozens of samples for a few empty engines.

--- a/src/rollouts/common/generation-runner.ts
+++ b/src/rollouts/common/generation-runner.ts
@@ -106,7 +106,7 @@
 			expectedBytes: Math.ceil(expectedBytes),
 			excluded,
 			allowed,
-			alone: start.alone,
+			alone: false,
 		}, options.monotonic());
 	}
 
--- a/src/rollouts/common/pull-decision.ts
+++ b/src/rollouts/common/pull-decision.ts
@@ -14,9 +14,7 @@
 		/** The trainer has received every batch of the step. */
 		| {readonly kind: 'finished'}
 		/** The cursor is greater than the number of batches in the ledger. */
-		| {readonly kind: 'unknownCursor'}
-		/** Too many groups contain suspect samples, so the step can no longer complete. */
-		| {readonly kind: 'hopeless'};
+		| {readonly kind: 'unknownCursor'};
 
 /** The position and limits of a pull. */
 export type PullPosition = {
@@ -54,5 +52,5 @@
 		return {kind: 'batch', groups: takeBatch(freshGroups, entry.samplesPerGroup, position.maximumBatch), isNew: true};
 	}
 
-	return schedule.hasTooManySuspectGroups() ? {kind: 'hopeless'} : {kind: 'wait'};
+	return {kind: 'wait'};
 }
--- a/src/rollouts/common/sample-table.ts
+++ b/src/rollouts/common/sample-table.ts
@@ -19,10 +19,6 @@
 	readonly failures: number;
 	/** Servers on which a stream of this sample stalled or broke off recently; the next stream avoids them. */
 	readonly avoidedServerIds: readonly string[];
-	/** Servers that crashed or broke off while they generated this sample. */
-	readonly crashedServerIds: readonly string[];
-	/** Set when a server crashed or broke off while it generated only this sample. */
-	readonly isSuspect: boolean;
 };
 
 /** The samples of one step, by index. */
@@ -35,8 +31,6 @@
 	readonly samplesOfGroup: (group: number) => readonly SampleRecord[];
 	/** Whether all samples of a group are ready. */
 	readonly isGroupComplete: (group: number) => boolean;
-	/** Whether a group has a suspect sample and so can never become complete. */
-	readonly isGroupSuspect: (group: number) => boolean;
 };
 
 function createRecord(index: number, samplesPerGroup: number): SampleRecord {
@@ -50,8 +44,6 @@
 		notBefore: 0,
 		failures: 0,
 		avoidedServerIds: [],
-		crashedServerIds: [],
-		isSuspect: false,
 	};
 }
 
@@ -87,6 +79,5 @@
 			});
 		},
 		isGroupComplete: group => samplesOfGroup(group).every(record => record.state === 'ready'),
-		isGroupSuspect: group => samplesOfGroup(group).some(record => record.isSuspect),
 	};
 }
--- a/src/rollouts/common/step-schedule.ts
+++ b/src/rollouts/common/step-schedule.ts
@@ -38,14 +38,10 @@
 	/** Returns the complete groups that are not assigned to a batch, in the order of delivery. */
 	readonly completeGroups: () => readonly number[];
 	readonly demand: () => StepDemand;
-	/** Whether the step can no longer complete, because too many groups contain a suspect sample. */
-	readonly hasTooManySuspectGroups: () => boolean;
 };
 
 const INITIAL_BACKOFF_MS = 100;
 const MAXIMUM_BACKOFF_MS = 5000;
-/** A sample runs alone on a server after this many servers crashed or broke off while they generated it. */
-const CRASHES_BEFORE_RUNNING_ALONE = 2;
 
 /** Creates the schedule of one step. */
 export function createStepSchedule(options: ScheduleOptions): StepSchedule {
@@ -72,7 +68,7 @@
 	/** Returns a predicate that tells whether the samples of a group are still needed. */
 	function createWantedPredicate(): (group: number) => boolean {
 		const hasEnough = hasEnoughGroups();
-		return group => needed.has(group) || (!hasEnough && !assigned.has(group) && !table.isGroupSuspect(group));
+		return group => needed.has(group) || (!hasEnough && !assigned.has(group));
 	}
 
 	function expectTokens(record: SampleRecord, tokens: number): number {
@@ -129,7 +125,6 @@
 	function start(record: SampleRecord, progress: LabelledProgress, details: {readonly now: number; readonly isHedge: boolean; readonly excluded: readonly string[]}): StartAction {
 		lastAttempt += 1;
 		const attemptId = `${options.attemptPrefix}.${record.index}.${lastAttempt}`;
-		const alone = record.crashedServerIds.length >= CRASHES_BEFORE_RUNNING_ALONE;
 		attempts.add({
 			id: attemptId,
 			sample: record.index,
@@ -140,7 +135,6 @@
 			rate: undefined,
 			progress,
 			isHedge: details.isHedge,
-			isAlone: alone,
 		});
 		table.update(record.index, {state: 'running'});
 		return {
@@ -152,7 +146,6 @@
 			resumeFrom: progress.tokens > 0 ? {text: progress.text, tokens: progress.tokens, ranges: progress.ranges} : undefined,
 			expectedTokens: expectTokens(record, progress.tokens) - progress.tokens,
 			excluded: details.excluded,
-			alone,
 		};
 	}
 
@@ -185,7 +178,7 @@
 	}
 
 	function canBeHedged(attempt: Attempt, now: number): boolean {
-		const isOnlyStream = !attempt.isHedge && !attempt.isAlone && attempts.countStreams(attempt.sample) === 1;
+		const isOnlyStream = !attempt.isHedge && attempts.countStreams(attempt.sample) === 1;
 		// After a refusal of the second stream, no other one is started before the retry-after time.
 		return isOnlyStream && attempt.serverId !== undefined && table.get(attempt.sample).notBefore <= now;
 	}
@@ -264,8 +257,6 @@
 				notBefore: now + (failure.retryAfterMs ?? backoffMs),
 				failures: record.failures + 1,
 				avoidedServerIds: [...record.avoidedServerIds, ...crashedServerIds].slice(-2),
-				crashedServerIds: [...new Set([...record.crashedServerIds, ...crashedServerIds])],
-				isSuspect: record.isSuspect || (attempt.isAlone && crashedServerIds.length > 0),
 			});
 		},
 		recordScored(completeText, score) {
@@ -295,6 +286,5 @@
 				tokens: openSamples.reduce((sum, record) => sum + expectTokens(record, record.resumable.tokens) - record.resumable.tokens, 0),
 			};
 		},
-		hasTooManySuspectGroups: () => groups().filter(group => assigned.has(group) || !table.isGroupSuspect(group)).length < options.required,
 	};
 }
--- a/src/rollouts/common/straggler-policy.ts
+++ b/src/rollouts/common/straggler-policy.ts
@@ -14,8 +14,6 @@
 	readonly progress: LabelledProgress;
 	/** True for the second stream of a sample, started while the first one runs. */
 	readonly isHedge: boolean;
-	/** True when the stream requires a server that runs nothing else. */
-	readonly isAlone: boolean;
 };
 
 /** Detects stalled and slow streams. */
--- a/src/rollouts/common/stream-actions.ts
+++ b/src/rollouts/common/stream-actions.ts
@@ -24,8 +24,6 @@
 	readonly resumeFrom: Progress | undefined;
 	readonly expectedTokens: number;
 	readonly excluded: readonly string[];
-	/** Requires an engine that runs nothing else, because several engines broke off while they generated this sample. */
-	readonly alone: boolean;
 };
 
 /** Cancels a stream. */
--- a/src/rollouts/common/trainer-owner.ts
+++ b/src/rollouts/common/trainer-owner.ts
@@ -203,10 +203,6 @@
 			return err(createNotRun('conflict', origin('pull'), `batch ${request.cursor} does not exist in the ledger`));
 		}
 
-		if (decision.kind === 'hopeless') {
-			return err(createNotRun('suspect', origin('pull'), 'engines broke off while they generated too many of the groups; the step can no longer complete'));
-		}
-
 		if (decision.kind !== 'batch') {
 			scheduleDecision();
 			return isHeld(held) ? ok({batch: empty, isFinal: empty.done}) : err(createNotOwner('pull'));
