Try servers again at least every 4 s after crashes, and at once after a restart

What was seen: the same report, on the platform: an item is never given up for a crash, but after a burst of crashes a daemon avoided every engine at once for up to 60 s, so its items were not placed though all was calm and the engines had room. Cause: the wait after a failure doubled up to 60 s, as for a server that is dead and still listed, and did not end with a new start of the server under its id. Change: the wait after a failure is at most 4 s; a later start of the server ends it. Waits after refusals stay. Ruled out: no wait at all: while a server is down, each daemon would send it every second item.

--- a/src/batches/test/batches.test.ts
+++ b/src/batches/test/batches.test.ts
@@ -187,6 +187,33 @@
 	assert.ok(world.engines.flatMap(engine => engine.starts).some(start => start.after > 10));
 });
 
+// Issue 25, second report: several engines crashed in a burst under one sound item, which was then never placed again.
+test('items under which engines crashed again and again are placed within 5 s once the engines stay up', async () => {
+	const world = createBatchSimulation({daemons: ['d1', 'd2'], engines: 3});
+	const lengths = [300, 300, 300, 300];
+	await world.finish(world.serviceOf('d1').submit(createBatch('b', lengths), 10_000));
+	for (let crash = 0; crash < 25; crash += 1) {
+		await world.time.advance(400);
+		const victims = world.engines.filter(engine => engine.running > 0);
+		victims.forEach(engine => {
+			engine.isDown = true;
+		});
+		await world.time.advance(400);
+		victims.forEach(engine => {
+			engine.isDown = false;
+		});
+	}
+
+	const calmAt = world.time.clock.monotonic();
+	await world.time.advance(5000);
+	lengths.forEach((_, index) => {
+		const starts = world.startsOf(`b-${index}`).map(start => Math.round(start.at));
+		assert.ok(starts.length >= 4, `item ${index} was cut ${starts.length} times`);
+		assert.ok(Math.max(...starts) > calmAt, `item ${index} started at ${starts.join(', ')}, all was calm from ${calmAt} on`);
+	});
+	checkComplete(await world.readAll('b', ['d1', 'd2'], 20_000), 'b', lengths);
+});
+
 test('while no engine is usable, waiting items check for one at most once per tick', async () => {
 	const world = createBatchSimulation({daemons: ['d1'], engines: 1});
 	const {table} = world.daemons.get('d1')!.view;
--- a/src/routing/common/server-table.ts
+++ b/src/routing/common/server-table.ts
@@ -32,7 +32,9 @@
 /** Time for which a server is avoided after its first refusal or failure; it doubles with each further one, up to the maximum. */
 const REFUSAL_AVOID_MS = 5000;
 const FAILURE_AVOID_MS = 1000;
-const MAXIMUM_AVOID_MS = 60_000;
+const MAXIMUM_REFUSAL_AVOID_MS = 60_000;
+/** A server whose requests broke off is listed as live, so it has probably started again; it is tried at least this often. */
+const MAXIMUM_FAILURE_AVOID_MS = 4000;
 
 function isSame(a: BackendServer | undefined, b: BackendServer): boolean {
 	return a?.address === b.address && a.port === b.port && a.state === b.state && a.pool === b.pool;
@@ -43,6 +45,7 @@
 	let servers: ReadonlyMap<string, BackendServer> = new Map();
 	const leavingSeenByServer = new Map<string, {readonly at: number; readonly startedAt: number | undefined}>();
 	const avoidanceByServer = new Map<string, Avoidance>();
+	const startedAtByServer = new Map<string, number>();
 
 	function createServer(vm: Vm, now: number): BackendServer {
 		if (vm.state === 'leaving') {
@@ -62,7 +65,7 @@
 		};
 	}
 
-	function avoid(serverId: string, baseMs: number, now: number): void {
+	function avoid(serverId: string, durations: {readonly baseMs: number; readonly maximumMs: number}, now: number): void {
 		const known = avoidanceByServer.get(serverId);
 		// All requests that one crash broke off report it at the same time, so they count as one failure.
 		if (known !== undefined && now < known.until) {
@@ -70,14 +73,29 @@
 		}
 
 		const times = (known?.times ?? 0) + 1;
-		const until = now + Math.min(MAXIMUM_AVOID_MS, baseMs * (2 ** (times - 1)));
+		const until = now + Math.min(durations.maximumMs, durations.baseMs * (2 ** (times - 1)));
 		avoidanceByServer.set(serverId, {until, times});
 	}
 
+	/** A server that has started again is not avoided for what happened to its earlier run. */
+	function forgetEarlierRuns(vms: readonly Vm[]): void {
+		vms.forEach(({id, startedAt}) => {
+			const known = startedAtByServer.get(id);
+			if (startedAt !== undefined && known !== undefined && startedAt > known) {
+				avoidanceByServer.delete(id);
+			}
+
+			if (startedAt !== undefined) {
+				startedAtByServer.set(id, startedAt);
+			}
+		});
+	}
+
 	function forgetVanished(vanished: readonly BackendServer[]): void {
 		vanished.forEach(server => {
 			avoidanceByServer.delete(server.id);
 			leavingSeenByServer.delete(server.id);
+			startedAtByServer.delete(server.id);
 		});
 	}
 
@@ -88,16 +106,17 @@
 			const vanished = [...servers.values()].filter(server => !next.has(server.id));
 			servers = next;
 			forgetVanished(vanished);
+			forgetEarlierRuns(vms);
 			return [...changed, ...vanished.map(server => ({...server, state: 'leaving' as const}))];
 		},
 		list: pool => [...servers.values()].filter(server => server.pool === pool),
 		find: serverId => servers.get(serverId),
 		has: serverId => servers.has(serverId),
 		recordRefusal(serverId, now) {
-			avoid(serverId, REFUSAL_AVOID_MS, now);
+			avoid(serverId, {baseMs: REFUSAL_AVOID_MS, maximumMs: MAXIMUM_REFUSAL_AVOID_MS}, now);
 		},
 		recordFailure(serverId, now) {
-			avoid(serverId, FAILURE_AVOID_MS, now);
+			avoid(serverId, {baseMs: FAILURE_AVOID_MS, maximumMs: MAXIMUM_FAILURE_AVOID_MS}, now);
 		},
 		recordSuccess(serverId) {
 			avoidanceByServer.delete(serverId);
