--- a/test/scenario-runner.ts
+++ b/test/scenario-runner.ts
@@ -10,6 +10,7 @@
 import {
 	standinRecord, type CallEntry, type EdgeRecord, type StandinRecord,
 } from './edge-record.js';
+import {keepEvidence} from './scenario-evidence.js';
 import type {Action, Scenario} from './scenario-schema.js';
 import {
 	callMember, customerKey, daemonNames, operatorKey, startWorld, waitUntil, type Member, type World,
@@ -31,6 +32,9 @@
 	const world = await startWorld(scenario.settings, scenario.engines, scenario.actions.some(next => next.do === 'cut'));
 	try {
 		return await runActions(world, scenario);
+	} catch (error) {
+		const folder = await keepEvidence(scenario.name, world);
+		throw new Error(`${String(error)}; statuses and logs of the processes in ${folder}`, {cause: error});
 	} finally {
 		await world.dispose();
 	}
--- a/test/scenario-world.ts
+++ b/test/scenario-world.ts
@@ -186,7 +186,7 @@
 			leases: {
 				shards: 8, durationMs: 3000, renewMs: 700, marginMs: 500,
 			},
-			log: {level: 'warn'},
+			log: {level: 'info'},
 			...overrides,
 		}));
 		members.set(entry.id, createMember(
