--- a/test/limited-servers.test.ts
+++ b/test/limited-servers.test.ts
@@ -1,9 +1,8 @@
 import process from 'node:process';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {
-	createLimitedFleet, findLimitViolations, GOAL_MS, type Excuse, type LimitedFleet,
-} from './fakes/limited-fleet.js';
+import {findLimitViolations, type Excuse} from './checkers/limit-checker.js';
+import {createLimitedFleet, GOAL_MS, type LimitedFleet} from './fakes/limited-fleet.js';
 
 const test = suite('servers that limit their requests');
 const SEEDS = 12 * Number(process.env.FUZZ_FACTOR ?? 1);
