Ask less often for permits when more requests arrive than servers take

Each background request asked four servers without waiting, was refused, and came again after 150 ms whatever time to return it was given. Change: where all servers of a pool have limits, a request waits at the first one that it asks, as long as its patience allows; background requests ask two servers in place of four; a scoring call comes back after the time that it was given. New slope in bench/slopes/permits.ts, with a count of calls and bytes in the fake mesh. Ruled out: asking for several permits at once: permits of a limit below one a second would lie unused at one daemon.

--- a/bench/slopes.bench.ts
+++ b/bench/slopes.bench.ts
@@ -8,6 +8,7 @@
 import {measureChunks, measureStep} from './slopes/steps.js';
 import {measureVmList} from './slopes/vm-list.js';
 import {measureServiceCalls} from './slopes/gateway-overhead.js';
+import {measurePermits} from './slopes/permits.js';
 import {measureShares} from './slopes/shares.js';
 import {measureSwaps} from './slopes/swaps.js';
 import {measureAdmissionTick, measureLoadPoll} from './slopes/ticks.js';
@@ -122,6 +123,19 @@
 	});
 }
 
+async function describePermits(): Promise<readonly Figure[]> {
+	const costs = await runSequentially(FLEET_SIZES, measurePermits);
+	return costs.flatMap(({calls, bytes, requests, usedShare}, index) => {
+		const size = `all servers limited, ${FLEET_SIZES[index]} daemons`;
+		return [
+			{name: `permit calls a daemon takes part in, ${size}`, value: calls, unit: 'calls/s'},
+			{name: `permit bytes of a daemon, both ways, without headers, ${size}`, value: bytes, unit: 'B/s'},
+			{name: `requests of a daemon that reach a server, ${size}`, value: requests, unit: '1/s'},
+			{name: `part of the limits that is used, ${size}`, value: usedShare, unit: ''},
+		];
+	});
+}
+
 const SWAPPED_ENGINE_COUNT = 110;
 
 async function describeSwaps(): Promise<readonly Figure[]> {
@@ -159,6 +173,7 @@
 	const vmLists = await describeVmLists();
 	const ticks = await describeTicks();
 	const shares = await describeShares();
+	const permits = await describePermits();
 	const swaps = await describeSwaps();
 	const serviceCalls = await describeServiceCalls();
 	const idleDaemons = await describeIdleDaemons();
@@ -171,6 +186,7 @@
 		...vmLists,
 		...ticks,
 		...shares,
+		...permits,
 		...swaps,
 		...serviceCalls,
 		...idleDaemons,
--- a/src/batches/node/item-scoring.ts
+++ b/src/batches/node/item-scoring.ts
@@ -63,6 +63,7 @@
 		const route = deployment.findRoute(call.host, call.path);
 		const response = route === undefined ? undefined : await scoring.add(async () => callScorer(call, route, waitingSince));
 		const outcome = response?.unwrapOr(undefined);
+		const retryAfterMs = response?.match(() => undefined, failure => failure.retryAfterMs) ?? 0;
 		if (outcome !== undefined && outcome.status >= 200 && outcome.status < 300 && outcome.score !== undefined) {
 			return outcome.score;
 		}
@@ -75,7 +76,7 @@
 			return undefined;
 		}
 
-		await loop.sleep(SCORING_RETRY_MS);
+		await loop.sleep(Math.max(SCORING_RETRY_MS, retryAfterMs));
 		return score(call, waitingSince, failureCount);
 	}
 
--- a/src/gateway/node/server-acquisition.ts
+++ b/src/gateway/node/server-acquisition.ts
@@ -36,8 +36,8 @@
 	readonly random: Random;
 };
 
-/** Number of servers that a request asks for a permit before it is refused. */
-const MAXIMUM_TRIES = 4;
+/** Number of servers that a request asks for a permit before it is refused. A background request returns later, so it asks fewer. */
+const MAXIMUM_TRIES = {caller: 4, background: 2};
 /** Minimum time after which a refused caller may return, in milliseconds. */
 const MINIMUM_RETRY_AFTER_MS = 50;
 /** Random variation of the time to return, so that refused callers do not return together. */
@@ -58,7 +58,9 @@
 		const ready = options.filter(option => option.waitMs <= 0).map(option => option.serverId);
 		const atOnce = wish.dispatch(ready, now);
 		if (atOnce.isOk()) {
-			return permits.isLimited(atOnce.value.server.id) ? confirm(atOnce.value, 0, wish, triesLeft) : atOnce;
+			// While other servers have no limit, the request does not wait for this one.
+			const hasUnlimited = options.some(option => !permits.isLimited(option.serverId));
+			return permits.isLimited(atOnce.value.server.id) ? confirm(atOnce.value, hasUnlimited ? 0 : patienceMs, wish, triesLeft) : atOnce;
 		}
 
 		// No server that could take the request now is usable, so the request waits for one that can take it later.
@@ -83,5 +85,5 @@
 		return triesLeft > 1 ? tryAcquire(wish, triesLeft - 1) : refuse(decision.waitMs);
 	}
 
-	return {acquire: async wish => tryAcquire(wish, MAXIMUM_TRIES)};
+	return {acquire: async wish => tryAcquire(wish, MAXIMUM_TRIES[wish.urgency])};
 }
--- a/test/fakes/limited-fleet.ts
+++ b/test/fakes/limited-fleet.ts
@@ -44,6 +44,7 @@
 const WORK_MS = 35;
 const LATENCY_MS = 1;
 const SLOTS = 6;
+const BACKGROUND_RETRY_MS = 150;
 const SPREAD_DELAY_MS = 30;
 /** Target response time of callers' requests, in milliseconds. */
 export const GOAL_MS = 236;
@@ -183,7 +184,7 @@
 			kind, sentAt, answeredAt: clock.monotonic(), isServed, retryAfterMs: result.isErr() ? result.error.retryAfterMs : undefined,
 		});
 		if (!isServed && kind === 'background') {
-			await loop.sleep(150);
+			await loop.sleep(Math.max(BACKGROUND_RETRY_MS, result.isErr() ? result.error.retryAfterMs ?? 0 : 0));
 			await send(name, kind, waitingSince);
 		}
 	}
--- a/test/fakes/mesh-network.ts
+++ b/test/fakes/mesh-network.ts
@@ -11,6 +11,8 @@
 	readonly unresponsive: Set<string>;
 	/** Kills a daemon's process: its port then refuses connections. */
 	readonly kill: (name: string) => void;
+	/** Calls that were answered so far, and the bytes of their bodies and replies as JSON. */
+	readonly traffic: () => {readonly calls: number; readonly bytes: number};
 };
 
 const ONE_WAY_LATENCY_MS = 2;
@@ -19,9 +21,12 @@
 export function createMeshNetwork(loop: Loop): MeshNetwork {
 	const members = new Map<string, {readonly daemon: PeerDaemon; readonly handlers: Map<string, PeerHandler>}>();
 	const silent = new Set<string>();
+	let calls = 0;
+	let bytes = 0;
 
 	return {
 		unresponsive: silent,
+		traffic: () => ({calls, bytes}),
 		kill(name) {
 			members.delete(name);
 		},
@@ -51,6 +56,8 @@
 					}
 
 					const reply = await handler(structuredClone(body));
+					calls += 1;
+					bytes += JSON.stringify(body).length + JSON.stringify(reply.body ?? null).length;
 					await loop.sleep(ONE_WAY_LATENCY_MS);
 					return ok(structuredClone(reply));
 				},
