--- a/src/limits/node/server-permits.ts
+++ b/src/limits/node/server-permits.ts
@@ -58,6 +58,8 @@
 	contestedUntil: number;
 	timer: Disposable | undefined;
 	usedAt: number;
+	/** Resolves when the next candidates have been told of this keeper, or did not reply. */
+	takenOver: Promise<void>;
 };
 
 const PERMIT_CALL = 'server-permit';
@@ -165,26 +167,33 @@
 		});
 	}
 
-	function keep(serverId: string, region: string | undefined, rateShare: number, now: number): Kept {
+	function keep(serverId: string, region: string | undefined, now: number): Kept {
 		const known = keptByServer.get(serverId);
 		const kept = known ?? {
-			ledger: createPermitLedger(), region, contestedUntil: Number.POSITIVE_INFINITY, timer: undefined, usedAt: now,
+			ledger: createPermitLedger(), region, contestedUntil: Number.POSITIVE_INFINITY, timer: undefined, usedAt: now, takenOver: Promise.resolve(),
 		};
 		kept.usedAt = now;
 		if (known === undefined) {
 			keptByServer.set(serverId, kept);
-			void takeOver(serverId, kept);
+			kept.takenOver = takeOver(serverId, kept);
 		}
 
-		configure(serverId, kept, rateShare, now);
 		return kept;
 	}
 
 	async function decideHere(serverId: string, region: string | undefined, rateShare: number, wait: PermitWait): Promise<PermitDecision> {
+		const startedAt = clock.monotonic();
+		const kept = keep(serverId, region, startedAt);
+		await kept.takenOver;
 		return new Promise(resolve => {
 			const now = clock.monotonic();
-			const kept = keep(serverId, region, rateShare, now);
-			kept.ledger.request(wait, resolve, now);
+			if (keptByServer.get(serverId) !== kept) {
+				resolve({isGranted: false, waitMs: 0});
+				return;
+			}
+
+			configure(serverId, kept, rateShare, now);
+			kept.ledger.request({...wait, patienceMs: Math.max(0, wait.patienceMs - (now - startedAt))}, resolve, now);
 			schedule(kept, now);
 		});
 	}
@@ -289,7 +298,7 @@
 				if (now - kept.usedAt > IDLE_LEDGER_TTL_MS) {
 					stopKeeping(serverId, 'nobody asks for them');
 				} else if (wasPaused) {
-					void takeOver(serverId, kept);
+					kept.takenOver = takeOver(serverId, kept);
 				}
 			});
 		},
