Tell other daemons of a limit that a new run of a server states again, and mend what the diff showed when it was read

Cause: read, not run: a server that starts again under its id and states the same limit was no change worth telling, so other daemons, for which the limit had ended with the old run, sent without permits until their own first response. Also: a call for a permit that was passed on too often was granted a quarter by the daemon that it had reached, which made it a keeper; a further try that lost against another one logged the request a second time. Change: a new run always counts as a change; such a call is denied; such a try ends silently. An unused function of the ledger goes. Evidence: the new test of server-limits failed before the change.

--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -265,6 +265,11 @@
 		function handleUnsent(chosen: Result<Dispatch, Failure>): void {
 			chosen.match(dispatch => {
 				dispatch.end(clock.monotonic(), 'cancelled');
+				if (!request.signal.aborted) {
+					// Another attempt has been delivered meanwhile.
+					return;
+				}
+
 				finish(err(createNotRun('aborted', {step: 'forward request', peer: dispatch.server.id}, 'the request ended before it was sent')));
 			}, failure => {
 				if (progress.openAttempts === 0) {
--- a/src/limits/common/permit-ledger.ts
+++ b/src/limits/common/permit-ledger.ts
@@ -36,7 +36,6 @@
 	readonly settle: (now: number) => number;
 	/** Denies all waiting requests, because the limit has ended or another daemon grants the permits from now on. */
 	readonly close: (now: number) => void;
-	readonly waiting: () => number;
 };
 
 /** Burst of a server, in seconds of its limit. */
@@ -144,6 +143,5 @@
 		close(now) {
 			deny(entries, now);
 		},
-		waiting: () => entries.length,
 	};
 }
--- a/src/limits/common/server-limits.ts
+++ b/src/limits/common/server-limits.ts
@@ -87,19 +87,22 @@
 
 	function store(limit: ServerLimit, isOwn: boolean): void {
 		const known = entryByServer.get(limit.serverId);
-		const previous = known === undefined || isOfLaterStart(limit.startedAt, known) ? undefined : known.perSecond;
+		// The limit of an earlier run of the server is over, also where the new run states the same.
+		const isNewRun = known === undefined || isOfLaterStart(limit.startedAt, known);
+		const previous = isNewRun ? undefined : known.perSecond;
+		const shared = isNewRun ? undefined : known.sharedPerSecond;
 		if (known === undefined && limit.perSecond === undefined) {
 			return;
 		}
 
 		const hasChanged = limit.perSecond !== previous;
-		const isSignificant = isSignificantChange(limit.perSecond, known?.sharedPerSecond);
+		const isSignificant = isSignificantChange(limit.perSecond, shared);
 		revision += isSignificant ? 1 : 0;
 		entryByServer.delete(limit.serverId);
 		entryByServer.set(limit.serverId, {
 			...limit,
 			changedAt: hasChanged ? limit.statedAt : known?.changedAt ?? limit.statedAt,
-			sharedPerSecond: isSignificant ? limit.perSecond : known?.sharedPerSecond,
+			sharedPerSecond: isSignificant ? limit.perSecond : shared,
 			revision: isSignificant ? revision : known?.revision ?? revision,
 		});
 		[...entryByServer.keys()].slice(0, Math.max(0, entryByServer.size - MAXIMUM_SERVERS)).forEach(serverId => {
--- a/src/limits/node/server-permits.ts
+++ b/src/limits/node/server-permits.ts
@@ -229,7 +229,11 @@
 		const now = clock.monotonic();
 		const {serverId} = call.notice;
 		const patienceMs = Math.max(0, deadline - now);
-		const choice: KeeperChoice = call.hops > MAXIMUM_HOPS ? {kind: 'self', rateShare: CONTESTED_RATE_SHARE} : choose(serverId, call.region, now);
+		if (call.hops > MAXIMUM_HOPS) {
+			return {isGranted: false, waitMs: REPLY_TIMEOUT_MS};
+		}
+
+		const choice = choose(serverId, call.region, now);
 		if (choice.kind === 'self') {
 			return decideHere(serverId, call.region, choice.rateShare, {...call, patienceMs});
 		}
--- a/src/limits/test/server-limits.test.ts
+++ b/src/limits/test/server-limits.test.ts
@@ -42,6 +42,15 @@
 	assert.is(limits.perSecondOf('s', 2000), 5);
 });
 
+test('other daemons are told when a new run of the server states the limit that the run before had', () => {
+	const limits = createWith(3);
+	const {revision} = limits.since(0, 200);
+	limits.recordResponse({
+		serverId: 's', startedAt: 2000, perSecond: 3, sentAt: 200,
+	}, 210);
+	assert.is(limits.since(revision, 210).notices.length, 1);
+});
+
 test('of two daemons\' statements the newer one counts, whichever arrives first', () => {
 	const limits = createWith(3);
 	limits.recordNotice({
