Let scenarios pass over ports that processes of a killed run still use

A block of ports was reserved by its first port only. Change: a block is used only if all its ports are free.

--- a/test/scenario-world.ts
+++ b/test/scenario-world.ts
@@ -37,11 +37,34 @@
 export const daemonNames = ['entry-1', 'entry-2', 'entry-3'] as const;
 
 const root = path.resolve(import.meta.dirname, '..');
+const STANDIN_ADDRESS = '127.0.0.10';
 const FIRST_PORT = 20_000;
 const PORTS_PER_BLOCK = 25;
 const BLOCK_COUNT = 40;
 const availabilityZones = ['attica-pireas', 'attica-marousi', 'macedonia-kalamaria'] as const;
 
+/** Whether nothing listens on a port; processes of a run that was killed may be left over. */
+async function isFree(host: string, port: number): Promise<boolean> {
+	return new Promise(resolve => {
+		const probe = createServer();
+		probe.once('error', () => {
+			resolve(false);
+		});
+		probe.listen(port, host, () => {
+			probe.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
+async function areBlockPortsFree(base: number): Promise<boolean> {
+	const standinPorts = Array.from({length: 9}, async (_, index) => isFree(STANDIN_ADDRESS, base + 1 + index));
+	const daemonPorts = daemonNames.flatMap((_, index) => [11, 15].map(async offset => isFree(`127.0.0.${11 + index}`, base + offset + index)));
+	const free = await Promise.all([...standinPorts, ...daemonPorts]);
+	return free.every(Boolean);
+}
+
 /** Reserves a block of ports by listening on its first one. */
 async function reservePorts(block = process.pid % BLOCK_COUNT): Promise<{readonly base: number; readonly release: () => void}> {
 	const base = FIRST_PORT + (block * PORTS_PER_BLOCK);
@@ -54,6 +77,11 @@
 			resolve(true);
 		});
 	});
+	if (reserved && !await areBlockPortsFree(base)) {
+		lock.close();
+		return reservePorts((block + 1) % BLOCK_COUNT);
+	}
+
 	return reserved
 		? {
 			base, release() {
@@ -136,7 +164,7 @@
 	const {base, release} = await reservePorts();
 	const folder = mkdtempSync(path.join(tmpdir(), 'rosemaryshore-scenario-'));
 	const members = new Map<string, Member>();
-	const address = '127.0.0.10';
+	const address = STANDIN_ADDRESS;
 	const relay = usesRelay ? createRelay(base + 19) : undefined;
 	const urlOf = (offset: number) => `http://${address}:${base + offset}`;
 
