Understand feeds of daemons that know no request limits

Cause: found when the diff was read: a daemon of the version before has no limits in its feed. A new one that follows it would have ended by an unhandled TypeError, and an old one that follows a new one would have been answered 500, so that a rolling upgrade would have taken daemons down. Evidence: both new tests of feed.test.ts failed before the change ("Cannot read properties of undefined (reading 'revision')"). Change: the fields are optional, as the types say now. Ruled out: other calls between the versions: an old daemon answers 404 to calls for permits, which counts as a candidate that does not grant.

--- a/src/gateway/node/feed.ts
+++ b/src/gateway/node/feed.ts
@@ -50,10 +50,10 @@
 	readonly word: number;
 	/** Servers that the follower knows to be leaving. */
 	readonly leaving: readonly LeavingNotice[];
-	/** Revision of the source's request limits that the follower has. */
-	readonly limitRevision: number;
+	/** Revision of the source's request limits that the follower has; undefined from daemons of versions without limits. */
+	readonly limitRevision?: number;
 	/** All request limits that the follower knows, in its first request to a source. */
-	readonly limits: readonly ServerLimitNotice[];
+	readonly limits?: readonly ServerLimitNotice[];
 };
 
 type FeedResponse = {
@@ -67,8 +67,8 @@
 	readonly ageMs: number;
 	/** Servers that the source knows to be leaving. */
 	readonly leaving: readonly LeavingNotice[];
-	/** Changes of request limits since the follower's revision. */
-	readonly limits: ReturnType<ServerLimits['since']>;
+	/** Changes of request limits since the follower's revision; undefined from daemons of versions without limits. */
+	readonly limits?: ReturnType<ServerLimits['since']>;
 };
 
 const CHECK_INTERVAL_MS = 100;
@@ -150,7 +150,7 @@
 		}
 	});
 
-	function recordLimits(notices: readonly ServerLimitNotice[]): void {
+	function recordLimits(notices: readonly ServerLimitNotice[] = []): void {
 		notices.forEach(notice => {
 			limits.recordNotice(notice, clock.monotonic());
 		});
@@ -212,7 +212,7 @@
 			word: updateCount,
 			ageMs: clock.monotonic() - storeAnsweredAt,
 			leaving: view.listLeavingNotices(clock.monotonic()),
-			limits: limits.since(isKnown ? request.limitRevision : 0, clock.monotonic()),
+			limits: limits.since(isKnown ? request.limitRevision ?? 0 : 0, clock.monotonic()),
 		};
 		return {status: 200, body: response};
 	});
@@ -237,10 +237,10 @@
 			entryById.delete(id);
 		});
 		received = {
-			name: from.name, incarnation: response.incarnation, place: response.delta.place, word: response.word, limitRevision: response.limits.revision, entries: entryById,
+			name: from.name, incarnation: response.incarnation, place: response.delta.place, word: response.word, limitRevision: response.limits?.revision ?? 0, entries: entryById,
 		};
 		recordLeaving(response.leaving);
-		recordLimits(response.limits.notices);
+		recordLimits(response.limits?.notices);
 		const now = clock.monotonic();
 		confirmedAt = now - response.ageMs;
 		applyDeployment(from, response.deployment);
--- a/src/gateway/test/feed.test.ts
+++ b/src/gateway/test/feed.test.ts
@@ -204,6 +204,37 @@
 	assert.equal([...world.daemons, late].map(daemon => daemon.limits.perSecondOf('s1', 1)), Array.from({length: 5}, () => undefined));
 });
 
+// During an upgrade, daemons of both versions follow each other.
+test('a daemon of a version without request limits is answered', async () => {
+	const world = createWorld(['d1', 'd2']);
+	world.configure(1);
+	await world.time.advance(3000);
+	const old = world.network.join('d0');
+	const source = old.others().find(daemon => chooseSource(daemon, old.others().filter(other => other.name !== daemon.name), createSourceFailureTable(), 0) === undefined)!;
+	const reply = old.call(source, 'feed', {
+		place: -1, incarnation: '', configuration: -1, word: -1, leaving: [],
+	}, 2000);
+	await world.time.advance(2000);
+	assert.is((await reply)._unsafeUnwrap().status, 200);
+});
+
+test('a source of a version without request limits is followed', async () => {
+	const world = createWorld([]);
+	const old = world.network.join('d0');
+	old.handle('feed', async () => ({
+		status: 200,
+		body: {
+			incarnation: '1', delta: {
+				place: 1, isWhole: true, entries: [{...entry('s1'), versions: {}}], removed: [],
+			}, word: 1, ageMs: 0, leaving: [],
+		},
+	}));
+	const name = Array.from({length: 20}, (_, index) => `d${index + 1}`).find(candidate => chooseSource({...old.self, name: candidate}, [old.self], createSourceFailureTable(), 0)?.name === 'd0')!;
+	const follower = world.start(name);
+	await world.time.advance(3000);
+	assert.equal(follower.view.all().map(known => known.id), ['s1']);
+});
+
 test('one daemon of each other group is told of a request limit', () => {
 	const daemons: readonly PeerDaemon[] = Array.from({length: 120}, (_, index) => ({
 		name: `d${index}`, incarnation: '1', ip: `d${index}`, port: 1, region: index < 20 ? 'small' : 'large', availabilityZone: `z${index % 4}`,
