Log the fingerprint of requests whose connection broke, and whether their server crashed

Cause of the change: logs name a request by an id that is new each time it comes again, and say of a broken connection only that it broke. So they tell none of the three hypotheses of docs/incidents/crash-requests.md apart.

Change: an attempt knows the run (id and start) of the server it is sent to. When its connection breaks, a detector probes the server's port and watches its entry for 6 s: a refused connection, a later start, or an entry that disappears shows a crash; a server that was leaving, and one that answers, do not. Logged with the fingerprint of the request (method, host, path, credentials, body), which is computed only then. Metrics server.crashes and request.broken. No decision rests on it yet.

Conclusion: with these lines a request that comes again can be followed across daemons.

--- a/src/gateway/common/attempt-policy.ts
+++ b/src/gateway/common/attempt-policy.ts
@@ -2,6 +2,7 @@
 import type {Failure} from '../../base/common/failure.js';
 import type {ResponseHead} from './server-protocol.js';
 import type {Repeatability} from './deployment.js';
+import type {AttemptOutcome} from './request-guard.js';
 
 /** How one attempt ended. */
 export type AttemptEnd
@@ -54,3 +55,12 @@
 
 	return hasNotRun && !mayHaveRun ? 'refuse' : 'fail';
 }
+
+/** Classifies the end of an attempt by what it tells about the server. A connection that this daemon closed itself says nothing. */
+export function classifyOutcome(end: AttemptEnd, hasTimedOut: boolean): AttemptOutcome {
+	if (end.kind === 'answer') {
+		return isNotRun(end) ? 'unclear' : 'completed';
+	}
+
+	return end.failure.effect === 'outcomeUnknown' && end.failure.code !== 'aborted' && !hasTimedOut ? 'broken' : 'unclear';
+}
--- /dev/null
+++ b/src/gateway/common/server-run.ts
@@ -0,0 +1,34 @@
+/** Decides whether one run of a backend server has crashed, from its entries and from its port. */
+import type {PortState} from '../../limits/common/stopped-daemons.js';
+import type {ServerEntry} from './server-view.js';
+
+/** One run of a server, from a start until its process ends. */
+export type ServerRun = {
+	readonly serverId: string;
+	/** Unix time in milliseconds at which the run started; undefined when the server does not report it. */
+	readonly startedAt: number | undefined;
+};
+
+/** What is known of a run whose connection broke. */
+export type RunEvidence = {
+	/** The server's entry when the connection broke. */
+	readonly before: ServerEntry | undefined;
+	/** The server's entry now. */
+	readonly current: ServerEntry | undefined;
+	/** Whether another server is listed at the address now. */
+	readonly isAddressTaken: boolean;
+	/** State of the server's port after the connection broke. */
+	readonly port: PortState;
+};
+
+/** Returns a key that differs between the runs of a server. */
+export function keyOfRun({serverId, startedAt}: ServerRun): string {
+	return `${serverId}@${startedAt ?? ''}`;
+}
+
+/** Whether the run has certainly crashed. A server that was leaving may have ended as planned, and a broken connection alone may be a fault of the network. */
+export function hasRunCrashed(run: ServerRun, {before, current, isAddressTaken, port}: RunEvidence): boolean {
+	const hasStartedAgain = [before, current].some(entry => entry?.startedAt !== undefined && run.startedAt !== undefined && entry.startedAt > run.startedAt);
+	const wasLeaving = before === undefined || before.isLeaving;
+	return hasStartedAgain || (!wasLeaving && (port === 'refused' || current === undefined || isAddressTaken));
+}
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -6,6 +6,7 @@
 import {followKind} from '../objects/common/kind-follower.js';
 import {createLimitUsage, type LimitUsage} from '../limits/common/limit-usage.js';
 import type {ServerPermits} from '../limits/common/server-permits.js';
+import {probePort} from '../limits/node/port-probe.js';
 import {createServerPermits} from '../limits/node/server-permits.js';
 import {createServerLimits, type ServerLimits} from '../limits/common/server-limits.js';
 import {peerMeshKey} from '../peers/common/peer-mesh.js';
@@ -19,8 +20,10 @@
 import {createSharedLoads, type SharedLoads} from './common/shared-loads.js';
 import {createServerStatements, type ServerStatements} from './common/server-statements.js';
 import {createServerView, type ServerView} from './common/server-view.js';
+import {createCrashDetector, type CrashDetector} from './node/crash-detector.js';
 import {createFeed, type Feed} from './node/feed.js';
 import {createForwarder, type Forwarder} from './node/forwarder.js';
+import {createRequestGuard} from './node/request-guard.js';
 import {createServerAcquisition} from './node/server-acquisition.js';
 import {createServerCaller, type ServerCaller} from './node/server-caller.js';
 import {createStreamForwarder, type StreamForwarder} from './node/stream-forwarder.js';
@@ -38,6 +41,7 @@
 	readonly limitUsage: LimitUsage;
 	readonly statements: ServerStatements;
 	readonly permits: ServerPermits & Disposable;
+	readonly detector: CrashDetector;
 };
 
 /** Service key of the daemon's gateway. */
@@ -94,15 +98,17 @@
 		},
 	});
 	const acquisition = createServerAcquisition({...context, permits, isUsable: view.table.isUsable});
+	const detector = createCrashDetector({...context, view, probe: probePort});
+	const guard = createRequestGuard({...context, detector});
 	const serverIdsOf = (pool: string) => view.list(pool).map(entry => entry.id);
 	const forwarder = createForwarder({
-		...context, dispatcher, loads, caller, acquisition, serverIdsOf, configurationVersion: () => deployment.current()?.version,
+		...context, dispatcher, loads, caller, acquisition, guard, serverIdsOf, configurationVersion: () => deployment.current()?.version,
 	});
 	const streams = createStreamForwarder({
-		...context, dispatcher, caller, acquisition, serverIdsOf, protocol,
+		...context, dispatcher, caller, acquisition, guard, serverIdsOf, protocol,
 	});
 	return {
-		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements, permits,
+		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements, permits, detector,
 	};
 }
 
@@ -195,6 +201,7 @@
 				{dispose: gateway.caller.close},
 				feed,
 				gateway.permits,
+				gateway.detector,
 				context.loop.every({name: 'expire servers', periodMs: EXPIRY_CHECK_MS, run: gateway.view.expire}),
 				context.loop.every({
 					name: 'use of limited servers',
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -14,7 +14,10 @@
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
 import {choosePool, type Route} from '../common/deployment.js';
 import {createFailureRates} from '../common/failure-rates.js';
-import {decideAfterAttempt, isNotRun, type AttemptEnd} from '../common/attempt-policy.js';
+import {
+	classifyOutcome, decideAfterAttempt, isNotRun, type AttemptEnd,
+} from '../common/attempt-policy.js';
+import type {RequestGuard} from '../common/request-guard.js';
 import type {ServerAcquisition} from './server-acquisition.js';
 import type {BackendResponse, ServerCaller, ServerRequest} from './server-caller.js';
 
@@ -31,6 +34,8 @@
 	readonly permitUrgency: PermitUrgency;
 	/** Monotonic time since which the request has been waiting, if it was refused before because of a request limit. */
 	readonly waitingSince?: number;
+	/** Computes the fingerprint of the content; undefined for requests that never count as the cause of a crash. */
+	readonly fingerprint: (() => string) | undefined;
 };
 
 /** Forwards plain requests. */
@@ -47,6 +52,7 @@
 	readonly loads: LoadEstimate;
 	readonly caller: ServerCaller;
 	readonly acquisition: ServerAcquisition;
+	readonly guard: RequestGuard;
 	readonly clock: Clock;
 	readonly loop: Loop;
 	readonly random: Random;
@@ -88,7 +94,7 @@
 /** Creates a forwarder. */
 export function createForwarder(dependencies: ForwarderDependencies): Forwarder {
 	const {
-		dispatcher, loads, caller, acquisition, clock, loop, random, log, metrics,
+		dispatcher, loads, caller, acquisition, guard, clock, loop, random, log, metrics,
 	} = dependencies;
 	const hedgeBudget = createRetryBudget(HEDGES_PER_REQUEST);
 
@@ -130,10 +136,12 @@
 
 	async function attemptServer(dispatch: Dispatch, request: PlainRequest, signal: AbortSignal): Promise<Result<BackendResponse, Failure>> {
 		const remainingMs = request.deadlineAt - clock.monotonic() - RESPONSE_MARGIN_MS;
+		const endAttempt = guard.begin(request, dispatch.server.id);
 		const result = await caller.attempt(dispatch.server, request, {
 			requestId: request.requestId, remainingMs, serverId: dispatch.server.id, ...(request.urgency !== undefined && {urgency: request.urgency}),
 		}, {timeoutMs: Math.max(1, remainingMs), signal});
 		const now = clock.monotonic();
+		void endAttempt(classifyOutcome(toAttemptEnd(result), now >= request.deadlineAt - RESPONSE_MARGIN_MS));
 		result.match(response => {
 			if (response.head.load !== undefined) {
 				loads.report(dispatch.server.id, {...response.head.load, tokensPerSecond: 0, ageMs: 0}, now);
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -9,7 +9,9 @@
 import {computePatience} from '../../limits/common/permit-plan.js';
 import type {Dispatcher} from '../../routing/common/dispatcher.js';
 import type {Dispatch} from '../../routing/common/router.js';
+import {classifyOutcome} from '../common/attempt-policy.js';
 import {choosePool} from '../common/deployment.js';
+import type {RequestGuard} from '../common/request-guard.js';
 import type {ServerProtocol} from '../common/server-protocol.js';
 import type {PlainRequest} from './forwarder.js';
 import type {ServerAcquisition} from './server-acquisition.js';
@@ -26,6 +28,7 @@
 	readonly dispatcher: Dispatcher;
 	readonly caller: ServerCaller;
 	readonly acquisition: ServerAcquisition;
+	readonly guard: RequestGuard;
 	/** Ids of the servers of a pool. */
 	readonly serverIdsOf: (pool: string) => readonly string[];
 	readonly protocol: ServerProtocol;
@@ -58,7 +61,7 @@
 /** Creates the forwarder. */
 export function createStreamForwarder(dependencies: StreamForwarderDependencies): StreamForwarder {
 	const {
-		dispatcher, caller, acquisition, protocol, clock, random, log,
+		dispatcher, caller, acquisition, guard, protocol, clock, random, log,
 	} = dependencies;
 
 	async function acquireServer(request: PlainRequest, state: StreamState): Promise<Result<Dispatch, Failure>> {
@@ -107,6 +110,7 @@
 			state.lastEventId = id;
 		}, request.route.canResume);
 		const resumeAfter = state.lastEventId === undefined ? {} : {resumeAfter: String(state.lastEventId)};
+		const endAttempt = guard.begin(request, chosen.server.id);
 		const answered = await caller.attempt(chosen.server, request, {
 			requestId: request.requestId, remainingMs, serverId: chosen.server.id, ...(request.urgency !== undefined && {urgency: request.urgency}), ...resumeAfter,
 		}, {
@@ -125,6 +129,10 @@
 			},
 		});
 		request.signal.removeEventListener('abort', onDisconnect);
+		void endAttempt(answered.match(
+			({head}) => classifyOutcome({kind: 'answer', head}, false),
+			failure => classifyOutcome({kind: 'failure', failure}, clock.monotonic() >= request.deadlineAt),
+		));
 		return answered.match(backendResponse => {
 			chosen.end(clock.monotonic(), backendResponse.head.isOtherServer ? 'refused' : (backendResponse.head.isNotRun ? 'cancelled' : 'done'));
 			if (backendResponse.status === 200) {
--- a/src/hosting/node/caller-server.ts
+++ b/src/hosting/node/caller-server.ts
@@ -13,6 +13,7 @@
 import type {HostAddress} from '../../settings/common/host.js';
 import type {CallerProtocol, CallerRequest} from '../common/caller-protocol.js';
 import type {CallerLimits, DeploymentHolder, Route} from '../../gateway/common/deployment.js';
+import {computeFingerprint} from '../../gateway/common/request-fingerprint.js';
 import type {Forwarder} from '../../gateway/node/forwarder.js';
 import {copyEndToEndHeaders} from '../../gateway/node/server-caller.js';
 import type {StreamForwarder} from '../../gateway/node/stream-forwarder.js';
@@ -179,13 +180,21 @@
 			call, route, body, receivedAt, signal,
 		} = routed;
 		const allowedMs = Math.min(call.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs > 0 ? route.timeoutMs : DEFAULT_DEADLINE_MS);
-		const plainRequest = {
-			requestId: call.requestId,
-			route,
+		const content = {
 			method: request.method ?? 'GET',
 			path: request.url ?? '/',
 			headers: copyEndToEndHeaders(request.rawHeaders, protocol.replacedHeaders),
 			body: body.length === 0 && request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined ? undefined : body,
+		};
+		let fingerprint: string | undefined;
+		const plainRequest = {
+			...content,
+			requestId: call.requestId,
+			route,
+			fingerprint() {
+				fingerprint ??= computeFingerprint(content);
+				return fingerprint;
+			},
 			deadlineAt: receivedAt + allowedMs,
 			signal,
 			urgency: Math.min(route.priority, 9),
--- a/test/fakes/limited-fleet.ts
+++ b/test/fakes/limited-fleet.ts
@@ -2,6 +2,7 @@
 import {ok} from 'neverthrow';
 import type {Random} from '../../src/base/common/random.js';
 import type {Route} from '../../src/gateway/common/deployment.js';
+import {permissiveRequestGuard} from '../../src/gateway/common/request-guard.js';
 import type {ResponseHead} from '../../src/gateway/common/server-protocol.js';
 import {createServerStatements} from '../../src/gateway/common/server-statements.js';
 import {createServerView, type ServerEntry} from '../../src/gateway/common/server-view.js';
@@ -156,6 +157,7 @@
 			acquisition: createServerAcquisition({
 				permits: options.isEnforced === false ? unlimitedPermits : permits, isUsable: view.table.isUsable, clock, random,
 			}),
+			guard: permissiveRequestGuard,
 			configurationVersion: () => 1,
 			serverIdsOf: () => servers.map(server => server.id),
 			dispatcher: createDispatcher({
@@ -177,7 +179,7 @@
 		requestCount += 1;
 		const sentAt = clock.monotonic();
 		const result = await daemon.forwarder.forward({
-			requestId: `q${requestCount}`, method: 'POST', path: '/', headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: new AbortController().signal, urgency: undefined, permitUrgency: kind, waitingSince,
+			requestId: `q${requestCount}`, method: 'POST', path: '/', headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: new AbortController().signal, urgency: undefined, permitUrgency: kind, waitingSince, fingerprint: undefined,
 		});
 		const isServed = result.isOk() && result.value.status === 200;
 		answers.push({
