--- /dev/null
+++ b/test/fakes/crashing-fleet.ts
@@ -0,0 +1,243 @@
+/** Simulates daemons that forward requests to servers, some of which crash under certain requests or for other reasons, in virtual time. */
+import {err, ok, type Result} from 'neverthrow';
+import {createNotRun, createOutcomeUnknown, type Failure} from '../../src/base/common/failure.js';
+import type {Route} from '../../src/gateway/common/deployment.js';
+import {createServerView, type ServerEntry, type ServerView} from '../../src/gateway/common/server-view.js';
+import {createCrashDetector} from '../../src/gateway/node/crash-detector.js';
+import {createForwarder, type Forwarder} from '../../src/gateway/node/forwarder.js';
+import {createRequestGuard} from '../../src/gateway/node/request-guard.js';
+import {createServerAcquisition} from '../../src/gateway/node/server-acquisition.js';
+import type {BackendResponse, ServerCaller} from '../../src/gateway/node/server-caller.js';
+import {silentLog} from '../../src/kernel/common/log.js';
+import {silentMetrics} from '../../src/kernel/common/metrics.js';
+import {unlimitedPermits} from '../../src/limits/common/server-permits.js';
+import {createDispatcher} from '../../src/routing/common/dispatcher.js';
+import {createLoadEstimate} from '../../src/routing/common/load-estimate.js';
+import {createPrefixIndex} from '../../src/routing/common/prefix-index.js';
+import {STABLE_MS, type CrashArrival, type SeenCrash} from '../checkers/crash-checker.js';
+import {createMemoryObjects} from './memory-objects.js';
+import {createMeshNetwork} from './mesh-network.js';
+import {createSeededRandom, createVirtualTime} from './virtual-loop.js';
+
+/** What a caller got. */
+export type CrashAnswer = {
+	readonly content: string;
+	readonly sentAt: number;
+	readonly answeredAt: number;
+	readonly result: Result<BackendResponse, Failure>;
+};
+
+/** The simulation. */
+export type CrashingFleet = ReturnType<typeof createCrashingFleet>;
+
+/** Requests with this prefix crash each server that runs them. */
+export const POISON = 'poison';
+
+type FleetServer = {
+	readonly id: string;
+	startedAt: number;
+	isUp: boolean;
+	readonly running: Set<() => void>;
+};
+
+type FleetDaemon = {
+	readonly view: ServerView;
+	readonly forwarder: Forwarder;
+	readonly startedAt: number;
+	readonly end: () => void;
+};
+
+const POOL = 'plain';
+const LATENCY_MS = 1;
+const WORK_MS = 60;
+const TIME_TO_CRASH_MS = 15;
+const ENTRY_DELAY_MS = 400;
+const CALLER_DEADLINE_MS = 2500;
+const SLOTS = 6;
+
+/** Creates the simulation with running daemons and servers. With `isGuarded` false, daemons take no notice of crashes. */
+export function createCrashingFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number; readonly attempts?: number; readonly isGuarded?: boolean}) {
+	const random = createSeededRandom(options.seed);
+	const time = createVirtualTime(random);
+	const {clock, loop} = time;
+	const network = createMeshNetwork(loop);
+	const objects = createMemoryObjects(loop);
+	const route: Route = {
+		name: 'r', host: 'h', pathPrefix: '/', repeatability: 'idempotent', timeoutMs: CALLER_DEADLINE_MS, goalMs: 400, priority: 1, attempts: options.attempts ?? 2, pools: [{pool: POOL, weight: 1}], canResume: false, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
+	};
+	const servers: readonly FleetServer[] = Array.from({length: options.servers}, (_, index) => ({
+		id: `s${index}`, startedAt: 1000, isUp: true, running: new Set<() => void>(),
+	}));
+	const names = Array.from({length: options.daemons}, (_, index) => `d${index}`);
+	const daemons = new Map<string, FleetDaemon>();
+	const arrivals: CrashArrival[] = [];
+	const crashes: SeenCrash[] = [];
+	const answers: CrashAnswer[] = [];
+	const disturbances: Array<{readonly daemon: string; readonly from: number; until: number}> = [];
+	let requestCount = 0;
+	let runCount = 0;
+
+	function toEntry(server: FleetServer): ServerEntry {
+		return {
+			id: server.id, pool: POOL, address: server.id, port: 1, availabilityZone: 'z', slots: SLOTS, isLeaving: false, versions: new Map(), sequence: undefined, startedAt: server.startedAt,
+		};
+	}
+
+	function publishEntries(): void {
+		daemons.forEach(({view}) => {
+			view.update(servers.map(toEntry), clock.monotonic());
+		});
+	}
+
+	/** Crashes a server for a time; all requests on it break. */
+	function crash(server: FleetServer, downMs: number, cause?: string): void {
+		if (!server.isUp) {
+			return;
+		}
+
+		crashes.push({serverId: server.id, cause, at: clock.monotonic()});
+		server.isUp = false;
+		[...server.running].forEach(breakRun => {
+			breakRun();
+		});
+		server.running.clear();
+		loop.after(downMs, now => {
+			server.isUp = true;
+			server.startedAt = 1000 + now;
+			loop.after(ENTRY_DELAY_MS, publishEntries);
+		});
+	}
+
+	async function run(server: FleetServer, daemon: string, content: string, requestId: string): Promise<Result<BackendResponse, Failure>> {
+		const origin = {step: 'call backend server', peer: server.id};
+		await loop.sleep(LATENCY_MS);
+		if (!server.isUp) {
+			return err(createNotRun('unavailable', origin, 'connect ECONNREFUSED'));
+		}
+
+		arrivals.push({
+			content, serverId: server.id, daemon, at: clock.monotonic(),
+		});
+		return new Promise(resolve => {
+			const breakRun = () => {
+				resolve(err(createOutcomeUnknown('incomplete', origin, 'the connection closed')));
+			};
+
+			server.running.add(breakRun);
+			if (content.startsWith(POISON)) {
+				loop.after(TIME_TO_CRASH_MS, () => {
+					crash(server, 1500 + (random() * 2500), content);
+				});
+				return;
+			}
+
+			loop.after(WORK_MS * (0.7 + (0.6 * random())), () => {
+				server.running.delete(breakRun);
+				resolve(ok({
+					status: 200, headers: {}, body: new Uint8Array(), head: {
+						status: 200, requestId, isNotRun: false, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: undefined, signature: 'sig', version: undefined,
+					},
+				}));
+			});
+		});
+	}
+
+	function start(name: string): void {
+		runCount += 1;
+		const view = createServerView(() => 'r');
+		view.update(servers.map(toEntry), clock.monotonic());
+		const loads = createLoadEstimate(() => SLOTS);
+		network.join(name, String(runCount));
+		const detector = createCrashDetector({
+			view, clock, loop, log: silentLog, metrics: silentMetrics, probe: async ({address}) => (servers.find(server => server.id === address)?.isUp === true ? 'open' : 'refused'),
+		});
+		const guard = createRequestGuard({
+			detector, clock, log: silentLog, metrics: silentMetrics,
+		});
+		const caller: ServerCaller = {
+			attempt: async (target, request, attempt) => run(servers.find(server => server.id === target.id)!, name, request.path, attempt.requestId),
+			close: () => undefined,
+		};
+		const forwarder = createForwarder({
+			clock,
+			loop,
+			random,
+			log: silentLog,
+			metrics: silentMetrics,
+			loads,
+			caller,
+			guard,
+			acquisition: createServerAcquisition({
+				permits: unlimitedPermits, isUsable: view.table.isUsable, clock, random,
+			}),
+			configurationVersion: () => 1,
+			serverIdsOf: () => servers.map(server => server.id),
+			dispatcher: createDispatcher({
+				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, isReservedElsewhere: () => false,
+			}),
+		});
+		daemons.set(name, {
+			view, forwarder, startedAt: clock.monotonic(), end: detector.dispose,
+		});
+	}
+
+	names.forEach(start);
+
+	/** Disturbs the daemons for a time, so that they are not in touch. */
+	function disturb(affected: readonly string[], set: Set<string>, durationMs: number): void {
+		affected.forEach(name => {
+			const disturbance = {daemon: name, from: clock.monotonic(), until: clock.monotonic() + durationMs};
+			disturbances.push(disturbance);
+			set.add(name);
+			loop.after(durationMs, () => {
+				set.delete(name);
+			});
+		});
+	}
+
+	async function send(content: string, name = names[Math.floor(random() * names.length)]!): Promise<CrashAnswer | undefined> {
+		const daemon = daemons.get(name);
+		if (daemon === undefined) {
+			return undefined;
+		}
+
+		requestCount += 1;
+		const sentAt = clock.monotonic();
+		const result = await daemon.forwarder.forward({
+			requestId: `q${requestCount}`, method: 'POST', path: content, headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: new AbortController().signal, urgency: undefined, permitUrgency: 'caller', fingerprint: () => content,
+		});
+		const answer = {
+			content, sentAt, answeredAt: clock.monotonic(), result,
+		};
+		answers.push(answer);
+		return answer;
+	}
+
+	return {
+		time, network, objects, names, servers, arrivals, crashes, answers, random, crash, send,
+		/** Kills daemons at once and starts them again, without any memory. */
+		restart(affected: readonly string[], downMs: number) {
+			affected.forEach(name => {
+				network.kill(name);
+				daemons.get(name)?.end();
+				daemons.delete(name);
+				loop.after(downMs, () => {
+					start(name);
+				});
+			});
+		},
+		/** Cuts daemons off from the store. */
+		cutFromStore(affected: readonly string[], durationMs: number) {
+			disturb(affected, objects.partitioned, durationMs);
+		},
+		/** Cuts daemons off from each other. */
+		cutFromPeers(affected: readonly string[], durationMs: number) {
+			disturb(affected, network.unresponsive, durationMs);
+		},
+		isInTouch(name: string, at: number) {
+			const daemon = daemons.get(name);
+			const isDisturbed = disturbances.some(disturbance => disturbance.daemon === name && disturbance.from <= at && at < disturbance.until + STABLE_MS);
+			return daemon !== undefined && at - daemon.startedAt >= STABLE_MS && !isDisturbed;
+		},
+	};
+}
