Refuse requests under which three servers crashed, on all daemons of the platform

What users saw: a request under which three servers had crashed was sent to servers again and again, each time under a new id and through another daemon; each of them crashed.

Cause: the platform's forwarders knew a request only while one attempt of its caller lasted. The guard of the own interface rests on shard leases and gossip, which the platform's daemon does not load. Class of fault: a protection that is bound to one front.

Change: the table of suspects takes its rules as an argument, and its ledger is shared by both fronts. Forwarders ask the guard before each attempt, hedge and continuation. An attempt that has run ends with 502, one that has not with 503 and the time that is left.

Why it works: whoever sees the third crash, all daemons refuse the content and not the id.

--- a/src/gateway/common/request-guard.ts
+++ b/src/gateway/common/request-guard.ts
@@ -1,4 +1,6 @@
-/** Interface through which forwarders report the attempts of callers' requests, so that requests that crash servers are recognized. */
+/** Interface through which forwarders keep requests that crash servers away from them. */
+import {ok, type Result} from 'neverthrow';
+import type {Failure} from '../../base/common/failure.js';
 
 /** A request of a caller, as far as the guard needs it. */
 export type GuardedRequest = {
@@ -10,13 +12,16 @@
 /** How an attempt ended: with a complete response of a server that ran it, with a broken connection, or in a way that says nothing. */
 export type AttemptOutcome = 'completed' | 'broken' | 'unclear';
 
-/** Follows the attempts of one daemon. */
+/** Guards the servers of one daemon. */
 export type RequestGuard = {
-	/** Records that an attempt is about to be sent. The returned function records its end; its promise resolves within a bounded time. */
+	/** Whether a request may be sent to a server; the failure says when it may be sent again. */
+	readonly check: (request: GuardedRequest, now: number) => Result<void, Failure>;
+	/** Records that an attempt is about to be sent. The returned function records its end; its promise resolves within a bounded time, when `check` takes the end into account. */
 	readonly begin: (request: GuardedRequest, serverId: string) => (outcome: AttemptOutcome) => Promise<void>;
 };
 
-/** A guard that records nothing. */
+/** A guard that allows every request and records nothing. */
 export const permissiveRequestGuard: RequestGuard = {
+	check: () => ok(),
 	begin: () => async () => undefined,
 };
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -10,17 +10,22 @@
 import {createServerPermits} from '../limits/node/server-permits.js';
 import {createServerLimits, type ServerLimits} from '../limits/common/server-limits.js';
 import {peerMeshKey} from '../peers/common/peer-mesh.js';
+import {createSuspectTable} from '../requests/common/suspect-table.js';
+import {createSuspectLedger} from '../requests/node/suspect-ledger.js';
 import {createDispatcher, type Dispatcher} from '../routing/common/dispatcher.js';
 import {createLoadEstimate} from '../routing/common/load-estimate.js';
 import {createPrefixIndex} from '../routing/common/prefix-index.js';
 import {hostKey} from '../settings/common/host.js';
 import {createDeploymentHolder, type DeploymentHolder} from './common/deployment.js';
 import {deploymentSourceKey} from './common/deployment-source.js';
+import {hostedSuspectRules} from './common/suspect-rules.js';
 import {serverProtocolKey} from './common/server-protocol.js';
 import {createSharedLoads, type SharedLoads} from './common/shared-loads.js';
 import {createServerStatements, type ServerStatements} from './common/server-statements.js';
 import {createServerView, type ServerView} from './common/server-view.js';
 import {createCrashDetector, type CrashDetector} from './node/crash-detector.js';
+import {createSuspectExchange, type SuspectExchange} from './node/suspect-exchange.js';
+import {createSuspectObjects} from './node/suspect-objects.js';
 import {createFeed, type Feed} from './node/feed.js';
 import {createForwarder, type Forwarder} from './node/forwarder.js';
 import {createRequestGuard} from './node/request-guard.js';
@@ -42,6 +47,7 @@
 	readonly statements: ServerStatements;
 	readonly permits: ServerPermits & Disposable;
 	readonly detector: CrashDetector;
+	readonly exchange: SuspectExchange;
 };
 
 /** Service key of the daemon's gateway. */
@@ -99,7 +105,13 @@
 	});
 	const acquisition = createServerAcquisition({...context, permits, isUsable: view.table.isUsable});
 	const detector = createCrashDetector({...context, view, probe: probePort});
-	const guard = createRequestGuard({...context, detector});
+	const suspects = createSuspectTable(hostedSuspectRules);
+	const exchange = createSuspectExchange({
+		...context, table: suspects, rules: hostedSuspectRules, objects: createSuspectObjects({...context, api: context.use(objectApiKey)}), mesh: context.use(peerMeshKey),
+	});
+	const guard = createRequestGuard({
+		...context, detector, table: suspects, ledger: createSuspectLedger({table: suspects, transport: exchange}),
+	});
 	const serverIdsOf = (pool: string) => view.list(pool).map(entry => entry.id);
 	const forwarder = createForwarder({
 		...context, dispatcher, loads, caller, acquisition, guard, serverIdsOf, configurationVersion: () => deployment.current()?.version,
@@ -108,7 +120,7 @@
 		...context, dispatcher, caller, acquisition, guard, serverIdsOf, protocol,
 	});
 	return {
-		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements, permits, detector,
+		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements, permits, detector, exchange,
 	};
 }
 
@@ -202,6 +214,7 @@
 				feed,
 				gateway.permits,
 				gateway.detector,
+				gateway.exchange,
 				context.loop.every({name: 'expire servers', periodMs: EXPIRY_CHECK_MS, run: gateway.view.expire}),
 				context.loop.every({
 					name: 'use of limited servers',
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -89,6 +89,8 @@
 	/** Attempts that were sent or that wait for a server. */
 	startedAttempts: number;
 	lastResponse: Result<BackendResponse, Failure> | undefined;
+	/** Resolves when the guard takes the last attempt into account. */
+	verdict: Promise<void>;
 };
 
 /** Creates a forwarder. */
@@ -134,14 +136,14 @@
 		});
 	}
 
-	async function attemptServer(dispatch: Dispatch, request: PlainRequest, signal: AbortSignal): Promise<Result<BackendResponse, Failure>> {
+	async function attemptServer(dispatch: Dispatch, request: PlainRequest, progress: Progress, signal: AbortSignal): Promise<Result<BackendResponse, Failure>> {
 		const remainingMs = request.deadlineAt - clock.monotonic() - RESPONSE_MARGIN_MS;
 		const endAttempt = guard.begin(request, dispatch.server.id);
 		const result = await caller.attempt(dispatch.server, request, {
 			requestId: request.requestId, remainingMs, serverId: dispatch.server.id, ...(request.urgency !== undefined && {urgency: request.urgency}),
 		}, {timeoutMs: Math.max(1, remainingMs), signal});
 		const now = clock.monotonic();
-		void endAttempt(classifyOutcome(toAttemptEnd(result), now >= request.deadlineAt - RESPONSE_MARGIN_MS));
+		progress.verdict = endAttempt(classifyOutcome(toAttemptEnd(result), now >= request.deadlineAt - RESPONSE_MARGIN_MS));
 		result.match(response => {
 			if (response.head.load !== undefined) {
 				loads.report(dispatch.server.id, {...response.head.load, tokensPerSecond: 0, ageMs: 0}, now);
@@ -172,7 +174,7 @@
 
 	async function forward(request: PlainRequest): Promise<Result<BackendResponse, Failure>> {
 		const progress: Progress = {
-			triedServers: [], mayHaveRun: false, openAttempts: 0, startedAttempts: 0, lastResponse: undefined,
+			triedServers: [], mayHaveRun: false, openAttempts: 0, startedAttempts: 0, lastResponse: undefined, verdict: Promise.resolve(),
 		};
 		const abortController = new AbortController();
 		const onDisconnect = () => {
@@ -204,10 +206,11 @@
 			hedgeTimer.dispose();
 		}
 
-		function finishWithFailure(decision: 'refuse' | 'fail', retryAfterMs = RETRY_AFTER_MS): void {
+		function finishWithFailure(decision: 'refuse' | 'fail', cause?: Failure): void {
 			const origin = {step: 'forward request', peer: progress.triedServers.at(-1) ?? request.route.name};
+			const isSuspect = cause?.code === 'suspect';
 			finish(decision === 'refuse'
-				? err(createNotRun('unavailable', origin, 'no backend server took the request', retryAfterMs))
+				? err(createNotRun(isSuspect ? 'suspect' : 'unavailable', origin, isSuspect ? cause.message : 'no backend server took the request', cause?.retryAfterMs ?? RETRY_AFTER_MS))
 				: err(createOutcomeUnknown('unavailable', origin, 'no backend server sent a complete response')));
 		}
 
@@ -245,19 +248,30 @@
 		}
 
 		/** Ends the request without a successful response. An error response of a server is preferred, because it tells the caller more than a failure made here. */
-		function finishUndelivered(decision: 'refuse' | 'fail', retryAfterMs?: number): void {
+		function finishUndelivered(decision: 'refuse' | 'fail', cause?: Failure): void {
 			if (progress.lastResponse === undefined) {
-				finishWithFailure(progress.mayHaveRun ? 'fail' : decision, retryAfterMs);
+				finishWithFailure(progress.mayHaveRun ? 'fail' : decision, cause);
 				return;
 			}
 
 			finish(progress.lastResponse);
 		}
 
+		/** Acquires a server, unless the guard refuses the request, also when other daemons reported crashes while it waited. */
+		async function acquireUnlessRefused(canWait: boolean): Promise<Result<Dispatch, Failure>> {
+			const refusal = guard.check(request, clock.monotonic());
+			const chosen = refusal.isErr() ? err(refusal.error) : await acquireServer(request, progress.triedServers, startedAt, canWait);
+			return chosen.andThen(dispatch => guard.check(request, clock.monotonic()).map(() => dispatch).mapErr(failure => {
+				dispatch.end(clock.monotonic(), 'cancelled');
+				return failure;
+			}));
+		}
+
 		async function startAttempt(canWait: boolean): Promise<void> {
 			progress.openAttempts += 1;
 			progress.startedAttempts += 1;
-			const chosen = await acquireServer(request, progress.triedServers, startedAt, canWait);
+			await progress.verdict;
+			const chosen = await acquireUnlessRefused(canWait);
 			if (chosen.isErr() || abortController.signal.aborted) {
 				progress.openAttempts -= 1;
 				progress.startedAttempts -= 1;
@@ -266,7 +280,7 @@
 			}
 
 			progress.triedServers.push(chosen.value.server.id);
-			handleAttemptEnd(await attemptServer(chosen.value, request, abortController.signal), chosen.value.server.id);
+			handleAttemptEnd(await attemptServer(chosen.value, request, progress, abortController.signal), chosen.value.server.id);
 		}
 
 		/** Handles an attempt for which no server was found, or whose request ended meanwhile. */
@@ -284,7 +298,7 @@
 					log.info('no backend server for the request', {
 						requestId: request.requestId, route: request.route.name, tried: progress.triedServers, reason: failure.message, retryAfterMs: failure.retryAfterMs,
 					});
-					finishUndelivered(progress.mayHaveRun ? 'fail' : 'refuse', failure.retryAfterMs);
+					finishUndelivered(progress.mayHaveRun ? 'fail' : 'refuse', failure);
 				}
 			});
 		}
--- a/src/gateway/node/request-guard.ts
+++ b/src/gateway/node/request-guard.ts
@@ -1,43 +1,87 @@
-/** Determines which requests of callers ran on servers that crashed. */
+/** Determines which requests of callers ran on servers that crashed, and refuses those under which several did. */
+import {ok} from 'neverthrow';
 import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
+import type {Loop} from '../../kernel/common/loop.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
+import type {SuspectTable} from '../../requests/common/suspect-table.js';
+import type {SuspectLedger} from '../../requests/node/suspect-ledger.js';
 import type {RequestGuard} from '../common/request-guard.js';
-import type {ServerRun} from '../common/server-run.js';
+import {keyOfRun, type ServerRun} from '../common/server-run.js';
 import type {CrashDetector} from './crash-detector.js';
 
 /** Dependencies of the guard. */
 export type RequestGuardDependencies = {
 	readonly detector: CrashDetector;
+	readonly table: Pick<SuspectTable, 'find' | 'isEmpty'>;
+	readonly ledger: SuspectLedger;
 	readonly clock: Clock;
+	readonly loop: Loop;
 	readonly log: Log;
 	readonly metrics: Metrics;
 };
 
+/** Time for which the next attempt of a request waits to learn whether its server crashed. */
+const VERDICT_WAIT_MS = 100;
+
 /** Creates the guard of a daemon. */
-export function createRequestGuard({detector, log, metrics}: RequestGuardDependencies): RequestGuard {
-	function logVerdict(requestId: string, fingerprint: string, run: ServerRun, hasCrashed: boolean): void {
+export function createRequestGuard({
+	detector, table, ledger, clock, loop, log, metrics,
+}: RequestGuardDependencies): RequestGuard {
+	function recordVerdict(requestId: string, fingerprint: string, run: ServerRun, hasCrashed: boolean): void {
 		log.info(hasCrashed ? 'request broke with its server' : 'request lost its connection', {requestId, fingerprint, ...run});
 		metrics.count('request.broken', 1, {verdict: hasCrashed ? 'crash' : 'connection'});
+		if (!hasCrashed) {
+			return;
+		}
+
+		const now = clock.monotonic();
+		const serverId = keyOfRun(run);
+		const crashedUnder = new Set([serverId, ...table.find(fingerprint).map(crash => crash.serverId)]);
+		void ledger.recordCrash({
+			fingerprint,
+			// Daemons that notice the same crash give it the same id.
+			crashId: `${fingerprint}/${serverId}`,
+			serverId,
+			at: 0,
+			alone: false,
+			acquitted: false,
+			isCommon: detector.listRecentCrashes(run, now).some(other => !crashedUnder.has(other)),
+		}, now);
+	}
+
+	async function recordBroken(requestId: string, fingerprint: string, run: ServerRun): Promise<void> {
+		if (await detector.inspect(run)) {
+			recordVerdict(requestId, fingerprint, run, true);
+			return;
+		}
+
+		void detector.awaitVerdict(run).then(hasCrashed => {
+			recordVerdict(requestId, fingerprint, run, hasCrashed);
+		});
 	}
 
 	return {
+		check(request, now) {
+			return request.fingerprint === undefined || table.isEmpty()
+				? ok()
+				: ledger.check(request.fingerprint(), now).map(() => undefined);
+		},
 		begin(request, serverId) {
 			const run = detector.currentRun(serverId);
 			return async outcome => {
-				const fingerprint = outcome === 'broken' ? request.fingerprint?.() : undefined;
+				const {fingerprint, requestId} = request;
 				if (fingerprint === undefined) {
 					return;
 				}
 
-				if (await detector.inspect(run)) {
-					logVerdict(request.requestId, fingerprint, run, true);
-					return;
+				if (outcome === 'completed' && !table.isEmpty()) {
+					ledger.recordCompleted(fingerprint(), clock.monotonic());
 				}
 
-				void detector.awaitVerdict(run).then(hasCrashed => {
-					logVerdict(request.requestId, fingerprint, run, hasCrashed);
-				});
+				if (outcome === 'broken') {
+					await Promise.race([recordBroken(requestId, fingerprint(), run), loop.sleep(VERDICT_WAIT_MS)]);
+				}
 			};
 		},
 	};
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -1,7 +1,9 @@
 /** Forwards streams as their bytes arrive. A stream that has begun is continued from another server only if the route allows resuming. */
 import type {ServerResponse} from 'node:http';
 import {err, type Result} from 'neverthrow';
-import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import {
+	createNotRun, createOutcomeUnknown, wrapFailure, type Failure,
+} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import {MAXIMUM_EVENT_BYTES} from '../../adapters/common/event-bound.js';
 import type {Log} from '../../kernel/common/log.js';
@@ -53,9 +55,11 @@
 	hasBegun: boolean;
 	/** Whether a server may have begun to run the request. */
 	mayHaveRun: boolean;
-	/** Time after which the caller may return, if the servers' request limits are the reason that the stream was not accepted. */
-	retryAfterMs: number | undefined;
+	/** Why the stream was not accepted, if that is known before it is sent. */
+	refusal: Failure | undefined;
 	readonly arrivedAt: number;
+	/** Resolves when the guard takes the last attempt into account. */
+	verdict: Promise<void>;
 };
 
 /** Creates the forwarder. */
@@ -83,10 +87,21 @@
 		});
 	}
 
+	/** Acquires a server, unless the guard refuses the request, also when other daemons reported crashes while it waited. */
+	async function acquireUnlessRefused(request: PlainRequest, state: StreamState): Promise<Result<Dispatch, Failure>> {
+		const refusal = guard.check(request, clock.monotonic());
+		const acquired = refusal.isErr() ? err(refusal.error) : await acquireServer(request, state);
+		return acquired.andThen(dispatch => guard.check(request, clock.monotonic()).map(() => dispatch).mapErr(failure => {
+			dispatch.end(clock.monotonic(), 'cancelled');
+			return failure;
+		}));
+	}
+
 	async function attemptOnce(request: PlainRequest, response: ServerResponse, state: StreamState, isLast: boolean): Promise<'done' | 'next' | 'stop'> {
-		const acquired = await acquireServer(request, state);
+		await state.verdict;
+		const acquired = await acquireUnlessRefused(request, state);
 		if (acquired.isErr()) {
-			state.retryAfterMs = acquired.error.retryAfterMs;
+			state.refusal = acquired.error;
 			return 'stop';
 		}
 
@@ -129,7 +144,7 @@
 			},
 		});
 		request.signal.removeEventListener('abort', onDisconnect);
-		void endAttempt(answered.match(
+		state.verdict = endAttempt(answered.match(
 			({head}) => classifyOutcome({kind: 'answer', head}, false),
 			failure => classifyOutcome({kind: 'failure', failure}, clock.monotonic() >= request.deadlineAt),
 		));
@@ -180,15 +195,19 @@
 		}
 
 		const origin = {step: 'forward stream', peer: state.triedServers.at(-1) ?? request.route.name};
-		return state.mayHaveRun
-			? createOutcomeUnknown('unavailable', origin, 'the stream broke before its first event')
-			: createNotRun('unavailable', origin, 'no backend server accepted the stream', state.retryAfterMs ?? RETRY_AFTER_MS);
+		if (state.mayHaveRun) {
+			return createOutcomeUnknown('unavailable', origin, 'the stream broke before its first event');
+		}
+
+		return state.refusal?.code === 'suspect'
+			? wrapFailure(state.refusal, origin)
+			: createNotRun('unavailable', origin, 'no backend server accepted the stream', state.refusal?.retryAfterMs ?? RETRY_AFTER_MS);
 	}
 
 	return {
 		async forward(request, response, isLast) {
 			return forwardWithRetries(request, response, {
-				triedServers: [], lastEventId: undefined, hasBegun: false, mayHaveRun: false, retryAfterMs: undefined, arrivedAt: clock.monotonic(),
+				triedServers: [], lastEventId: undefined, hasBegun: false, mayHaveRun: false, refusal: undefined, arrivedAt: clock.monotonic(), verdict: Promise.resolve(),
 			}, isLast);
 		},
 	};
--- /dev/null
+++ b/src/gateway/test/server-run.test.ts
@@ -0,0 +1,33 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {hasRunCrashed, type RunEvidence} from '../common/server-run.js';
+import type {ServerEntry} from '../common/server-view.js';
+
+const test = suite('evidence that a server crashed');
+const run = {serverId: 's', startedAt: 1000};
+const entry: ServerEntry = {
+	id: 's', pool: 'p', address: '10.0.0.1', port: 80, availabilityZone: 'z', slots: 4, isLeaving: false, versions: new Map(), sequence: 1, startedAt: 1000,
+};
+const sound: RunEvidence = {
+	before: entry, current: entry, isAddressTaken: false, port: 'open',
+};
+
+const cases: ReadonlyArray<readonly [string, Partial<RunEvidence>, boolean]> = [
+	['a lost connection to a server that listens is no crash', {}, false],
+	['a server that can not be reached is no crash', {port: 'unknown'}, false],
+	['a server that refuses connections has crashed', {port: 'refused'}, true],
+	['a server whose entry disappears has crashed', {current: undefined}, true],
+	['a server whose address another one uses has crashed', {isAddressTaken: true}, true],
+	['a server that started again under its id has crashed', {current: {...entry, startedAt: 2000}}, true],
+	['a late entry of an earlier start shows no crash', {current: {...entry, startedAt: 500}}, false],
+	['a server that was leaving has ended as planned', {before: {...entry, isLeaving: true}, current: undefined, port: 'refused'}, false],
+	['a server that was removed before its connection broke has ended as planned', {before: undefined, current: undefined, port: 'refused'}, false],
+];
+
+cases.forEach(([name, evidence, hasCrashed]) => {
+	test(name, () => {
+		assert.is(hasRunCrashed(run, {...sound, ...evidence}), hasCrashed);
+	});
+});
+
+test.run();
--- a/src/requests/common/suspect-table.ts
+++ b/src/requests/common/suspect-table.ts
@@ -20,6 +20,22 @@
 	readonly alone: boolean;
 	/** The request has completed since then, so it did not cause the crash. */
 	readonly acquitted: boolean;
+	/** Other servers, which did not run the request, crashed at about the same time, so the crash says less about it. */
+	readonly isCommon?: boolean;
+};
+
+/** When a request is refused, and for how long. */
+export type SuspectRules = {
+	/** Crashes of backend servers after which a request is refused. */
+	readonly crashesToRefuse: number;
+	/** Whether a request runs alone after its first crash. If so, a crash of several requests is blamed on one that crashed another server alone. */
+	readonly isolatesSuspects: boolean;
+	/** Time for which a request is refused after its last crash, in milliseconds; infinite for a permanent refusal. */
+	readonly refusalMs: number;
+	/** The same for a request most of whose crashes were common ones. */
+	readonly commonRefusalMs: number;
+	/** Factor by which each further crash extends the refusal. */
+	readonly refusalGrowth: number;
 };
 
 /** The suspects known to one daemon. */
@@ -28,8 +44,12 @@
 	readonly add: (crashes: readonly Crash[], now: number) => readonly Crash[];
 	/** Returns how a request may run; fails with `suspect` when it is permanently refused. */
 	readonly check: (fingerprint: string, now: number) => Result<Isolation, Failure>;
-	/** Clears a request that completed; returns the crashes that changed. A permanently refused request stays refused. */
+	/** Clears a request that completed; returns the crashes that changed. A refused request stays refused until its refusal ends. */
 	readonly acquit: (fingerprint: string, now: number) => readonly Crash[];
+	/** The crashes of one request, with those it was acquitted of. */
+	readonly find: (fingerprint: string) => readonly Crash[];
+	/** Whether the table is empty. */
+	readonly isEmpty: () => boolean;
 	/** The newest crashes. */
 	readonly recent: (count: number) => readonly Crash[];
 	readonly list: () => readonly Crash[];
@@ -37,8 +57,13 @@
 
 type Entry = Crash & {readonly receivedAt: number};
 
-/** Crashes of backend servers after which a request is permanently refused. */
-const CRASHES_TO_REFUSE = 2;
+/** Rules for requests that run alone after their first crash: the second crash has no other cause, so the refusal is permanent. */
+export const permanentRefusal: SuspectRules = {
+	crashesToRefuse: 2, isolatesSuspects: true, refusalMs: Number.POSITIVE_INFINITY, commonRefusalMs: Number.POSITIVE_INFINITY, refusalGrowth: 1,
+};
+
+/** Maximum duration of a refusal that ends. */
+const MAXIMUM_REFUSAL_MS = 86_400_000;
 /** Time for which a request with one crash runs only on a server without other requests. */
 const ISOLATION_PERIOD_MS = 600_000;
 /** Time for which crashes of a request that is not permanently refused are kept. */
@@ -53,7 +78,7 @@
 }
 
 /** Creates an empty table. */
-export function createSuspectTable(): SuspectTable {
+export function createSuspectTable(rules: SuspectRules = permanentRefusal): SuspectTable {
 	const entryByCrashId = new Map<string, Entry>();
 	const crashIdsByFingerprint = new Map<string, Set<string>>();
 	const crashIdsByServer = new Map<string, Set<string>>();
@@ -100,30 +125,44 @@
 	/** Whether a server crashed while it ran only this request, and another crash is known for the request. */
 	function isProvenCause(fingerprint: string): boolean {
 		const crashes = crashesOf(fingerprint);
-		return crashes.length >= CRASHES_TO_REFUSE && crashes.some(crash => listConcurrentFingerprints(crash).length === 0);
+		return crashes.length >= rules.crashesToRefuse && crashes.some(crash => listConcurrentFingerprints(crash).length === 0);
 	}
 
-	/** Two crashes suffice, unless for each of them another request is proven to be the cause. */
-	function isRefused(fingerprint: string): boolean {
+	/** Whether a request has crashed enough servers, unless for each of them another request is proven to be the cause. */
+	function isGuilty(fingerprint: string): boolean {
 		const crashes = crashesOf(fingerprint);
-		return crashes.length >= CRASHES_TO_REFUSE
-			&& (isProvenCause(fingerprint) || !crashes.every(crash => listConcurrentFingerprints(crash).some(isProvenCause)));
+		return crashes.length >= rules.crashesToRefuse
+			&& (!rules.isolatesSuspects || isProvenCause(fingerprint) || !crashes.every(crash => listConcurrentFingerprints(crash).some(isProvenCause)));
+	}
+
+	/** Time at which the refusal of a guilty request ends. */
+	function refusedUntil(fingerprint: string): number {
+		const crashes = crashesOf(fingerprint);
+		const ownCrashes = crashes.filter(crash => crash.isCommon !== true).length;
+		const firstMs = ownCrashes >= rules.crashesToRefuse - 1 ? rules.refusalMs : rules.commonRefusalMs;
+		const durationMs = firstMs * (rules.refusalGrowth ** Math.max(0, crashes.length - rules.crashesToRefuse));
+		const lastAt = Math.max(...crashes.map(crash => crash.receivedAt));
+		return lastAt + (Number.isFinite(durationMs) ? Math.min(durationMs, MAXIMUM_REFUSAL_MS) : durationMs);
+	}
+
+	function isRefused(fingerprint: string, now: number): boolean {
+		return isGuilty(fingerprint) && now < refusedUntil(fingerprint);
 	}
 
 	function trim(now: number): void {
-		const old = [...entryByCrashId.values()].filter(entry => now - entry.receivedAt > SINGLE_CRASH_RETENTION_MS && !isRefused(entry.fingerprint));
+		const old = [...entryByCrashId.values()].filter(entry => now - entry.receivedAt > SINGLE_CRASH_RETENTION_MS && !isRefused(entry.fingerprint, now));
 		const excess = [...entryByCrashId.values()].slice(0, Math.max(0, entryByCrashId.size - MAXIMUM_CRASHES));
 		[...old, ...excess].forEach(remove);
 	}
 
-	function isNewCrash(crash: Crash): boolean {
+	function isNewCrash(crash: Crash, now: number): boolean {
 		const known = entryByCrashId.get(crash.crashId);
-		return known === undefined || (crash.acquitted && !known.acquitted && !isRefused(crash.fingerprint));
+		return known === undefined || (crash.acquitted && !known.acquitted && !isRefused(crash.fingerprint, now));
 	}
 
 	return {
 		add(crashes, now) {
-			const newCrashes = crashes.filter(isNewCrash);
+			const newCrashes = crashes.filter(crash => isNewCrash(crash, now));
 			newCrashes.forEach(crash => {
 				put(crash, now);
 			});
@@ -132,14 +171,16 @@
 		},
 		check(fingerprint, now) {
 			const crashes = crashesOf(fingerprint);
-			if (isRefused(fingerprint)) {
-				return err(createNotRun('suspect', {step: 'check suspects', peer: 'self'}, `${crashes.length} backend servers crashed while running this request`));
+			if (isRefused(fingerprint, now)) {
+				const remainingMs = refusedUntil(fingerprint) - now;
+				const message = `${crashes.length} backend servers crashed while running this request`;
+				return err(createNotRun('suspect', {step: 'check suspects', peer: 'self'}, message, Number.isFinite(remainingMs) ? remainingMs : undefined));
 			}
 
-			return ok(crashes.some(crash => now - crash.receivedAt < ISOLATION_PERIOD_MS) ? 'alone' : 'shared');
+			return ok(rules.isolatesSuspects && crashes.some(crash => now - crash.receivedAt < ISOLATION_PERIOD_MS) ? 'alone' : 'shared');
 		},
 		acquit(fingerprint, now) {
-			if (isRefused(fingerprint)) {
+			if (isRefused(fingerprint, now)) {
 				return [];
 			}
 
@@ -149,6 +190,8 @@
 			});
 			return cleared;
 		},
+		find: fingerprint => [...crashIdsByFingerprint.get(fingerprint) ?? []].flatMap(crashId => entryByCrashId.get(crashId) ?? []).map(toCrash),
+		isEmpty: () => entryByCrashId.size === 0,
 		recent: count => [...entryByCrashId.values()].slice(-count).map(toCrash),
 		list: () => [...entryByCrashId.values()].map(toCrash),
 	};
--- a/src/requests/node/suspect-guard.ts
+++ b/src/requests/node/suspect-guard.ts
@@ -5,9 +5,10 @@
 import type {Loop} from '../../kernel/common/loop.js';
 import type {LoadReport} from '../../adapters/common/engine.js';
 import type {BackendServer} from '../../routing/common/router.js';
-import type {Crash, SuspectTable} from '../common/suspect-table.js';
+import type {SuspectTable} from '../common/suspect-table.js';
 import type {SuspectGuard} from '../common/suspect-guard.js';
 import type {SuspectTransport} from '../common/suspect-transport.js';
+import {createSuspectLedger} from './suspect-ledger.js';
 
 /** Dependencies of a suspect guard. */
 export type SuspectGuardDependencies = {
@@ -21,23 +22,14 @@
 	readonly loop: Loop;
 };
 
-/** Number of newest crashes in one gossip message, which must stay small. */
-const MAXIMUM_RUMOR_CRASHES = 4;
 const IDLE_POLL_MS = 100;
 /** Time after which waiting for a reserved server to become idle ends. */
 const MAXIMUM_IDLE_WAIT_MS = 8000;
 
 /** Creates the guard of a daemon. */
 export function createSuspectGuard(dependencies: SuspectGuardDependencies): SuspectGuard {
-	const {table, transport, probe, nextCrashId, clock, loop} = dependencies;
-
-	async function publishCrashes(crashes: readonly Crash[]): Promise<void> {
-		transport.spread(table.recent(MAXIMUM_RUMOR_CRASHES));
-		const isAccepted = await transport.report(crashes);
-		if (!isAccepted) {
-			await transport.announce(crashes);
-		}
-	}
+	const {transport, probe, nextCrashId, clock, loop} = dependencies;
+	const ledger = createSuspectLedger(dependencies);
 
 	/**
 	 * A broken connection alone may be a network fault. The server has crashed if it then refuses connections, or if its
@@ -70,7 +62,8 @@
 	}
 
 	return {
-		check: table.check,
+		check: ledger.check,
+		recordCompleted: ledger.recordCompleted,
 		async isolate(server, deadline) {
 			await transport.reserve(server.id);
 			const reservedAt = clock.monotonic();
@@ -82,17 +75,9 @@
 				return;
 			}
 
-			const crash = {
+			await ledger.recordCrash({
 				fingerprint, crashId: nextCrashId(), serverId: server.id, at: clock.wall(), alone: isolation === 'alone', acquitted: false,
-			};
-			table.add([crash], now);
-			await publishCrashes([crash]);
-		},
-		recordCompleted(fingerprint, now) {
-			const cleared = table.acquit(fingerprint, now);
-			if (cleared.length > 0) {
-				void publishCrashes(cleared);
-			}
+			}, now);
 		},
 	};
 }
--- a/src/requests/node/suspect-owner.ts
+++ b/src/requests/node/suspect-owner.ts
@@ -1,9 +1,9 @@
 /** Stores the crashes of the shards that this daemon owns, and reads those that other owners have stored. */
-import {z} from 'zod';
 import type {Clock} from '../../base/common/clock.js';
 import {shardOf} from '../../leases/common/shards.js';
 import {writeSettled} from '../../adapters/common/settled-write.js';
 import type {Store, StoredObject, WriteId} from '../../adapters/common/store.js';
+import {suspectRecord} from '../common/suspect-record.js';
 import type {Crash, SuspectTable} from '../common/suspect-table.js';
 
 /** The owner's interface for suspects. */
@@ -25,12 +25,6 @@
 	readonly nextWriteId: () => WriteId;
 };
 
-const suspectRecord = z.object({
-	crashes: z.array(z.object({
-		fingerprint: z.string(), crashId: z.string(), acquitted: z.boolean(), serverId: z.string(), at: z.number(), alone: z.boolean().default(false),
-	})).readonly(),
-});
-
 /** Maximum number of crashes in one object; the oldest are dropped first. */
 const MAXIMUM_CRASHES_PER_OBJECT = 4000;
 
--- a/src/requests/test/suspects.test.ts
+++ b/src/requests/test/suspects.test.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert';
 import {createSeededRandom} from '../../../test/fakes/virtual-loop.js';
 import type {Random} from '../../base/common/random.js';
-import {createSuspectTable, type Crash} from '../common/suspect-table.js';
+import {createSuspectTable, type Crash, type SuspectRules} from '../common/suspect-table.js';
 import {permissiveGuard} from '../common/suspect-guard.js';
 import {POISON} from './harness/suspect-servers.js';
 import {
@@ -119,4 +119,34 @@
 	assert.is(table.check('f', 700_000)._unsafeUnwrap(), 'shared');
 });
 
+const endingRules: SuspectRules = {
+	crashesToRefuse: 3, isolatesSuspects: false, refusalMs: 60_000, commonRefusalMs: 5000, refusalGrowth: 4,
+};
+
+test('a refusal that ends is longer after each further crash, and a completed request is cleared of all crashes', () => {
+	const table = createSuspectTable(endingRules);
+	table.add(['1', '2', '3'].map(id => crash('f', id)), 0);
+	assert.is(table.check('f', 59_999)._unsafeUnwrapErr().retryAfterMs, 1);
+	assert.is(table.check('f', 60_000)._unsafeUnwrap(), 'shared');
+	table.add([crash('f', '4')], 61_000);
+	assert.ok(table.check('f', 300_999).isErr());
+	assert.ok(table.check('f', 301_000).isOk());
+	assert.is(table.acquit('f', 301_001).length, 4);
+	table.add([crash('f', '5')], 302_000);
+	assert.ok(table.check('f', 302_001).isOk());
+});
+
+test('crashes at a time when other servers crashed as well refuse a request for less long', () => {
+	const table = createSuspectTable(endingRules);
+	table.add([{...crash('f', '1'), isCommon: true}, {...crash('f', '2'), isCommon: true}, crash('f', '3')], 0);
+	assert.ok(table.check('f', 4999).isErr());
+	assert.ok(table.check('f', 5000).isOk());
+});
+
+test('crashes under many requests keep the table bounded', () => {
+	const table = createSuspectTable(endingRules);
+	table.add(Array.from({length: 12_000}, (_, index) => crash(`f${index}`, `${index}`)), 0);
+	assert.is(table.list().length, 10_000);
+});
+
 test.run();
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -1,16 +1,26 @@
 /** Simulates daemons that forward requests to servers, some of which crash under certain requests or for other reasons, in virtual time. */
+import type {ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../src/base/common/failure.js';
+import {joinDisposables} from '../../src/base/common/disposable.js';
 import type {Route} from '../../src/gateway/common/deployment.js';
+import {permissiveRequestGuard} from '../../src/gateway/common/request-guard.js';
+import type {ResponseHead, ServerProtocol} from '../../src/gateway/common/server-protocol.js';
 import {createServerView, type ServerEntry, type ServerView} from '../../src/gateway/common/server-view.js';
+import {hostedSuspectRules} from '../../src/gateway/common/suspect-rules.js';
 import {createCrashDetector} from '../../src/gateway/node/crash-detector.js';
-import {createForwarder, type Forwarder} from '../../src/gateway/node/forwarder.js';
+import {createForwarder, type Forwarder, type PlainRequest} from '../../src/gateway/node/forwarder.js';
 import {createRequestGuard} from '../../src/gateway/node/request-guard.js';
 import {createServerAcquisition} from '../../src/gateway/node/server-acquisition.js';
-import type {BackendResponse, ServerCaller} from '../../src/gateway/node/server-caller.js';
+import type {AttemptOptions, BackendResponse, ServerCaller} from '../../src/gateway/node/server-caller.js';
+import {createStreamForwarder, type StreamForwarder} from '../../src/gateway/node/stream-forwarder.js';
+import {createSuspectExchange} from '../../src/gateway/node/suspect-exchange.js';
+import {createSuspectObjects} from '../../src/gateway/node/suspect-objects.js';
 import {silentLog} from '../../src/kernel/common/log.js';
 import {silentMetrics} from '../../src/kernel/common/metrics.js';
 import {unlimitedPermits} from '../../src/limits/common/server-permits.js';
+import {createSuspectTable, type SuspectTable} from '../../src/requests/common/suspect-table.js';
+import {createSuspectLedger} from '../../src/requests/node/suspect-ledger.js';
 import {createDispatcher} from '../../src/routing/common/dispatcher.js';
 import {createLoadEstimate} from '../../src/routing/common/load-estimate.js';
 import {createPrefixIndex} from '../../src/routing/common/prefix-index.js';
@@ -24,7 +34,7 @@
 	readonly content: string;
 	readonly sentAt: number;
 	readonly answeredAt: number;
-	readonly result: Result<BackendResponse, Failure>;
+	readonly result: Result<unknown, Failure>;
 };
 
 /** The simulation. */
@@ -43,7 +53,8 @@
 type FleetDaemon = {
 	readonly view: ServerView;
 	readonly forwarder: Forwarder;
-	readonly startedAt: number;
+	readonly streams: StreamForwarder;
+	readonly table: SuspectTable;
 	readonly end: () => void;
 };
 
@@ -55,6 +66,16 @@
 const CALLER_DEADLINE_MS = 2500;
 const SLOTS = 6;
 
+/** The streams of the simulation have no events. */
+const eventlessProtocol = {createEventReader: () => ({feed: () => undefined})} as unknown as ServerProtocol;
+
+function createResponse(): ServerResponse {
+	const ignore = () => undefined;
+	return {
+		writableLength: 0, writeHead: ignore, flushHeaders: ignore, write: ignore, end: ignore, destroy: ignore,
+	} as unknown as ServerResponse;
+}
+
 /** Creates the simulation with running daemons and servers. With `isGuarded` false, daemons take no notice of crashes. */
 export function createCrashingFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number; readonly attempts?: number; readonly isGuarded?: boolean}) {
 	const random = createSeededRandom(options.seed);
@@ -73,7 +94,7 @@
 	const arrivals: CrashArrival[] = [];
 	const crashes: SeenCrash[] = [];
 	const answers: CrashAnswer[] = [];
-	const disturbances: Array<{readonly daemon: string; readonly from: number; until: number}> = [];
+	const disturbances: Array<{readonly daemon: string; readonly from: number; readonly until: number}> = [];
 	let requestCount = 0;
 	let runCount = 0;
 
@@ -108,7 +129,7 @@
 		});
 	}
 
-	async function run(server: FleetServer, daemon: string, content: string, requestId: string): Promise<Result<BackendResponse, Failure>> {
+	async function run(server: FleetServer, daemon: string, content: string, {requestId, onHead}: {readonly requestId: string; readonly onHead: AttemptOptions['onHead']}): Promise<Result<BackendResponse, Failure>> {
 		const origin = {step: 'call backend server', peer: server.id};
 		await loop.sleep(LATENCY_MS);
 		if (!server.isUp) {
@@ -133,10 +154,12 @@
 
 			loop.after(WORK_MS * (0.7 + (0.6 * random())), () => {
 				server.running.delete(breakRun);
+				const head: ResponseHead = {
+					status: 200, requestId, isNotRun: false, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: undefined, signature: 'sig', version: undefined,
+				};
+				onHead?.(head, {});
 				resolve(ok({
-					status: 200, headers: {}, body: new Uint8Array(), head: {
-						status: 200, requestId, isNotRun: false, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: undefined, signature: 'sig', version: undefined,
-					},
+					status: 200, headers: {}, body: new Uint8Array(), head,
 				}));
 			});
 		});
@@ -147,18 +170,24 @@
 		const view = createServerView(() => 'r');
 		view.update(servers.map(toEntry), clock.monotonic());
 		const loads = createLoadEstimate(() => SLOTS);
-		network.join(name, String(runCount));
+		const mesh = network.join(name, String(runCount));
+		const table = createSuspectTable(hostedSuspectRules);
+		const exchange = createSuspectExchange({
+			table, rules: hostedSuspectRules, mesh, clock, loop, random, log: silentLog, objects: createSuspectObjects({api: objects.open(name), loop, log: silentLog}),
+		});
 		const detector = createCrashDetector({
 			view, clock, loop, log: silentLog, metrics: silentMetrics, probe: async ({address}) => (servers.find(server => server.id === address)?.isUp === true ? 'open' : 'refused'),
 		});
-		const guard = createRequestGuard({
-			detector, clock, log: silentLog, metrics: silentMetrics,
-		});
+		const guard = options.isGuarded === false
+			? permissiveRequestGuard
+			: createRequestGuard({
+				detector, table, ledger: createSuspectLedger({table, transport: exchange}), clock, loop, log: silentLog, metrics: silentMetrics,
+			});
 		const caller: ServerCaller = {
-			attempt: async (target, request, attempt) => run(servers.find(server => server.id === target.id)!, name, request.path, attempt.requestId),
+			attempt: async (target, request, attempt, {onHead}) => run(servers.find(server => server.id === target.id)!, name, request.path, {requestId: attempt.requestId, onHead}),
 			close: () => undefined,
 		};
-		const forwarder = createForwarder({
+		const dependencies = {
 			clock,
 			loop,
 			random,
@@ -175,9 +204,9 @@
 			dispatcher: createDispatcher({
 				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, isReservedElsewhere: () => false,
 			}),
-		});
+		};
 		daemons.set(name, {
-			view, forwarder, startedAt: clock.monotonic(), end: detector.dispose,
+			view, forwarder: createForwarder(dependencies), streams: createStreamForwarder({...dependencies, protocol: eventlessProtocol}), table, end: joinDisposables([detector, exchange]).dispose,
 		});
 	}
 
@@ -195,7 +224,7 @@
 		});
 	}
 
-	async function send(content: string, name = names[Math.floor(random() * names.length)]!): Promise<CrashAnswer | undefined> {
+	async function send(content: string, name = names[Math.floor(random() * names.length)]!, kind: 'plain' | 'exempt' | 'stream' = 'plain'): Promise<CrashAnswer | undefined> {
 		const daemon = daemons.get(name);
 		if (daemon === undefined) {
 			return undefined;
@@ -203,9 +232,11 @@
 
 		requestCount += 1;
 		const sentAt = clock.monotonic();
-		const result = await daemon.forwarder.forward({
-			requestId: `q${requestCount}`, method: 'POST', path: content, headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: new AbortController().signal, urgency: undefined, permitUrgency: 'caller', fingerprint: () => content,
-		});
+		const request: PlainRequest = {
+			requestId: `q${requestCount}`, method: 'POST', path: content, headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: new AbortController().signal, urgency: undefined, permitUrgency: 'caller', fingerprint: kind === 'exempt' ? undefined : () => content,
+		};
+		const failure = kind === 'stream' ? await daemon.streams.forward({...request, route: {...route, repeatability: 'stream', canResume: true}}, createResponse(), false) : undefined;
+		const result = kind === 'stream' ? (failure === undefined ? ok() : err(failure)) : await daemon.forwarder.forward(request);
 		const answer = {
 			content, sentAt, answeredAt: clock.monotonic(), result,
 		};
@@ -214,10 +245,11 @@
 	}
 
 	return {
-		time, network, objects, names, servers, arrivals, crashes, answers, random, crash, send,
+		time, network, daemons, objects, names, servers, arrivals, crashes, answers, random, crash, send,
 		/** Kills daemons at once and starts them again, without any memory. */
 		restart(affected: readonly string[], downMs: number) {
 			affected.forEach(name => {
+				disturbances.push({daemon: name, from: clock.monotonic(), until: clock.monotonic() + downMs});
 				network.kill(name);
 				daemons.get(name)?.end();
 				daemons.delete(name);
@@ -235,9 +267,7 @@
 			disturb(affected, network.unresponsive, durationMs);
 		},
 		isInTouch(name: string, at: number) {
-			const daemon = daemons.get(name);
-			const isDisturbed = disturbances.some(disturbance => disturbance.daemon === name && disturbance.from <= at && at < disturbance.until + STABLE_MS);
-			return daemon !== undefined && at - daemon.startedAt >= STABLE_MS && !isDisturbed;
+			return !disturbances.some(disturbance => disturbance.daemon === name && disturbance.from <= at && at < disturbance.until + STABLE_MS);
 		},
 	};
 }
