--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -290,6 +290,7 @@
 			itemId: item.id,
 			serverId: chosen.value.server.id,
 			version: view.versionOf(chosen.value.server.id, batch.model),
+			softwareVersion: view.find(chosen.value.server.id)?.softwareVersion,
 			load: loads.read(chosen.value.server.id, startedAt).likelyRequests,
 			msPerEvent: Math.round(eventIntervals.intervalOf(chosen.value.server.id, startedAt) ?? 0),
 			after: progress.lastEventId(),
--- a/src/gateway/common/server-view.ts
+++ b/src/gateway/common/server-view.ts
@@ -22,6 +22,8 @@
 	readonly sequence: number | undefined;
 	/** Unix time of the server's start in milliseconds; undefined when the server does not report it. */
 	readonly startedAt: number | undefined;
+	/** Version of the server's software; undefined in entries from daemons of builds that do not know it. */
+	readonly softwareVersion?: string | undefined;
 };
 
 /** One daemon's view of the backend servers. */
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -117,7 +117,7 @@
 		...context, dispatcher, loads, caller, acquisition, guard, serverIdsOf, configurationVersion: () => deployment.current()?.version,
 	});
 	const streams = createStreamForwarder({
-		...context, dispatcher, caller, acquisition, guard, serverIdsOf, protocol,
+		...context, dispatcher, caller, acquisition, guard, serverIdsOf, protocol, softwareVersionOf: serverId => view.find(serverId)?.softwareVersion,
 	});
 	return {
 		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements, permits, detector, exchange,
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -13,6 +13,7 @@
 import {createRetryBudget} from '../../requests/common/retry-budget.js';
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
 import {choosePool, type Route} from '../common/deployment.js';
+import type {Resumption} from '../common/stream-origin.js';
 import {createFailureRates} from '../common/failure-rates.js';
 import {
 	classifyOutcome, decideAfterAttempt, isNotRun, type AttemptEnd,
@@ -36,6 +37,8 @@
 	readonly waitingSince?: number;
 	/** Computes the fingerprint of the content; undefined for requests that never count as the cause of a crash. */
 	readonly fingerprint: (() => string) | undefined;
+	/** Set when the caller continues a stream. */
+	readonly resumption?: Resumption;
 };
 
 /** Forwards plain requests. */
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -33,6 +33,8 @@
 	readonly guard: RequestGuard;
 	/** Ids of the servers of a pool. */
 	readonly serverIdsOf: (pool: string) => readonly string[];
+	/** Version of a server's software, as its entry states it. */
+	readonly softwareVersionOf: (serverId: string) => string | undefined;
 	readonly protocol: ServerProtocol;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -126,6 +128,10 @@
 		}, request.route.canResume);
 		const resumeAfter = state.lastEventId === undefined ? {} : {resumeAfter: String(state.lastEventId)};
 		const endAttempt = guard.begin(request, chosen.server.id);
+		const softwareVersion = dependencies.softwareVersionOf(chosen.server.id);
+		log.info('stream sent to server', {
+			requestId: request.requestId, serverId: chosen.server.id, softwareVersion, after: state.lastEventId, resumes: request.resumption?.firstRequestId,
+		});
 		const answered = await caller.attempt(chosen.server, request, {
 			requestId: request.requestId, remainingMs, serverId: chosen.server.id, ...(request.urgency !== undefined && {urgency: request.urgency}), ...resumeAfter,
 		}, {
@@ -170,7 +176,7 @@
 		}, failure => {
 			chosen.end(clock.monotonic(), failure.code === 'aborted' ? 'cancelled' : 'died');
 			log.info('stream broke', {
-				requestId: request.requestId, serverId: chosen.server.id, lastEventId: state.lastEventId, reason: failure.message, effect: failure.effect,
+				requestId: request.requestId, serverId: chosen.server.id, softwareVersion, lastEventId: state.lastEventId, reason: failure.message, effect: failure.effect,
 			});
 			state.mayHaveRun ||= failure.effect === 'outcomeUnknown';
 			return failure.effect === 'notRun' || request.route.canResume ? 'next' : 'stop';
--- a/src/hosting/common/caller-protocol.ts
+++ b/src/hosting/common/caller-protocol.ts
@@ -2,13 +2,14 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {createServiceKey} from '../../kernel/common/contribution.js';
 import type {Batch, ResultPage} from '../../batches/common/batch.js';
+import type {Resumption} from '../../gateway/common/stream-origin.js';
 
 /** A decoded request of a caller. */
 export type CallerRequest
 	= | {readonly type: 'batchRead'; readonly batchId: string; readonly after: number; readonly waitMs: number}
 		| {readonly type: 'batchBody'; readonly batchId: string; readonly itemId: string}
 		| {readonly type: 'batchEnd'; readonly batchId: string}
-		| {readonly type: 'forward'; readonly requestId: string; readonly deadlineMs: number | undefined; readonly host: string};
+		| {readonly type: 'forward'; readonly requestId: string; readonly deadlineMs: number | undefined; readonly host: string; readonly resumption?: Resumption};
 
 /** The protocol to callers. */
 export abstract class CallerProtocol {
--- a/src/hosting/node/caller-server.ts
+++ b/src/hosting/node/caller-server.ts
@@ -199,6 +199,7 @@
 			signal,
 			urgency: Math.min(route.priority, 9),
 			permitUrgency: 'caller' as const,
+			...(call.resumption !== undefined && {resumption: call.resumption}),
 		};
 		if (route.repeatability === 'stream') {
 			const failure = await streams.forward(plainRequest, response, isDraining);
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -206,7 +206,7 @@
 			}),
 		};
 		daemons.set(name, {
-			view, forwarder: createForwarder(dependencies), streams: createStreamForwarder({...dependencies, protocol: eventlessProtocol}), table, end: joinDisposables([detector, exchange]).dispose,
+			view, forwarder: createForwarder(dependencies), streams: createStreamForwarder({...dependencies, protocol: eventlessProtocol, softwareVersionOf: () => 'v1'}), table, end: joinDisposables([detector, exchange]).dispose,
 		});
 	}
 
