Continue streams only at the software version that began them, over attempts, daemons and their restarts

What users saw: streams held events of two software versions, within one answer and after callers had taken them up again; after all daemons were killed many were joined, with nothing to show it.

Cause: no daemon read a server's software version, so a stream went on at any server of its route, and nobody knew where a stream had begun. Class of fault: servers taken as interchangeable.

An assignment of versions by the request's id was weighed and left: its changes make streams doubtful (docs/design/software-versions.md).

Change: each pool has a stored base version; a stream at another version is recorded before it is sent. Continuations within an answer and take-ups use servers of that version, or are refused at once. A daemon whose feed source is of the build before reads the store itself.

Why it works: a version is known from the store before the first event can be seen, and a stream without a record can only be of the base.

--- a/src/gateway/common/deployment.ts
+++ b/src/gateway/common/deployment.ts
@@ -132,3 +132,9 @@
 	const index = sums.findIndex(sum => point < sum);
 	return (route.pools[index] ?? route.pools.at(-1))?.pool;
 }
+
+/** Lists the pools of routes whose streams another server may continue. */
+export function listResumablePools(deployment: Deployment | undefined): readonly string[] {
+	const routes = deployment?.routes.filter(route => route.repeatability === 'stream' && route.canResume) ?? [];
+	return [...new Set(routes.flatMap(route => route.pools.map(({pool}) => pool)))];
+}
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -16,7 +16,7 @@
 import {createLoadEstimate} from '../routing/common/load-estimate.js';
 import {createPrefixIndex} from '../routing/common/prefix-index.js';
 import {hostKey} from '../settings/common/host.js';
-import {createDeploymentHolder, type DeploymentHolder} from './common/deployment.js';
+import {createDeploymentHolder, listResumablePools, type DeploymentHolder} from './common/deployment.js';
 import {deploymentSourceKey} from './common/deployment-source.js';
 import {hostedSuspectRules} from './common/suspect-rules.js';
 import {serverProtocolKey} from './common/server-protocol.js';
@@ -31,6 +31,7 @@
 import {createRequestGuard} from './node/request-guard.js';
 import {createServerAcquisition} from './node/server-acquisition.js';
 import {createServerCaller, type ServerCaller} from './node/server-caller.js';
+import {createStreamRecords, type StreamRecords} from './node/stream-records.js';
 import {createStreamForwarder, type StreamForwarder} from './node/stream-forwarder.js';
 
 /** The gateway of one daemon. */
@@ -48,6 +49,7 @@
 	readonly permits: ServerPermits & Disposable;
 	readonly detector: CrashDetector;
 	readonly exchange: SuspectExchange;
+	readonly records: StreamRecords;
 };
 
 /** Service key of the daemon's gateway. */
@@ -116,11 +118,20 @@
 	const forwarder = createForwarder({
 		...context, dispatcher, loads, caller, acquisition, guard, serverIdsOf, configurationVersion: () => deployment.current()?.version,
 	});
+	const records = createStreamRecords({
+		...context,
+		view,
+		api: context.use(objectApiKey),
+		mesh: context.use(peerMeshKey),
+		resumablePools: () => listResumablePools(deployment.current()),
+	});
+	// The entry of a run that has crashed says nothing about the run that follows it under the same id.
+	const findServer = (serverId: string) => (detector.hasCrashed(detector.currentRun(serverId)) ? undefined : view.find(serverId));
 	const streams = createStreamForwarder({
-		...context, dispatcher, caller, acquisition, guard, serverIdsOf, protocol, softwareVersionOf: serverId => view.find(serverId)?.softwareVersion,
+		...context, dispatcher, caller, acquisition, guard, records, serverIdsOf, protocol, findServer,
 	});
 	return {
-		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements, permits, detector, exchange,
+		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements, permits, detector, exchange, records,
 	};
 }
 
@@ -215,6 +226,7 @@
 				gateway.permits,
 				gateway.detector,
 				gateway.exchange,
+				gateway.records,
 				context.loop.every({name: 'expire servers', periodMs: EXPIRY_CHECK_MS, run: gateway.view.expire}),
 				context.loop.every({
 					name: 'use of limited servers',
--- a/src/gateway/node/crash-detector.ts
+++ b/src/gateway/node/crash-detector.ts
@@ -17,6 +17,8 @@
 	readonly inspect: (run: ServerRun) => Promise<boolean>;
 	/** Resolves with whether the run has crashed once its entry shows it, or with false when `VERDICT_TIMEOUT_MS` has passed. */
 	readonly awaitVerdict: (run: ServerRun) => Promise<boolean>;
+	/** Whether the run is known to have crashed. */
+	readonly hasCrashed: (run: ServerRun) => boolean;
 	/** The runs of other servers that crashed at about the same time, as keys. */
 	readonly listRecentCrashes: (run: ServerRun, now: number) => readonly string[];
 };
@@ -142,6 +144,7 @@
 				waiters.set(key, waiter);
 			});
 		},
+		hasCrashed: run => crashedAtByRun.has(keyOfRun(run)),
 		listRecentCrashes: (run, now) => [...crashedAtByRun].filter(([key, at]) => key !== keyOfRun(run) && now - at < COMMON_CRASH_WINDOW_MS).map(([key]) => key),
 		dispose() {
 			[...waiters.keys()].forEach(key => {
--- a/src/gateway/node/feed.ts
+++ b/src/gateway/node/feed.ts
@@ -228,6 +228,16 @@
 		}
 	}
 
+	/** Whether the source states software versions. Without them, which a daemon of an earlier build leaves out, no stream can be continued. */
+	function isComplete(from: PeerDaemon): boolean {
+		const isVersioned = [...received?.entries.values() ?? []].every(entry => entry.softwareVersion !== undefined);
+		if (!isVersioned) {
+			log.info('feed source does not state software versions', {source: from.name});
+		}
+
+		return isVersioned;
+	}
+
 	function applyResponse(from: PeerDaemon, response: FeedResponse): void {
 		const entryById = received?.name === from.name && received.incarnation === response.incarnation && !response.delta.isWhole ? received.entries : new Map<string, ServerEntry>();
 		response.delta.entries.forEach(entry => {
@@ -249,7 +259,9 @@
 		if (isFresh(confirmedAt, now, dependencies.drainMs)) {
 			deployment.confirm(confirmedAt);
 			view.recordConnectivity(true, now);
-			view.update([...entryById.values()], now);
+			if (isComplete(from)) {
+				view.update([...entryById.values()], now);
+			}
 		}
 	}
 
@@ -277,7 +289,7 @@
 		// The body was written by the handler above.
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 		applyResponse(from, replied.value.body as FeedResponse);
-		if (isFresh(confirmedAt, now, dependencies.drainMs)) {
+		if (isComplete(from) && isFresh(confirmedAt, now, dependencies.drainMs)) {
 			failures.recordSuccess(from.name);
 			stopStoreFollower(from.name);
 		} else {
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -1,6 +1,6 @@
 /** Forwards streams as their bytes arrive. A stream that has begun is continued from another server only if the route allows resuming. */
 import type {ServerResponse} from 'node:http';
-import {err, type Result} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import {
 	createNotRun, createOutcomeUnknown, wrapFailure, type Failure,
 } from '../../base/common/failure.js';
@@ -15,9 +15,12 @@
 import {choosePool} from '../common/deployment.js';
 import type {RequestGuard} from '../common/request-guard.js';
 import type {ServerProtocol} from '../common/server-protocol.js';
+import type {ServerEntry} from '../common/server-view.js';
+import {allowsServer, type Resumption, type StreamOrigin} from '../common/stream-origin.js';
 import type {PlainRequest} from './forwarder.js';
 import type {ServerAcquisition} from './server-acquisition.js';
 import type {ServerCaller} from './server-caller.js';
+import type {StreamRecords} from './stream-records.js';
 
 /** Forwards streams. */
 export type StreamForwarder = {
@@ -33,8 +36,9 @@
 	readonly guard: RequestGuard;
 	/** Ids of the servers of a pool. */
 	readonly serverIdsOf: (pool: string) => readonly string[];
-	/** Version of a server's software, as its entry states it. */
-	readonly softwareVersionOf: (serverId: string) => string | undefined;
+	readonly records: Pick<StreamRecords, 'baseOf' | 'findOrigin' | 'isServing' | 'prefersBase' | 'recordBegin' | 'recordComplete'>;
+	/** Pool and software version of a server, as its entry states them. */
+	readonly findServer: (serverId: string) => Pick<ServerEntry, 'pool' | 'softwareVersion'> | undefined;
 	readonly protocol: ServerProtocol;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -55,6 +59,8 @@
 	/** Id of the last complete event that was sent to the caller. */
 	lastEventId: number | undefined;
 	hasBegun: boolean;
+	/** The servers at which the stream may go on, once its first event was sent; undefined for streams that can't be continued. */
+	origin: StreamOrigin | undefined;
 	/** Whether a server may have begun to run the request. */
 	mayHaveRun: boolean;
 	/** Why the stream was not accepted, if that is known before it is sent. */
@@ -67,12 +73,23 @@
 /** Creates the forwarder. */
 export function createStreamForwarder(dependencies: StreamForwarderDependencies): StreamForwarder {
 	const {
-		dispatcher, caller, acquisition, guard, protocol, clock, random, log,
+		dispatcher, caller, acquisition, guard, records, findServer, protocol, clock, random, log,
 	} = dependencies;
 
+	/** Lists the servers of a pool that may get the stream. */
+	function listServers(pool: string, request: PlainRequest, state: StreamState, now: number): readonly string[] {
+		const begunAt = state.origin;
+		const origin: StreamOrigin | undefined = begunAt ?? (request.route.canResume && records.prefersBase(pool, now) ? {kind: 'base'} : undefined);
+		return dependencies.serverIdsOf(pool).filter(serverId => {
+			const server = findServer(serverId);
+			return origin === undefined || (server !== undefined && allowsServer(origin, server, records.baseOf));
+		});
+	}
+
 	async function acquireServer(request: PlainRequest, state: StreamState): Promise<Result<Dispatch, Failure>> {
 		const dispatch = (allowed: readonly string[], now: number): Result<Dispatch, Failure> => {
-			const pool = choosePool(request.route, random());
+			// Only a pool of the stream's own version can continue it.
+			const pool = state.origin?.kind === 'version' ? state.origin.pool : choosePool(request.route, random());
 			return pool === undefined
 				? err(createNotRun('unavailable', {step: 'choose pool', peer: request.route.name}, 'the route has no pools', RETRY_AFTER_MS))
 				: dispatcher.dispatch({
@@ -81,7 +98,7 @@
 		};
 
 		return acquisition.acquire({
-			serverIds: () => request.route.pools.flatMap(({pool}) => dependencies.serverIdsOf(pool)),
+			serverIds: () => request.route.pools.flatMap(({pool}) => listServers(pool, request, state, clock.monotonic())),
 			dispatch,
 			urgency: request.permitUrgency,
 			arrivedAt: state.arrivedAt,
@@ -93,10 +110,23 @@
 	async function acquireUnlessRefused(request: PlainRequest, state: StreamState): Promise<Result<Dispatch, Failure>> {
 		const refusal = guard.check(request, clock.monotonic());
 		const acquired = refusal.isErr() ? err(refusal.error) : await acquireServer(request, state);
-		return acquired.andThen(dispatch => guard.check(request, clock.monotonic()).map(() => dispatch).mapErr(failure => {
-			dispatch.end(clock.monotonic(), 'cancelled');
+		if (acquired.isErr()) {
+			return acquired;
+		}
+
+		const recorded = await recordBegin(request, state, acquired.value);
+		return recorded.andThen(() => guard.check(request, clock.monotonic())).map(() => acquired.value).mapErr(failure => {
+			acquired.value.end(clock.monotonic(), 'cancelled');
 			return failure;
-		}));
+		});
+	}
+
+	/** Records the software version at which a stream begins, so that callers can continue it. */
+	async function recordBegin(request: PlainRequest, state: StreamState, {server}: Dispatch): Promise<Result<void, Failure>> {
+		const softwareVersion = findServer(server.id)?.softwareVersion;
+		return state.origin === undefined && request.route.canResume && softwareVersion !== undefined
+			? records.recordBegin(request.requestId, server.pool, softwareVersion)
+			: ok();
 	}
 
 	async function attemptOnce(request: PlainRequest, response: ServerResponse, state: StreamState, isLast: boolean): Promise<'done' | 'next' | 'stop'> {
@@ -125,10 +155,12 @@
 			response.write(chunk);
 		}, id => {
 			state.lastEventId = id;
+			// A server of unknown version matches no other, so the stream goes on nowhere else.
+			state.origin ??= {kind: 'version', pool: chosen.server.pool, softwareVersion: softwareVersion ?? ''};
 		}, request.route.canResume);
 		const resumeAfter = state.lastEventId === undefined ? {} : {resumeAfter: String(state.lastEventId)};
 		const endAttempt = guard.begin(request, chosen.server.id);
-		const softwareVersion = dependencies.softwareVersionOf(chosen.server.id);
+		const {softwareVersion} = findServer(chosen.server.id) ?? {};
 		log.info('stream sent to server', {
 			requestId: request.requestId, serverId: chosen.server.id, softwareVersion, after: state.lastEventId, resumes: request.resumption?.firstRequestId,
 		});
@@ -157,6 +189,7 @@
 		return answered.match(backendResponse => {
 			chosen.end(clock.monotonic(), backendResponse.head.isOtherServer ? 'refused' : (backendResponse.head.isNotRun ? 'cancelled' : 'done'));
 			if (backendResponse.status === 200) {
+				records.recordComplete(request.requestId);
 				response.end();
 				return 'done';
 			}
@@ -183,6 +216,22 @@
 		});
 	}
 
+	/** Finds the servers at which the caller may continue its stream; fails at once when there are none. */
+	async function findOrigin(request: PlainRequest, resumption: Resumption): Promise<Result<StreamOrigin | undefined, Failure>> {
+		const pools = request.route.pools.map(({pool}) => pool);
+		const found = await records.findOrigin(resumption, pools);
+		log.info('stream is taken up', {requestId: request.requestId, resumes: resumption.firstRequestId, ...found.match(origin => ({origin}), failure => ({reason: failure.message}))});
+		return found.andThen<StreamOrigin | undefined, Failure>(origin => {
+			const hasServers = pools.some(pool => dependencies.serverIdsOf(pool).some(serverId => {
+				const server = findServer(serverId);
+				return server !== undefined && allowsServer(origin, server, records.baseOf);
+			}));
+			return hasServers
+				? ok(origin)
+				: err(createNotRun('unavailable', {step: 'forward stream', peer: request.route.name}, 'no backend server of the software version that began the stream is left', RETRY_AFTER_MS));
+		});
+	}
+
 	async function forwardWithRetries(request: PlainRequest, response: ServerResponse, state: StreamState, isLast: boolean): Promise<Failure | undefined> {
 		const outcome = await attemptOnce(request, response, state, isLast);
 		if (outcome === 'done' || request.signal.aborted) {
@@ -212,8 +261,15 @@
 
 	return {
 		async forward(request, response, isLast) {
+			const origin = request.resumption !== undefined && request.route.canResume
+				? await findOrigin(request, request.resumption)
+				: ok<StreamOrigin | undefined, Failure>(undefined);
+			if (origin.isErr()) {
+				return origin.error;
+			}
+
 			return forwardWithRetries(request, response, {
-				triedServers: [], lastEventId: undefined, hasBegun: false, mayHaveRun: false, refusal: undefined, arrivedAt: clock.monotonic(), verdict: Promise.resolve(),
+				triedServers: [], lastEventId: undefined, origin: origin.value, hasBegun: false, mayHaveRun: false, refusal: undefined, arrivedAt: clock.monotonic(), verdict: Promise.resolve(),
 			}, isLast);
 		},
 	};
--- a/src/gateway/test/feed.test.ts
+++ b/src/gateway/test/feed.test.ts
@@ -19,11 +19,12 @@
 
 function entry(id: string, more: Partial<ServerEntry> = {}): ServerEntry {
 	return {
-		id, pool: 'p', address: id, port: 1, availabilityZone: 'z', slots: 8, isLeaving: false, versions: new Map(), sequence: 1, startedAt: 1, ...more,
+		id, pool: 'p', address: id, port: 1, availabilityZone: 'z', slots: 8, isLeaving: false, versions: new Map(), sequence: 1, startedAt: 1, softwareVersion: 'v1', ...more,
 	};
 }
 
-function createWorld(names: readonly string[]) {
+/** Creates daemons that follow the store or each other. Those in `earlierBuilds` send entries without software versions. */
+function createWorld(names: readonly string[], earlierBuilds: readonly string[] = []) {
 	const time = createVirtualTime();
 	const {clock, loop} = time;
 	const store = createMemoryObjects(loop);
@@ -49,7 +50,7 @@
 				followKind({
 					kind: 'servers', waitMs: 100, minimumPollIntervalMs: 1200, onObjects(objects, now) {
 						const entries = [...objects.values()].map(object => object.spec as ServerEntry);
-						feeds[0]!.recordEntries(entries);
+						feeds[0]!.recordEntries(earlierBuilds.includes(name) ? entries.map(({softwareVersion, ...rest}) => rest) : entries);
 						view.update(entries, now);
 					}, onConnectivity(isReached, now) {
 						view.recordConnectivity(isReached, now);
@@ -94,6 +95,16 @@
 	assert.ok(world.daemons.every(daemon => daemon.view.all().some(known => known.id === 's1') && daemon.deployment.current()?.version === 1));
 });
 
+['d1', 'd2', 'd3'].forEach(earlier => {
+	test(`daemons know software versions although ${earlier} is of a build that does not send them`, async () => {
+		const world = createWorld(['d1', 'd2', 'd3'], [earlier]);
+		world.store.put('servers', 's1', entry('s1'));
+		world.configure(1);
+		await world.time.advance(8000);
+		assert.ok(world.daemons.filter(daemon => daemon.name !== earlier).every(daemon => daemon.view.find('s1')?.softwareVersion === 'v1'));
+	});
+});
+
 test('all daemons know a leaving server and a new configuration within 1.6 s', async () => {
 	const world = createWorld(['d1', 'd2', 'd3', 'd4']);
 	world.store.put('servers', 's1', entry('s1'));
--- a/test/checkers/stream-checker.ts
+++ b/test/checkers/stream-checker.ts
@@ -5,6 +5,7 @@
 	readonly streamId: string;
 	readonly daemon: string;
 	readonly sentAt: number;
+	readonly tookMs: number;
 	/** Software version that sent the first event of the stream; undefined when the request begins the stream. */
 	readonly resumes: string | undefined;
 	/** Whether at least one event arrived. */
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -27,6 +27,7 @@
 import {STABLE_MS, type CrashArrival, type SeenCrash} from '../checkers/crash-checker.js';
 import {createMemoryObjects} from './memory-objects.js';
 import {createMeshNetwork} from './mesh-network.js';
+import {unrecordedStreams} from './versioned-fleet.js';
 import {createSeededRandom, createVirtualTime} from './virtual-loop.js';
 
 /** What a caller got. */
@@ -206,7 +207,9 @@
 			}),
 		};
 		daemons.set(name, {
-			view, forwarder: createForwarder(dependencies), streams: createStreamForwarder({...dependencies, protocol: eventlessProtocol, softwareVersionOf: () => 'v1'}), table, end: joinDisposables([detector, exchange]).dispose,
+			view, forwarder: createForwarder(dependencies), streams: createStreamForwarder({
+				...dependencies, protocol: eventlessProtocol, records: unrecordedStreams, findServer: () => ({pool: POOL, softwareVersion: 'v1'}),
+			}), table, end: joinDisposables([detector, exchange]).dispose,
 		});
 	}
 
--- a/test/fakes/versioned-fleet.ts
+++ b/test/fakes/versioned-fleet.ts
@@ -9,14 +9,17 @@
 import {createServerView, type ServerEntry} from '../../src/gateway/common/server-view.js';
 import {createServerAcquisition} from '../../src/gateway/node/server-acquisition.js';
 import type {AttemptOptions, BackendResponse, ServerCaller} from '../../src/gateway/node/server-caller.js';
-import {createStreamForwarder, type StreamForwarder} from '../../src/gateway/node/stream-forwarder.js';
+import {createStreamForwarder, type StreamForwarder, type StreamForwarderDependencies} from '../../src/gateway/node/stream-forwarder.js';
+import {createStreamRecords} from '../../src/gateway/node/stream-records.js';
 import {silentLog} from '../../src/kernel/common/log.js';
+import {silentMetrics} from '../../src/kernel/common/metrics.js';
 import {unlimitedPermits} from '../../src/limits/common/server-permits.js';
 import {createDispatcher} from '../../src/routing/common/dispatcher.js';
 import {createLoadEstimate} from '../../src/routing/common/load-estimate.js';
 import {createPrefixIndex} from '../../src/routing/common/prefix-index.js';
 import type {ReceivedStream, StreamAttempt} from '../checkers/stream-checker.js';
 import {createMemoryObjects} from './memory-objects.js';
+import {createMeshNetwork} from './mesh-network.js';
 import {createSeededRandom, createVirtualTime} from './virtual-loop.js';
 
 /** The simulation. */
@@ -61,11 +64,17 @@
 	}),
 } as unknown as ServerProtocol;
 
-/** Creates the simulation with running daemons, and servers of version `v1`. */
-export function createVersionedFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number}) {
+/** Records of streams that are all taken for streams of one version. */
+export const unrecordedStreams: StreamForwarderDependencies['records'] = {
+	baseOf: () => 'v1', findOrigin: async () => ok({kind: 'base'}), isServing: () => true, prefersBase: () => false, recordBegin: async () => ok(), recordComplete: () => undefined,
+};
+
+/** Creates the simulation with running daemons, and servers of version `v1`. With `isVersioned` false, daemons take no notice of software versions. */
+export function createVersionedFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number; readonly isVersioned?: boolean}) {
 	const random = createSeededRandom(options.seed);
 	const time = createVirtualTime(random);
 	const {clock, loop} = time;
+	const network = createMeshNetwork(loop);
 	const objects = createMemoryObjects(loop);
 	const route: Route = {
 		name: 'r', host: 'h', pathPrefix: '/', repeatability: 'stream', timeoutMs: DEADLINE_MS, goalMs: 400, priority: 1, attempts: 3, pools: [{pool: POOL, weight: 1}], canResume: true, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
@@ -77,10 +86,11 @@
 	const attempts: StreamAttempt[] = [];
 	const disturbances: Array<{readonly daemon: string; readonly from: number; readonly until: number}> = [];
 	let count = 0;
+	let serverCount = 0;
 
 	function toEntry(server: FleetServer): ServerEntry {
 		return {
-			id: server.id, pool: POOL, address: server.id, port: 1, availabilityZone: 'z', slots: SLOTS, isLeaving: server.isLeaving, versions: new Map(), sequence: undefined, startedAt: server.startedAt, softwareVersion: server.softwareVersion,
+			id: server.id, pool: POOL, address: server.id, port: 1, availabilityZone: 'z', slots: SLOTS, isLeaving: server.isLeaving, versions: new Map(), sequence: undefined, startedAt: server.startedAt, softwareVersion: options.isVersioned === false ? 'v1' : server.softwareVersion,
 		};
 	}
 
@@ -91,8 +101,9 @@
 	}
 
 	function addServer(softwareVersion: string): FleetServer {
+		serverCount += 1;
 		const server: FleetServer = {
-			id: `s${servers.length}`, softwareVersion, startedAt: 1000 + clock.monotonic(), isUp: true, isLeaving: false, running: new Set(),
+			id: `s${serverCount}`, softwareVersion, startedAt: 1000 + clock.monotonic(), isUp: true, isLeaving: false, running: new Set(),
 		};
 		servers.push(server);
 		loop.after(ENTRY_DELAY_MS, publishEntries);
@@ -127,7 +138,7 @@
 		});
 	}
 
-	async function run(server: FleetServer | undefined, requestId: string, after: number, {onHead, onData}: AttemptOptions): Promise<Result<BackendResponse, Failure>> {
+	async function run(server: FleetServer | undefined, requestId: string, after: number, {onHead, onData, signal}: AttemptOptions): Promise<Result<BackendResponse, Failure>> {
 		const origin = {step: 'call backend server', peer: server?.id ?? 'gone'};
 		await loop.sleep(1);
 		if (server?.isUp !== true) {
@@ -146,6 +157,11 @@
 			};
 
 			server.running.add(breakRun);
+			signal.addEventListener('abort', () => {
+				isOpen = false;
+				server.running.delete(breakRun);
+				resolve(err(createOutcomeUnknown('aborted', origin, 'aborted')));
+			});
 			onHead?.(head, {});
 			const sendEvent = (id: number) => {
 				if (!isOpen) {
@@ -184,6 +200,9 @@
 			attempt: async (target, request, attempt, attemptOptions) => run(servers.find(server => server.id === target.id), attempt.requestId, Number(attempt.resumeAfter ?? request.headers['Last-Event-Id'] ?? 0), attemptOptions),
 			close: () => undefined,
 		};
+		const records = createStreamRecords({
+			view, clock, loop, log: silentLog, metrics: silentMetrics, api: objects.open(name), mesh: network.join(name), resumablePools: () => [POOL],
+		});
 		const forwarder = createStreamForwarder({
 			clock,
 			random,
@@ -191,7 +210,8 @@
 			caller,
 			guard: permissiveRequestGuard,
 			protocol: lineProtocol,
-			softwareVersionOf: serverId => view.find(serverId)?.softwareVersion,
+			findServer: view.find,
+			records: options.isVersioned === false ? unrecordedStreams : records,
 			acquisition: createServerAcquisition({
 				permits: unlimitedPermits, isUsable: view.table.isUsable, clock, random,
 			}),
@@ -201,7 +221,7 @@
 			}),
 		});
 		daemons.set(name, {
-			streams: forwarder, update, cuts: new Set(), end: () => undefined,
+			streams: forwarder, update, cuts: new Set(), end: records.dispose,
 		});
 	}
 
@@ -227,9 +247,11 @@
 				});
 			};
 
+			const disconnected = new AbortController();
 			const cut = () => {
 				if (isOpen) {
 					close(false);
+					disconnected.abort();
 				}
 			};
 
@@ -259,7 +281,7 @@
 				headers: {...(firstRequestId !== undefined && {'Last-Event-Id': String(after), Resumes: firstRequestId})},
 				body: undefined,
 				deadlineAt: clock.monotonic() + DEADLINE_MS,
-				signal: new AbortController().signal,
+				signal: disconnected.signal,
 				urgency: undefined,
 				permitUrgency: 'caller',
 				fingerprint: undefined,
@@ -272,8 +294,15 @@
 		});
 	}
 
-	function pickDaemon(): string {
-		return names[Math.floor(random() * names.length)]!;
+	/** Waits for a running daemon, as a caller is not connected to others. */
+	async function pickDaemon(): Promise<string> {
+		const running = [...daemons.keys()];
+		if (running.length > 0) {
+			return running[Math.floor(random() * running.length)]!;
+		}
+
+		await loop.sleep(100 + (random() * 200));
+		return pickDaemon();
 	}
 
 	/** Plays one caller: begins a stream, and continues it at random daemons until it is whole. */
@@ -282,13 +311,13 @@
 		const versions: string[] = [];
 		let firstRequestId: string | undefined;
 		const attempt = async (left: number): Promise<void> => {
-			const daemon = pickDaemon();
+			const daemon = await pickDaemon();
 			const sentAt = clock.monotonic();
 			const resumes = versions[0];
 			const isVersionServing = servers.filter(server => server.isUp && !server.isLeaving && server.softwareVersion === resumes).length >= 2;
 			const received = await request(daemon, versions.length, firstRequestId);
 			attempts.push({
-				streamId, daemon, sentAt, resumes, hasEvents: received.versions.length > 0, isVersionServing,
+				streamId, daemon, sentAt, resumes, tookMs: clock.monotonic() - sentAt, hasEvents: received.versions.length > 0, isVersionServing,
 			});
 			firstRequestId ??= received.versions.length > 0 ? received.id : undefined;
 			versions.push(...received.versions);
