Continue the text of an item only on engines of its software version

Runs continued at any engine, and the batch's log did not say which version had generated a text.

Change: an item's text, and its parts in the log, carry the software version of their engines. A run that continues a text uses engines of that version. The text begins anew when the version has left, when a daemon of the build before stored it without a version, and after 2.5 s in which other engines were free but none of its own, as an item must not stand still beside free engines.

Why it works: a run that adds events to a text is on the version of the first of them.

--- a/src/batches/common/batch-log.ts
+++ b/src/batches/common/batch-log.ts
@@ -48,7 +48,7 @@
 	}
 
 	function applyPart({
-		itemId, after, pieces, versions, isComplete,
+		itemId, after, pieces, versions, isComplete, softwareVersion,
 	}: TextPart): void {
 		const known = texts.get(itemId);
 		if (listed.has(itemId) || (after > 0 && known?.lastEventId !== after)) {
@@ -57,7 +57,7 @@
 
 		const chunks = after === 0 ? pieces : [...known?.pieces ?? [], ...pieces];
 		texts.set(itemId, {
-			itemId, lastEventId: chunks.length, pieces: chunks, versions, isComplete,
+			itemId, lastEventId: chunks.length, pieces: chunks, versions, isComplete, ...(softwareVersion !== undefined && {softwareVersion}),
 		});
 	}
 
--- a/src/batches/common/batch.ts
+++ b/src/batches/common/batch.ts
@@ -61,6 +61,8 @@
 	readonly versions: readonly number[];
 	/** The text is complete; only its score may be missing. */
 	readonly isComplete: boolean;
+	/** Software version of the engines that generated the text; undefined where a daemon of an earlier build stored it. */
+	readonly softwareVersion?: string;
 };
 
 /** Text of an unfinished item that continues the text in the log, so that another owner need not generate it again. */
@@ -73,6 +75,8 @@
 	readonly versions: readonly number[];
 	/** The text is complete with this part. */
 	readonly isComplete: boolean;
+	/** Software version of the engines that generated the text. */
+	readonly softwareVersion?: string;
 };
 
 /** A batch as it is stored, with its first owner. */
--- a/src/batches/common/generation-progress.ts
+++ b/src/batches/common/generation-progress.ts
@@ -10,8 +10,8 @@
 
 /** The text of one item so far. */
 export type GenerationProgress = {
-	/** Begins a run at a weight version; events of earlier runs are kept. */
-	readonly beginRun: (version: number | undefined) => void;
+	/** Begins a run at a weight version, on an engine of a software version; events of earlier runs are kept. */
+	readonly beginRun: (version: number | undefined, softwareVersion: string | undefined) => void;
 	/** Adds the next event; returns a description of the problem when the event is rejected. */
 	readonly add: (event: ProgressEvent) => string | undefined;
 	/** Marks the text as complete. */
@@ -20,6 +20,8 @@
 	/** Drops all text, so that the next run begins at the start. */
 	readonly reset: () => void;
 	readonly lastEventId: () => number;
+	/** Software version of the engines that generated the text; meaningless while there is no text. */
+	readonly softwareVersion: () => string | undefined;
 	readonly text: () => string;
 	readonly versions: () => readonly number[];
 	readonly partial: (itemId: string) => PartialText;
@@ -32,10 +34,12 @@
 	let lastEventId = earlier?.lastEventId ?? 0;
 	let currentVersion: number | undefined;
 	let isComplete = earlier?.isComplete ?? false;
+	let softwareVersion = earlier?.softwareVersion;
 
 	return {
-		beginRun(version) {
+		beginRun(version, runSoftwareVersion) {
 			currentVersion = version;
+			softwareVersion = lastEventId === 0 ? runSoftwareVersion : softwareVersion;
 		},
 		add(event) {
 			if (event.id !== lastEventId + 1) {
@@ -63,10 +67,11 @@
 			lastEventId = 0;
 		},
 		lastEventId: () => lastEventId,
+		softwareVersion: () => softwareVersion,
 		text: () => chunks.join('\n'),
 		versions: () => [...versions].toSorted((a, b) => a - b),
 		partial: itemId => ({
-			itemId, lastEventId, pieces: chunks, versions: [...versions], isComplete,
+			itemId, lastEventId, pieces: chunks, versions: [...versions], isComplete, ...(softwareVersion !== undefined && {softwareVersion}),
 		}),
 	};
 }
--- a/src/batches/common/text-parts.ts
+++ b/src/batches/common/text-parts.ts
@@ -10,10 +10,10 @@
 
 /** Returns the part of a text that follows the stored text, or the complete text where the two differ. */
 function createPart(text: PartialText, stored: PartialText | undefined): TextPart {
-	const continues = stored !== undefined && stored.pieces.length <= text.pieces.length && stored.pieces.every((chunk, index) => chunk === text.pieces[index]);
+	const continues = stored !== undefined && stored.softwareVersion === text.softwareVersion && stored.pieces.length <= text.pieces.length && stored.pieces.every((chunk, index) => chunk === text.pieces[index]);
 	const after = continues ? stored.pieces.length : 0;
 	return {
-		itemId: text.itemId, after, pieces: text.pieces.slice(after), versions: text.versions, isComplete: text.isComplete,
+		itemId: text.itemId, after, pieces: text.pieces.slice(after), versions: text.versions, isComplete: text.isComplete, ...(text.softwareVersion !== undefined && {softwareVersion: text.softwareVersion}),
 	};
 }
 
--- a/src/batches/node/engine-choice.ts
+++ b/src/batches/node/engine-choice.ts
@@ -27,6 +27,8 @@
 export type EngineChoice = {
 	/** Lists the engines that may take the item now and have a free slot. */
 	readonly list: (now: number) => readonly string[];
+	/** Whether an engine has a free slot at which the item could begin anew. */
+	readonly hasAnyFree: (now: number) => boolean;
 	/** Chooses among these engines, preferably one of `wanted`. `events` is the number of events that the item has. */
 	readonly choose: (wanted: readonly string[], events: number, now: number) => Result<Dispatch, Failure>;
 	/** Lists the available engines that are much faster than the engine `own`, which runs the item. */
@@ -53,10 +55,14 @@
 	batch: Batch,
 	item: BatchItem,
 	route: () => Route | undefined,
-	dependencies: EngineChoiceDependencies & {readonly priorityOf: (now: number) => StartPriority},
+	dependencies: EngineChoiceDependencies & {
+		readonly priorityOf: (now: number) => StartPriority;
+		/** Whether the item's text can go on at an engine. */
+		readonly canContinueAt: (engine: ServerEntry) => boolean;
+	},
 ): EngineChoice {
 	const {
-		dispatcher, loads, view, eventIntervals, refusals, permits, startPriorities, priorityOf,
+		dispatcher, loads, view, eventIntervals, refusals, permits, startPriorities, priorityOf, canContinueAt,
 	} = dependencies;
 	let avoided: {readonly serverId: string; readonly until: number} | undefined;
 
@@ -64,6 +70,7 @@
 		return Math.floor(Math.max(1, entry.slots) - loads.read(entry.id, now).likelyRequests);
 	}
 
+	/** Lists the engines with a free slot, also those at which the item's text can't go on. */
 	function listFree(now: number): readonly ServerEntry[] {
 		const pools = route()?.pools.map(share => share.pool) ?? [];
 		return pools
@@ -77,7 +84,7 @@
 	}
 
 	function allowedServers(now: number): readonly string[] {
-		const free = listFree(now).map(entry => ({id: entry.id, slots: countFreeSlots(entry, now)}));
+		const free = listFree(now).filter(canContinueAt).map(entry => ({id: entry.id, slots: countFreeSlots(entry, now)}));
 		const permitted = startPriorities.choose(priorityOf(now), free, (id, demand) => (view.versionOf(id, demand.model) ?? 0) >= demand.oldestVersion, now);
 		const notSlow = permitted.filter(id => !isSlow(eventIntervals, id, now));
 		return notSlow.length > 0 ? notSlow : permitted;
@@ -113,6 +120,7 @@
 
 	return {
 		list: allowedServers,
+		hasAnyFree: now => listFree(now).length > 0,
 		choose,
 		listFaster: (own, now) => listFast(eventIntervals, allowedServers(now), now).filter(id => id !== own && isMuchFaster(id, own, now)),
 		avoid(serverId, now) {
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -8,6 +8,7 @@
 import type {Loop} from '../../kernel/common/loop.js';
 import type {Route} from '../../gateway/common/deployment.js';
 import type {ResponseHead, ServerProtocol} from '../../gateway/common/server-protocol.js';
+import type {ServerEntry} from '../../gateway/common/server-view.js';
 import type {BackendResponse, ServerCaller} from '../../gateway/node/server-caller.js';
 import type {Dispatch} from '../../routing/common/router.js';
 import type {Batch, BatchItem, PartialText} from '../common/batch.js';
@@ -60,6 +61,8 @@
 /** Time for which an item waits for a permit of an engine that limits its requests, before it looks at all engines again. */
 const PERMIT_PATIENCE_MS = 300;
 const SILENCE_CHECK_PERIOD_MS = 250;
+/** Time for which an item waits for an engine of its text's software version while others are free. */
+const MAXIMUM_HELD_BACK_MS = 2500;
 /** Time limit of one run on an engine. */
 const MAXIMUM_RUN_MS = 60_000;
 /** Statuses of engine responses: `STATUS_IMPOSSIBLE` ends an item, `STATUS_FAILED` ends it after as many attempts as its route allows. */
@@ -84,6 +87,8 @@
 	/** Number of events of this run. */
 	events: number;
 	brokenBy: string | undefined;
+	/** Software version of the engine when the run started. */
+	readonly softwareVersion: string | undefined;
 };
 
 /** Creates the runs of an item. `route` is called for each run, because the configuration may change. */
@@ -100,7 +105,35 @@
 	let state: RunState | undefined;
 	/** Faster engines because of which the last run was aborted; the next run prefers them. */
 	let moveTo: readonly string[] = [];
-	const engines = createEngineChoice(batch, item, route, {...dependencies, priorityOf: now => dependencies.priorityOf(remainingMs(now), now)});
+	const engines = createEngineChoice(batch, item, route, {...dependencies, priorityOf: now => dependencies.priorityOf(remainingMs(now), now), canContinueAt});
+	/** Time since which the text has not gone on although engines were free, because none of them had its software version. */
+	let heldBackSince: number | undefined;
+
+	/** The output of two software versions does not fit together, so a text goes on at engines of its own version only. */
+	function canContinueAt(engine: ServerEntry): boolean {
+		return progress.lastEventId() === 0 || engine.softwareVersion === progress.softwareVersion();
+	}
+
+	/** Drops text whose software version has left, or has had no free slot for so long that the item would wait in vain beside free engines. */
+	function dropUncontinuableText(now: number): void {
+		if (progress.lastEventId() === 0 || progress.isComplete()) {
+			return;
+		}
+
+		const isServing = (route()?.pools ?? []).some(({pool}) => view.list(pool).some(engine => !engine.isLeaving && canContinueAt(engine)));
+		const isHeldBack = engines.list(now).length === 0 && engines.hasAnyFree(now);
+		heldBackSince ??= isHeldBack ? now : undefined;
+		if (isServing && (heldBackSince === undefined || now - heldBackSince < MAXIMUM_HELD_BACK_MS || !engines.hasAnyFree(now))) {
+			return;
+		}
+
+		log.info('text begins anew', {
+			batchId: batch.id, itemId: item.id, softwareVersion: progress.softwareVersion(), events: progress.lastEventId(), reason: isServing ? 'no free engine of its software version' : 'its software version has left',
+		});
+		metrics.count('run.text_dropped');
+		heldBackSince = undefined;
+		progress.reset();
+	}
 
 	function remainingMs(now: number): number {
 		const expected = dependencies.workEstimate.estimateMs(item.expectedTokens);
@@ -153,7 +186,7 @@
 			return;
 		}
 
-		progress.beginRun(head.version);
+		progress.beginRun(head.version, run.softwareVersion);
 	}
 
 	function createReader(run: RunState) {
@@ -173,6 +206,7 @@
 			}
 
 			run.events += 1;
+			heldBackSince = undefined;
 			const problem = event.version !== undefined && event.version < batch.oldestVersion ? `version ${event.version} of the event is older than the batch accepts` : progress.add(event);
 			if (problem !== undefined) {
 				abortRun(run, problem);
@@ -267,6 +301,7 @@
 
 	async function runOnce(): Promise<GenerationEnd | undefined> {
 		const startedAt = clock.monotonic();
+		dropUncontinuableText(startedAt);
 		const chosen = engines.choose(moveTo, progress.lastEventId(), startedAt);
 		moveTo = [];
 		if (chosen.isErr()) {
@@ -282,7 +317,7 @@
 		}
 
 		const run: RunState = {
-			dispatch: chosen.value, abort: new AbortController(), startedAt, after: progress.lastEventId(), lastEventAt: startedAt, measuredSince: startedAt, events: 0, brokenBy: undefined,
+			dispatch: chosen.value, abort: new AbortController(), startedAt, after: progress.lastEventId(), lastEventAt: startedAt, measuredSince: startedAt, events: 0, brokenBy: undefined, softwareVersion: view.find(chosen.value.server.id)?.softwareVersion,
 		};
 		state = run;
 		log.info('run started', {
@@ -290,7 +325,7 @@
 			itemId: item.id,
 			serverId: chosen.value.server.id,
 			version: view.versionOf(chosen.value.server.id, batch.model),
-			softwareVersion: view.find(chosen.value.server.id)?.softwareVersion,
+			softwareVersion: run.softwareVersion,
 			load: loads.read(chosen.value.server.id, startedAt).likelyRequests,
 			msPerEvent: Math.round(eventIntervals.intervalOf(chosen.value.server.id, startedAt) ?? 0),
 			after: progress.lastEventId(),
@@ -324,7 +359,10 @@
 
 	return {
 		run,
-		hasRoom: now => engines.list(now).length > 0,
+		hasRoom(now) {
+			dropUncontinuableText(now);
+			return engines.list(now).length > 0;
+		},
 		remainingMs,
 		stop() {
 			stopped = true;
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -43,6 +43,7 @@
 	/** Whether the engine refuses all requests, as engines do while they load weights. */
 	isRefusing: boolean;
 	isLeaving: boolean;
+	softwareVersion: string;
 	/** Whether the engine keeps sending data, but never a complete event. */
 	sendsIncompleteEvents?: boolean;
 	/** Whether each response ends properly, but before its first event. */
@@ -50,7 +51,7 @@
 	/** Number of refused requests. */
 	refused: number;
 	/** Started runs of items. `after` is the id of the last event that the run continues from; `at` is the start time. */
-	readonly starts: Array<{readonly itemId: string; readonly after: number; readonly at: number; readonly daemon: string}>;
+	readonly starts: Array<{readonly itemId: string; readonly after: number; readonly at: number; readonly daemon: string; readonly softwareVersion: string}>;
 };
 
 /** A simulation of daemons that share batches. */
@@ -134,12 +135,12 @@
 	const network = createMeshNetwork(loop);
 	const scoreAttempts = new Map<string, number>();
 	const engines: SimulatedEngine[] = Array.from({length: options.engines}, (_, index) => ({
-		id: `e${index}`, slots: 8, eventIntervalMs: 35, version: 1, running: 0, isDown: false, isRefusing: false, isLeaving: false, refused: 0, starts: [],
+		id: `e${index}`, slots: 8, eventIntervalMs: 35, version: 1, running: 0, isDown: false, isRefusing: false, isLeaving: false, softwareVersion: 'v1', refused: 0, starts: [],
 	}));
 
 	function createServerEntry(engine: SimulatedEngine): ServerEntry {
 		return {
-			id: engine.id, pool: POOL, address: engine.id, port: 1, availabilityZone: 'z', slots: engine.slots, isLeaving: engine.isLeaving, versions: new Map([[MODEL, engine.version]]), sequence: undefined, startedAt: undefined,
+			id: engine.id, pool: POOL, address: engine.id, port: 1, availabilityZone: 'z', slots: engine.slots, isLeaving: engine.isLeaving, versions: new Map([[MODEL, engine.version]]), sequence: undefined, startedAt: undefined, softwareVersion: engine.softwareVersion,
 		};
 	}
 
@@ -168,7 +169,7 @@
 		const after = Number(attempt.resumeAfter ?? 0);
 		engine.running += 1;
 		engine.starts.push({
-			itemId: attempt.requestId, after, at: clock.monotonic(), daemon,
+			itemId: attempt.requestId, after, at: clock.monotonic(), daemon, softwareVersion: engine.softwareVersion,
 		});
 		// An engine that has no further event to generate reports no version.
 		const head = {...createResponseHead(attempt.requestId, engine, 200), ...(after >= events && {version: undefined})};
