Repeat scoring calls less often while servers crash under them

Cause: a scoring call whose servers broke off was repeated every 150 ms or so, two servers a call, without end.

Change: after three calls in a row without a response the delay doubles, up to 2 s; any response resets it.

Conclusion: scoring calls are still never given up for a crash, and no longer keep servers down.

--- a/src/batches/node/item-scoring.ts
+++ b/src/batches/node/item-scoring.ts
@@ -9,6 +9,7 @@
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {ScoringCall} from '../common/batch.js';
+import {createScoringBackoff, type ScoringBackoff} from '../common/scoring-backoff.js';
 
 /** Dependencies of the scoring of a batch. */
 export type ScoringDependencies = {
@@ -27,8 +28,6 @@
 	readonly score: (call: ScoringCall) => Promise<string | undefined>;
 };
 
-/** Delay before a failed scoring call is repeated. */
-const SCORING_RETRY_MS = 150;
 /** Time limit of a scoring call whose route states none. */
 const SCORING_DEADLINE_MS = 2000;
 const STATUS_FAILED = 500;
@@ -56,7 +55,7 @@
 		return response.map(({status, head}) => ({status, score: head.signature}));
 	}
 
-	async function score(call: ScoringCall, waitingSince: number, failures = 0): Promise<string | undefined> {
+	async function score(call: ScoringCall, waitingSince: number, backoff: ScoringBackoff, failures = 0): Promise<string | undefined> {
 		if (isLost()) {
 			return undefined;
 		}
@@ -77,9 +76,10 @@
 			return undefined;
 		}
 
-		await loop.sleep(Math.max(SCORING_RETRY_MS, retryAfterMs));
-		return score(call, waitingSince, failureCount);
+		const hasBroken = response?.isErr() === true && response.error.effect === 'outcomeUnknown';
+		await loop.sleep(Math.max(backoff.nextDelayMs(hasBroken), retryAfterMs));
+		return score(call, waitingSince, backoff, failureCount);
 	}
 
-	return {score: async call => score(call, clock.monotonic())};
+	return {score: async call => score(call, clock.monotonic(), createScoringBackoff())};
 }
