--- a/src/gateway/test/feed.test.ts
+++ b/src/gateway/test/feed.test.ts
@@ -62,8 +62,12 @@
 						objects.forEach(object => {
 							deployment.offer(object.spec as Deployment);
 						});
+					}, onConnectivity(isReached, now) {
+						if (isReached) {
+							deployment.confirm(now);
+						}
 					},
-				}, dependencies),
+				}, {...dependencies, api: store.open(`${name} configuration`)}),
 			]),
 		});
 		feeds.push(feed);
@@ -95,6 +99,22 @@
 	assert.ok(world.daemons.every(daemon => daemon.view.all().some(known => known.id === 's1') && daemon.deployment.current()?.version === 1));
 });
 
+// KNOWN-RED.txt of 4 December, trouble-1 of kalip-rollout-grown: a route was answered 404 4.1 s after its configuration had been acknowledged.
+['d1', 'd2', 'd3'].forEach(source => {
+	test(`daemons follow another source when ${source} no longer receives configurations, although it still receives server entries`, async () => {
+		const world = createWorld(['d1', 'd2', 'd3']);
+		world.store.put('servers', 's1', entry('s1'));
+		world.configure(1);
+		await world.time.advance(6000);
+		world.store.partitioned.add(`${source} configuration`);
+		await world.time.advance(4000);
+		world.configure(2);
+		await world.time.advance(2500);
+		const others = world.daemons.filter(daemon => daemon.name !== source);
+		assert.equal(others.map(daemon => daemon.deployment.current()?.version), [2, 2]);
+	});
+});
+
 ['d1', 'd2', 'd3'].forEach(earlier => {
 	test(`daemons know software versions although ${earlier} is of a build that does not send them`, async () => {
 		const world = createWorld(['d1', 'd2', 'd3'], [earlier]);
