Close connections whose stream ended during a drain, and wait for streams before the process ends

Cause: the head of a stream that began before the drain does not tell the caller to close. The caller sent its next request on that connection in the last 50 ms of the process, and it was forwarded. Besides, the drain of the gateway waited for plain requests only, not for streams.

Change: during a drain, a connection is closed with the end of its response, whatever the head said, so a request that crosses the close is not read. The drain waits for streams as for plain requests.

--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -241,7 +241,7 @@
 			]),
 			// Runs after the caller server and the batches have drained, so that the last accepted requests end here, within the stop timeout.
 			async drain() {
-				await gateway.forwarder.whenIdle();
+				await Promise.all([gateway.forwarder.whenIdle(), gateway.streams.whenIdle()]);
 				await context.loop.sleep(RESPONSE_FLUSH_MS);
 			},
 		};
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -6,6 +6,7 @@
 import type {Log} from '../../kernel/common/log.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {Random} from '../../base/common/random.js';
+import {createTaskSet} from '../../base/common/task-set.js';
 import type {PermitUrgency} from '../../limits/common/permit-ledger.js';
 import {computePatience} from '../../limits/common/permit-plan.js';
 import type {Dispatcher} from '../../routing/common/dispatcher.js';
@@ -318,24 +319,10 @@
 		return promise;
 	}
 
-	const inProgress = new Set<Promise<unknown>>();
-
-	async function whenIdle(): Promise<void> {
-		if (inProgress.size > 0) {
-			await Promise.all(inProgress);
-			await whenIdle();
-		}
-	}
-
+	const inProgress = createTaskSet();
 	return {
-		async forward(request) {
-			const running = forward(request);
-			inProgress.add(running);
-			const result = await running;
-			inProgress.delete(running);
-			return result;
-		},
-		whenIdle,
+		forward: async request => inProgress.run(async () => forward(request)),
+		whenIdle: inProgress.whenIdle,
 	};
 }
 
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -5,6 +5,7 @@
 	createNotRun, createOutcomeUnknown, wrapFailure, type Failure,
 } from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
+import {createTaskSet} from '../../base/common/task-set.js';
 import {MAXIMUM_EVENT_BYTES} from '../../adapters/common/event-bound.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Random} from '../../base/common/random.js';
@@ -26,6 +27,8 @@
 export type StreamForwarder = {
 	/** Resolves when the stream has ended, with a failure if nothing was sent to the caller. `isLast` closes the caller's connection after the stream. */
 	readonly forward: (request: PlainRequest, response: ServerResponse, isLast: boolean) => Promise<Failure | undefined>;
+	/** Resolves when no stream is in progress. */
+	readonly whenIdle: () => Promise<void>;
 };
 
 /** Dependencies of the forwarder. */
@@ -259,19 +262,23 @@
 			: createNotRun('unavailable', origin, 'no backend server accepted the stream', state.refusal?.retryAfterMs ?? RETRY_AFTER_MS);
 	}
 
-	return {
-		async forward(request, response, isLast) {
-			const origin = request.resumption !== undefined && request.route.canResume
-				? await findOrigin(request, request.resumption)
-				: ok<StreamOrigin | undefined, Failure>(undefined);
-			if (origin.isErr()) {
-				return origin.error;
-			}
+	async function forward(request: PlainRequest, response: ServerResponse, isLast: boolean): Promise<Failure | undefined> {
+		const origin = request.resumption !== undefined && request.route.canResume
+			? await findOrigin(request, request.resumption)
+			: ok<StreamOrigin | undefined, Failure>(undefined);
+		if (origin.isErr()) {
+			return origin.error;
+		}
 
-			return forwardWithRetries(request, response, {
-				triedServers: [], lastEventId: undefined, origin: origin.value, hasBegun: false, mayHaveRun: false, refusal: undefined, arrivedAt: clock.monotonic(), verdict: Promise.resolve(),
-			}, isLast);
-		},
+		return forwardWithRetries(request, response, {
+			triedServers: [], lastEventId: undefined, origin: origin.value, hasBegun: false, mayHaveRun: false, refusal: undefined, arrivedAt: clock.monotonic(), verdict: Promise.resolve(),
+		}, isLast);
+	}
+
+	const inProgress = createTaskSet();
+	return {
+		forward: async (request, response, isLast) => inProgress.run(async () => forward(request, response, isLast)),
+		whenIdle: inProgress.whenIdle,
 	};
 }
 
--- a/src/hosting/node/caller-server.ts
+++ b/src/hosting/node/caller-server.ts
@@ -270,6 +270,12 @@
 		}, (request, response) => {
 			server.keepAliveTimeout = limits().idleTimeoutMs;
 			openRequests += 1;
+			response.on('finish', () => {
+				// A response whose head was sent before the drain does not tell the caller to close, so the caller could send another request that would be cut.
+				if (isDraining) {
+					request.socket.destroySoon();
+				}
+			});
 			response.on('close', () => {
 				openRequests -= 1;
 				if (openRequests === 0) {
--- a/src/hosting/test/caller-server.test.ts
+++ b/src/hosting/test/caller-server.test.ts
@@ -1,4 +1,4 @@
-import {request as startRequest, type IncomingMessage} from 'node:http';
+import {Agent, request as startRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {suite} from 'uvu';
@@ -10,6 +10,7 @@
 import type {Batches} from '../../batches/common/batches.js';
 import {createDeploymentHolder, type Deployment} from '../../gateway/common/deployment.js';
 import type {Forwarder} from '../../gateway/node/forwarder.js';
+import type {StreamForwarder} from '../../gateway/node/stream-forwarder.js';
 import {silentLog} from '../../kernel/common/log.js';
 import {silentMetrics} from '../../kernel/common/metrics.js';
 import {createTimerLoop} from '../../kernel/node/timer-loop.js';
@@ -48,12 +49,14 @@
 	version: 1,
 	routes: [{
 		name: 'r', host: 'h', pathPrefix: '/a/', repeatability: 'idempotent', timeoutMs: 1000, goalMs: 100, priority: 1, attempts: 2, pools: [{pool: 'p', weight: 1}], canResume: false, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
+	}, {
+		name: 't', host: 'h', pathPrefix: '/t/', repeatability: 'stream', timeoutMs: 1000, goalMs: 100, priority: 1, attempts: 2, pools: [{pool: 'p', weight: 1}], canResume: false, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
 	}],
 	pools: [],
 	limits: {maximumBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 5000},
 };
 
-async function openServer(forward: Forwarder['forward'], isConfigured = true, isConfirmed = true) {
+async function openServer(forward: Forwarder['forward'], isConfigured = true, isConfirmed = true, forwardStream: StreamForwarder['forward'] = async () => undefined) {
 	const [callers, readiness] = await findFreePorts('127.0.0.1', 2);
 	const holder = createDeploymentHolder();
 	if (isConfigured) {
@@ -70,7 +73,7 @@
 	};
 	const clock = createSystemClock();
 	const server = createCallerServer({
-		callers: {ip: '127.0.0.1', port: callers!}, readiness: {ip: '127.0.0.1', port: readiness!}, protocol: new PlainProtocol(), deployment: holder, forwarder: {forward, whenIdle: async () => undefined}, streams: {forward: async () => undefined}, batches, isReady: () => true, clock, loop: createTimerLoop(clock, Math.random, silentLog), log: silentLog, metrics: silentMetrics,
+		callers: {ip: '127.0.0.1', port: callers!}, readiness: {ip: '127.0.0.1', port: readiness!}, protocol: new PlainProtocol(), deployment: holder, forwarder: {forward, whenIdle: async () => undefined}, streams: {forward: forwardStream, whenIdle: async () => undefined}, batches, isReady: () => true, clock, loop: createTimerLoop(clock, Math.random, silentLog), log: silentLog, metrics: silentMetrics,
 	});
 	await server.listen();
 	return {server, callers: callers!, readiness: readiness!};
@@ -235,4 +238,50 @@
 	assert.ok([...others].every(outcome => outcome === 'ECONNREFUSED' || outcome === 'ECONNRESET'), [...others].join(', '));
 });
 
+// Found by seed 4102 of the soak: the caller of a stream that ended during a drain sent its next request on the same connection, just before the process ended.
+test('a connection whose response began before the drain takes no further request', async () => {
+	let forwarded = 0;
+	const finishers: Array<() => void> = [];
+	const {server, callers} = await openServer(async () => {
+		forwarded += 1;
+		return err(createNotRun('unavailable', {step: 's', peer: 'p'}, 'none'));
+	}, true, true, async (_request, response) => {
+		response.writeHead(200, {'content-type': 'text/event-stream'});
+		response.write('id: 1\n\n');
+		return new Promise(resolve => {
+			finishers.push(() => {
+				response.end();
+				resolve(undefined);
+			});
+		});
+	});
+	const agent = new Agent({keepAlive: true, maxSockets: 1});
+	const ended = new Promise<void>((resolve, reject) => {
+		startRequest({
+			host: '127.0.0.1', port: callers, path: '/t/x', agent,
+		}, response => {
+			response.on('data', () => undefined);
+			response.once('data', () => {
+				void server.drain();
+				finishers[0]!();
+			});
+			response.on('end', resolve);
+		}).on('error', reject).end();
+	});
+	await ended;
+	const next = await new Promise<string>(resolve => {
+		startRequest({
+			host: '127.0.0.1', port: callers, path: '/a/x', agent,
+		}, response => {
+			response.resume();
+			resolve(String(response.statusCode));
+		}).on('error', error => {
+			resolve(String((error as NodeJS.ErrnoException).code));
+		}).end();
+	});
+	assert.is(forwarded, 0, `the next request got ${next}`);
+	agent.destroy();
+	server.close();
+});
+
 test.run();
