--- a/src/gateway/test/feed.test.ts
+++ b/src/gateway/test/feed.test.ts
@@ -99,7 +99,7 @@
 	assert.ok(world.daemons.every(daemon => daemon.view.all().some(known => known.id === 's1') && daemon.deployment.current()?.version === 1));
 });
 
-// KNOWN-RED.txt of 4 December, trouble-1 of kalip-rollout-grown: a route was answered 404 4.1 s after its configuration had been acknowledged.
+// Followers took the configuration for confirmed although their source no longer received any.
 ['d1', 'd2', 'd3'].forEach(source => {
 	test(`daemons follow another source when ${source} no longer receives configurations, although it still receives server entries`, async () => {
 		const world = createWorld(['d1', 'd2', 'd3']);
