Log attempts that end without a response, and runs of servers without a verdict

Cause: a server that goes dark leaves no trace in the logs: an attempt that its deadline or its caller ends says only 'aborted' or 'no response'. Change: such attempts have an outcome of their own ('silent') and a log line with fingerprint and run of the server; the detector logs when a run gets no verdict. Nothing else follows from the outcome yet.

--- a/src/gateway/common/attempt-policy.ts
+++ b/src/gateway/common/attempt-policy.ts
@@ -56,11 +56,25 @@
 	return hasNotRun && !mayHaveRun ? 'refuse' : 'fail';
 }
 
-/** Classifies the end of an attempt by what it tells about the server. A connection that this daemon closed itself says nothing. */
-export function classifyOutcome(end: AttemptEnd, hasTimedOut: boolean): AttemptOutcome {
+/** Why this daemon may have ended an attempt itself. */
+export type AttemptLimits = {
+	readonly hasTimedOut: boolean;
+	readonly hasCallerLeft: boolean;
+};
+
+/** Classifies the end of an attempt by what it tells about the server. A connection that this daemon closed because another attempt succeeded says nothing. */
+export function classifyOutcome(end: AttemptEnd, {hasTimedOut, hasCallerLeft}: AttemptLimits): AttemptOutcome {
 	if (end.kind === 'answer') {
 		return isNotRun(end) ? 'unclear' : 'completed';
 	}
 
-	return end.failure.effect === 'outcomeUnknown' && end.failure.code !== 'aborted' && !hasTimedOut ? 'broken' : 'unclear';
+	if (end.failure.effect === 'notRun') {
+		return 'unclear';
+	}
+
+	if (hasTimedOut || hasCallerLeft) {
+		return 'silent';
+	}
+
+	return end.failure.code === 'aborted' ? 'unclear' : 'broken';
 }
--- a/src/gateway/common/request-guard.ts
+++ b/src/gateway/common/request-guard.ts
@@ -9,8 +9,16 @@
 	readonly fingerprint: (() => string) | undefined;
 };
 
-/** How an attempt ended: with a complete response of a server that ran it, with a broken connection, or in a way that says nothing. */
-export type AttemptOutcome = 'completed' | 'broken' | 'unclear';
+/** How an attempt ended. */
+export type AttemptOutcome
+	/** With a complete response of a server that ran the request. */
+	= | 'completed'
+	/** With a broken connection. */
+		| 'broken'
+	/** Without a response: the deadline passed, or the caller left first. */
+		| 'silent'
+	/** In a way that says nothing about the server. */
+		| 'unclear';
 
 /** Guards the servers of one daemon. */
 export type RequestGuard = {
--- a/src/gateway/node/crash-detector.ts
+++ b/src/gateway/node/crash-detector.ts
@@ -107,6 +107,10 @@
 		loop.after(VERDICT_TIMEOUT_MS, () => {
 			if (inspections.get(key) === inspection) {
 				inspections.delete(key);
+				if (waiters.has(key)) {
+					log.info('no crash of the backend server is known', {...run, isListed: view.find(run.serverId) !== undefined});
+				}
+
 				settle(key, crashedAtByRun.has(key));
 			}
 		});
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -147,7 +147,7 @@
 			requestId: request.requestId, remainingMs, serverId: dispatch.server.id, ...(request.urgency !== undefined && {urgency: request.urgency}),
 		}, {timeoutMs: Math.max(1, remainingMs), signal});
 		const now = clock.monotonic();
-		progress.verdict = endAttempt(classifyOutcome(toAttemptEnd(result), now >= request.deadlineAt - RESPONSE_MARGIN_MS));
+		progress.verdict = endAttempt(classifyOutcome(toAttemptEnd(result), {hasTimedOut: now >= request.deadlineAt - RESPONSE_MARGIN_MS, hasCallerLeft: request.signal.aborted}));
 		result.match(response => {
 			if (response.head.load !== undefined) {
 				loads.report(dispatch.server.id, {...response.head.load, tokensPerSecond: 0, ageMs: 0}, now);
--- a/src/gateway/node/request-guard.ts
+++ b/src/gateway/node/request-guard.ts
@@ -79,6 +79,10 @@
 					ledger.recordCompleted(fingerprint(), clock.monotonic());
 				}
 
+				if (outcome === 'silent') {
+					log.info('request got no response', {requestId, fingerprint: fingerprint(), ...run});
+				}
+
 				if (outcome === 'broken') {
 					await Promise.race([recordBroken(requestId, fingerprint(), run), loop.sleep(VERDICT_WAIT_MS)]);
 				}
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -12,7 +12,7 @@
 import {computePatience} from '../../limits/common/permit-plan.js';
 import type {Dispatcher} from '../../routing/common/dispatcher.js';
 import type {Dispatch} from '../../routing/common/router.js';
-import {classifyOutcome} from '../common/attempt-policy.js';
+import {classifyOutcome, type AttemptEnd} from '../common/attempt-policy.js';
 import {choosePool} from '../common/deployment.js';
 import type {RequestGuard} from '../common/request-guard.js';
 import type {ServerProtocol} from '../common/server-protocol.js';
@@ -185,9 +185,9 @@
 			},
 		});
 		request.signal.removeEventListener('abort', onDisconnect);
-		state.verdict = endAttempt(answered.match(
-			({head}) => classifyOutcome({kind: 'answer', head}, false),
-			failure => classifyOutcome({kind: 'failure', failure}, clock.monotonic() >= request.deadlineAt),
+		state.verdict = endAttempt(classifyOutcome(
+			answered.match<AttemptEnd>(({head}) => ({kind: 'answer', head}), failure => ({kind: 'failure', failure})),
+			{hasTimedOut: clock.monotonic() >= request.deadlineAt, hasCallerLeft: request.signal.aborted},
 		));
 		return answered.match(backendResponse => {
 			chosen.end(clock.monotonic(), backendResponse.head.isOtherServer ? 'refused' : (backendResponse.head.isNotRun ? 'cancelled' : 'done'));
