--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -2,7 +2,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {findCrashViolations, STABLE_MS} from './checkers/crash-checker.js';
-import {createCrashingFleet, POISON, type CrashingFleet} from './fakes/crashing-fleet.js';
+import {createCrashingFleet, DARKENING, POISON, type CrashingFleet} from './fakes/crashing-fleet.js';
 
 const test = suite('requests that crash servers');
 const SEEDS = 20 * Number(process.env.FUZZ_FACTOR ?? 1);
@@ -121,6 +121,109 @@
 	assert.ok(countRefusals(fleet, `${POISON} 1`) >= 8);
 });
 
+// Incident docs/incidents/unseen-crashes.md: a server that went dark blamed nobody, as the caller's deadline came before any sign of the crash.
+test('a request under which three servers went dark reaches no more than three others', async () => {
+	const fleet = createCrashingFleet({daemons: 9, servers: 16, seed: 11});
+	await sendAgain(fleet, `${DARKENING} 1`, 40);
+	assert.equal(findCrashViolations(fleet), []);
+	assert.ok(countRefusals(fleet, `${DARKENING} 1`) > 20);
+});
+
+test('a request whose callers leave before its servers are known to be dark reaches no more than three others', async () => {
+	const fleet = createCrashingFleet({daemons: 9, servers: 16, seed: 12});
+	await repeat(40, async () => {
+		void fleet.send(`${DARKENING} 1`, undefined, 'plain', 600);
+		await fleet.time.advance(1000);
+	});
+	assert.equal(findCrashViolations(fleet), []);
+	assert.ok(countRefusals(fleet, `${DARKENING} 1`) > 20);
+});
+
+test('a stream under which three servers went dark is refused like a plain request', async () => {
+	const fleet = createCrashingFleet({daemons: 9, servers: 16, seed: 13});
+	await repeat(40, async () => {
+		void fleet.send(`${DARKENING} 1`, undefined, 'stream');
+		await fleet.time.advance(1000);
+	});
+	assert.equal(findCrashViolations(fleet), []);
+});
+
+test('callers that leave before their servers crash for another reason are not refused', async () => {
+	const fleet = createCrashingFleet({daemons: 3, servers: 6, seed: 14});
+	await repeat(12, async index => {
+		fleet.servers.forEach(() => {
+			void fleet.send('impatient', undefined, 'plain', 20);
+		});
+		await fleet.time.advance(1000);
+		fleet.names.forEach(name => {
+			Array.from({length: 12}).forEach((_, position) => {
+				void fleet.send(`other ${index} ${position}`, name);
+			});
+		});
+		await fleet.time.advance(300);
+		fleet.crash(fleet.servers[index % 6]!, 300);
+		await fleet.time.advance(3000);
+	});
+	assert.is(countRefusals(fleet, 'impatient'), 0);
+});
+
+// Incident docs/incidents/unseen-crashes.md: daemons whose links to the servers were cut took the refused connections for crashes.
+test('a partition that refuses connections blames no request', async () => {
+	const fleet = createCrashingFleet({daemons: 9, servers: 6, seed: 15});
+	await repeat(6, async () => {
+		await repeat(20, async index => {
+			void fleet.send(`innocent ${index % 5}`);
+			await fleet.time.advance(10);
+		});
+		fleet.cutFromServers(fleet.names.slice(0, 5), 4000, 'refuses');
+		await fleet.time.advance(9000);
+	});
+	assert.ok(fleet.names.every(name => fleet.daemons.get(name)!.table.list().every(crash => crash.acquitted)), 'no request is blamed');
+});
+
+// Incident docs/incidents/unseen-crashes.md: a daemon cut off from the servers, and from the store, took a crash for a lost connection for good.
+test('a daemon that can reach neither the server nor the store learns of a crash once it reaches the store', async () => {
+	const fleet = createCrashingFleet({daemons: 5, servers: 16, seed: 16});
+	const content = `${POISON} 1`;
+	await repeat(3, async () => {
+		void fleet.send(content, 'd0');
+		await fleet.time.advance(14);
+		fleet.cutFromServers(['d0'], 9000, 'hangs');
+		fleet.cutFromStore(['d0'], 9000);
+		await fleet.time.advance(14_000);
+	});
+	assert.ok(fleet.daemons.get('d0')!.table.find(content).filter(crash => !crash.acquitted).length >= 3);
+});
+
+// Incident docs/incidents/unseen-crashes.md: each refusal ended, and each time any number of daemons let the request through to several servers.
+test('a request that crashes servers whenever it is let through reaches no more than three others within hours', async () => {
+	const fleet = createCrashingFleet({daemons: 4, servers: 16, seed: 17});
+	await sendAgain(fleet, `${POISON} 1`, 3);
+	await repeat(360, async () => {
+		fleet.names.forEach(name => {
+			void fleet.send(`${POISON} 1`, name);
+		});
+		await fleet.time.advance(20_000);
+	});
+	assert.equal(findCrashViolations(fleet), []);
+});
+
+test('a request that crashes servers during bursts of other crashes reaches no more than three others within minutes', async () => {
+	const fleet = createCrashingFleet({daemons: 9, servers: 16, seed: 18});
+	await repeat(3, async index => {
+		fleet.crash(fleet.servers[index]!, 400);
+		await sendAgain(fleet, `${POISON} 1`, 1);
+	});
+	await repeat(300, async index => {
+		fleet.names.forEach(name => {
+			void fleet.send(`${POISON} 1`, name);
+		});
+		fleet.crash(fleet.servers[index % 16]!, 400);
+		await fleet.time.advance(1000);
+	});
+	assert.equal(findCrashViolations(fleet), []);
+});
+
 test('requests that never count as the cause are not refused', async () => {
 	const fleet = createCrashingFleet({daemons: 3, servers: 6, seed: 8});
 	await repeat(8, async () => {
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -18,6 +18,7 @@
 import {createSuspectObjects} from '../../src/gateway/node/suspect-objects.js';
 import {silentLog} from '../../src/kernel/common/log.js';
 import {silentMetrics} from '../../src/kernel/common/metrics.js';
+import type {PortState} from '../../src/limits/common/stopped-daemons.js';
 import {unlimitedPermits} from '../../src/limits/common/server-permits.js';
 import {createSuspectTable, type SuspectTable} from '../../src/requests/common/suspect-table.js';
 import {createSuspectLedger} from '../../src/requests/node/suspect-ledger.js';
@@ -43,11 +44,20 @@
 
 /** Requests with this prefix crash each server that runs them. */
 export const POISON = 'poison';
+/** The same, but the servers go dark: their connections stay open without a response, and they refuse none. */
+export const DARKENING = 'poison dark';
+
+/** How connections to a server or of a daemon fail: they hang, or they are refused. */
+export type LinkFault = 'hangs' | 'refuses';
 
 type FleetServer = {
 	readonly id: string;
 	startedAt: number;
 	isUp: boolean;
+	/** Whether the server's entry is in the store. */
+	isListed: boolean;
+	/** Whether connections hang while the server is down. */
+	isDark: boolean;
 	readonly running: Set<() => void>;
 };
 
@@ -64,8 +74,11 @@
 const WORK_MS = 60;
 const TIME_TO_CRASH_MS = 15;
 const ENTRY_DELAY_MS = 400;
+/** Time after a crash at which the entry of a server expires, unless the server has started again. */
+const ENTRY_EXPIRY_MS = 3600;
 const CALLER_DEADLINE_MS = 2500;
 const SLOTS = 6;
+const PROBE_TIMEOUT_MS = 500;
 
 /** The streams of the simulation have no events. */
 const eventlessProtocol = {createEventReader: () => ({feed: () => undefined})} as unknown as ServerProtocol;
@@ -88,13 +101,15 @@
 		name: 'r', host: 'h', pathPrefix: '/', repeatability: 'idempotent', timeoutMs: CALLER_DEADLINE_MS, goalMs: 400, priority: 1, attempts: options.attempts ?? 2, pools: [{pool: POOL, weight: 1}], canResume: false, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
 	};
 	const servers: readonly FleetServer[] = Array.from({length: options.servers}, (_, index) => ({
-		id: `s${index}`, startedAt: 1000, isUp: true, running: new Set<() => void>(),
+		id: `s${index}`, startedAt: 1000, isUp: true, isListed: true, isDark: false, running: new Set<() => void>(),
 	}));
 	const names = Array.from({length: options.daemons}, (_, index) => `d${index}`);
 	const daemons = new Map<string, FleetDaemon>();
 	const arrivals: CrashArrival[] = [];
 	const crashes: SeenCrash[] = [];
 	const answers: CrashAnswer[] = [];
+	const stranded = new Map<string, LinkFault>();
+	const breakByDaemon = new WeakMap<() => void, string>();
 	const disturbances: Array<{readonly daemon: string; readonly from: number; readonly until: number}> = [];
 	let requestCount = 0;
 	let runCount = 0;
@@ -106,37 +121,63 @@
 	}
 
 	function publishEntries(): void {
-		daemons.forEach(({view}) => {
-			view.update(servers.map(toEntry), clock.monotonic());
+		daemons.forEach(({view}, name) => {
+			if (!objects.partitioned.has(name)) {
+				view.update(servers.filter(server => server.isListed).map(toEntry), clock.monotonic());
+			}
 		});
 	}
 
-	/** Crashes a server for a time; all requests on it break. */
-	function crash(server: FleetServer, downMs: number, cause?: string): void {
+	/** Crashes a server for a time; all requests on it break, or hang if the server goes dark. */
+	function crash(server: FleetServer, downMs: number, cause?: string, isDark = false): void {
 		if (!server.isUp) {
 			return;
 		}
 
 		crashes.push({serverId: server.id, cause, at: clock.monotonic()});
 		server.isUp = false;
-		[...server.running].forEach(breakRun => {
-			breakRun();
-		});
+		server.isDark = isDark;
+		if (!isDark) {
+			[...server.running].forEach(breakRun => {
+				breakRun();
+			});
+		}
+
 		server.running.clear();
+		const {startedAt} = server;
+		loop.after(ENTRY_EXPIRY_MS, () => {
+			if (server.startedAt === startedAt) {
+				server.isListed = false;
+				loop.after(ENTRY_DELAY_MS, publishEntries);
+			}
+		});
 		loop.after(downMs, now => {
 			server.isUp = true;
+			server.isDark = false;
+			server.isListed = true;
 			server.startedAt = 1000 + now;
 			loop.after(ENTRY_DELAY_MS, publishEntries);
 		});
 	}
 
-	async function run(server: FleetServer, daemon: string, content: string, {requestId, onHead}: {readonly requestId: string; readonly onHead: AttemptOptions['onHead']}): Promise<Result<BackendResponse, Failure>> {
+	/** How new connections from a daemon to a server fail; undefined if they succeed. */
+	function faultOf(server: FleetServer, daemon: string): LinkFault | undefined {
+		return stranded.get(daemon) ?? (server.isUp ? undefined : (server.isDark ? 'hangs' : 'refuses'));
+	}
+
+	async function run(server: FleetServer, daemon: string, content: string, {requestId, onHead, timeoutMs, signal}: AttemptOptions & {readonly requestId: string}): Promise<Result<BackendResponse, Failure>> {
 		const origin = {step: 'call backend server', peer: server.id};
 		await loop.sleep(LATENCY_MS);
-		if (!server.isUp) {
+		const fault = faultOf(server, daemon);
+		if (fault === 'refuses') {
 			return err(createNotRun('unavailable', origin, 'connect ECONNREFUSED'));
 		}
 
+		if (fault === 'hangs') {
+			await loop.sleep(timeoutMs);
+			return err(createNotRun('unavailable', origin, `no connection within ${timeoutMs} ms`));
+		}
+
 		arrivals.push({
 			content, serverId: server.id, daemon, at: clock.monotonic(),
 		});
@@ -145,10 +186,17 @@
 				resolve(err(createOutcomeUnknown('incomplete', origin, 'the connection closed')));
 			};
 
+			loop.after(timeoutMs, () => {
+				resolve(err(createOutcomeUnknown('unavailable', origin, `no response within ${timeoutMs} ms`)));
+			});
+			signal.addEventListener('abort', () => {
+				resolve(err(createOutcomeUnknown('aborted', origin, 'aborted')));
+			}, {once: true});
 			server.running.add(breakRun);
+			breakByDaemon.set(breakRun, daemon);
 			if (content.startsWith(POISON)) {
 				loop.after(TIME_TO_CRASH_MS, () => {
-					crash(server, 1500 + (random() * 2500), content);
+					crash(server, 1500 + (random() * (content.startsWith(DARKENING) ? 6500 : 2500)), content, content.startsWith(DARKENING));
 				});
 				return;
 			}
@@ -166,10 +214,17 @@
 		});
 	}
 
+	async function probeFrom(daemon: string, serverId: string): Promise<PortState> {
+		const server = servers.find(({id}) => id === serverId)!;
+		const fault = faultOf(server, daemon);
+		await loop.sleep(fault === 'hangs' ? PROBE_TIMEOUT_MS : LATENCY_MS);
+		return fault === undefined ? 'open' : (fault === 'refuses' ? 'refused' : 'unknown');
+	}
+
 	function start(name: string): void {
 		runCount += 1;
 		const view = createServerView(() => 'r');
-		view.update(servers.map(toEntry), clock.monotonic());
+		view.update(servers.filter(server => server.isListed).map(toEntry), clock.monotonic());
 		const loads = createLoadEstimate(() => SLOTS);
 		const mesh = network.join(name, String(runCount));
 		const table = createSuspectTable(hostedSuspectRules);
@@ -177,7 +232,7 @@
 			table, rules: hostedSuspectRules, mesh, clock, loop, random, log: silentLog, objects: createSuspectObjects({api: objects.open(name), loop, log: silentLog}),
 		});
 		const detector = createCrashDetector({
-			view, clock, loop, log: silentLog, metrics: silentMetrics, probe: async ({address}) => (servers.find(server => server.id === address)?.isUp === true ? 'open' : 'refused'),
+			view, clock, loop, log: silentLog, metrics: silentMetrics, probe: async ({address}) => probeFrom(name, address),
 		});
 		const guard = options.isGuarded === false
 			? permissiveRequestGuard
@@ -185,7 +240,7 @@
 				detector, table, ledger: createSuspectLedger({table, transport: exchange}), clock, loop, log: silentLog, metrics: silentMetrics,
 			});
 		const caller: ServerCaller = {
-			attempt: async (target, request, attempt, {onHead}) => run(servers.find(server => server.id === target.id)!, name, request.path, {requestId: attempt.requestId, onHead}),
+			attempt: async (target, request, attempt, attemptOptions) => run(servers.find(server => server.id === target.id)!, name, request.path, {...attemptOptions, requestId: attempt.requestId}),
 			close: () => undefined,
 		};
 		const dependencies = {
@@ -227,7 +282,7 @@
 		});
 	}
 
-	async function send(content: string, name = names[Math.floor(random() * names.length)]!, kind: 'plain' | 'exempt' | 'stream' = 'plain'): Promise<CrashAnswer | undefined> {
+	async function send(content: string, name = names[Math.floor(random() * names.length)]!, kind: 'plain' | 'exempt' | 'stream' = 'plain', leavesAfterMs = Number.POSITIVE_INFINITY): Promise<CrashAnswer | undefined> {
 		const daemon = daemons.get(name);
 		if (daemon === undefined) {
 			return undefined;
@@ -235,8 +290,15 @@
 
 		requestCount += 1;
 		const sentAt = clock.monotonic();
+		const departure = new AbortController();
+		if (Number.isFinite(leavesAfterMs)) {
+			loop.after(leavesAfterMs, () => {
+				departure.abort();
+			});
+		}
+
 		const request: PlainRequest = {
-			requestId: `q${requestCount}`, method: 'POST', path: content, headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: new AbortController().signal, urgency: undefined, permitUrgency: 'caller', fingerprint: kind === 'exempt' ? undefined : () => content,
+			requestId: `q${requestCount}`, method: 'POST', path: content, headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: departure.signal, urgency: undefined, permitUrgency: 'caller', fingerprint: kind === 'exempt' ? undefined : () => content,
 		};
 		const failure = kind === 'stream' ? await daemon.streams.forward({...request, route: {...route, repeatability: 'stream', canResume: true}}, createResponse(), false) : undefined;
 		const result = kind === 'stream' ? (failure === undefined ? ok() : err(failure)) : await daemon.forwarder.forward(request);
@@ -261,6 +323,23 @@
 				});
 			});
 		},
+		/** Cuts daemons off from all servers. Their open connections break, or hang as new ones do. */
+		cutFromServers(affected: readonly string[], durationMs: number, fault: LinkFault) {
+			affected.forEach(name => {
+				stranded.set(name, fault);
+				loop.after(durationMs, () => {
+					stranded.delete(name);
+				});
+			});
+			servers.forEach(server => {
+				[...server.running].filter(breakRun => affected.includes(breakByDaemon.get(breakRun)!)).forEach(breakRun => {
+					server.running.delete(breakRun);
+					if (fault === 'refuses') {
+						breakRun();
+					}
+				});
+			});
+		},
 		/** Cuts daemons off from the store. */
 		cutFromStore(affected: readonly string[], durationMs: number) {
 			disturb(affected, objects.partitioned, durationMs);
