Blame requests under which servers went dark

Seen by callers: on the platform, a request that makes its server go dark comes again without end; each time a server is lost until it is restarted. Cause: the guard learned of a crash only from a connection that broke. A server that goes dark closes none: the deadline, or the caller's departure, ended the attempt, and that said nothing. The entry, which expires after three heartbeats, was not looked at, and was unknown to the detector if it had been removed before the attempt ended. Change: an attempt without a response awaits the verdict of the server's entry; so does one that is still open. A server that completed another response after the request had ended clears it.

--- a/src/gateway/common/server-run.ts
+++ b/src/gateway/common/server-run.ts
@@ -11,8 +11,10 @@
 
 /** What is known of a run whose connection broke. */
 export type RunEvidence = {
-	/** The server's entry when the connection broke. */
-	readonly before: ServerEntry | undefined;
+	/** The last known entry of the server, also when it has been removed since. */
+	readonly last: ServerEntry | undefined;
+	/** Whether the server was listed when its connection broke, or when a request without a response was sent. One that was removed before has ended as planned. */
+	readonly wasListed: boolean;
 	/** The server's entry now. */
 	readonly current: ServerEntry | undefined;
 	/** Whether another server is listed at the address now. */
@@ -27,8 +29,8 @@
 }
 
 /** Whether the run has certainly crashed. A server that was leaving may have ended as planned, and a broken connection alone may be a fault of the network. */
-export function hasRunCrashed(run: ServerRun, {before, current, isAddressTaken, port}: RunEvidence): boolean {
-	const hasStartedAgain = [before, current].some(entry => entry?.startedAt !== undefined && run.startedAt !== undefined && entry.startedAt > run.startedAt);
-	const wasLeaving = before === undefined || before.isLeaving;
+export function hasRunCrashed(run: ServerRun, {last, wasListed, current, isAddressTaken, port}: RunEvidence): boolean {
+	const hasStartedAgain = [last, current].some(entry => entry?.startedAt !== undefined && run.startedAt !== undefined && entry.startedAt > run.startedAt);
+	const wasLeaving = !wasListed || last === undefined || last.isLeaving;
 	return hasStartedAgain || (!wasLeaving && (port === 'refused' || current === undefined || isAddressTaken));
 }
--- a/src/gateway/node/crash-detector.ts
+++ b/src/gateway/node/crash-detector.ts
@@ -1,11 +1,12 @@
-/** Finds out whether a backend server crashed when the connection of a request broke. */
+/** Finds out whether a backend server crashed when the connection of a request broke, or when a request got no response. */
 import type {Clock} from '../../base/common/clock.js';
-import type {Disposable} from '../../base/common/disposable.js';
+import {createDisposable, type Disposable} from '../../base/common/disposable.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {PortState} from '../../limits/common/stopped-daemons.js';
 import type {PeerAddress} from '../../peers/common/peers.js';
+import {createEntryHistory} from '../common/entry-history.js';
 import {hasRunCrashed, keyOfRun, type ServerRun} from '../common/server-run.js';
 import type {ServerView} from '../common/server-view.js';
 
@@ -13,12 +14,21 @@
 export type CrashDetector = Disposable & {
 	/** The run of a server that gets the requests sent now. */
 	readonly currentRun: (serverId: string) => ServerRun;
-	/** Looks at the server at once; resolves within a bounded time with whether the run has crashed, as far as it is known by then. */
-	readonly inspect: (run: ServerRun) => Promise<boolean>;
-	/** Resolves with whether the run has crashed once its entry shows it, or with false when `VERDICT_TIMEOUT_MS` has passed. */
-	readonly awaitVerdict: (run: ServerRun) => Promise<boolean>;
+	/** Looks at the server at once. Each verdict resolves with whether the run has crashed. */
+	readonly inspect: (run: ServerRun, end: 'broken' | 'silent') => {
+		/** Resolves within a bounded time, as far as it is known by then. */
+		readonly first: Promise<boolean>;
+		/** Resolves once entries show a crash, or with false when `VERDICT_TIMEOUT_MS` has passed. */
+		readonly final: Promise<boolean>;
+	};
+	/** Calls the listener once if entries show that the run has crashed while a request on it is open, until it is disposed. */
+	readonly watch: (run: ServerRun, onDidCrash: () => void) => Disposable;
 	/** Whether the run is known to have crashed. */
 	readonly hasCrashed: (run: ServerRun) => boolean;
+	/** Records a complete response of the run. */
+	readonly recordAlive: (run: ServerRun) => void;
+	/** Whether the run completed a response after a Unix time in milliseconds, so that its crash came later. */
+	readonly wasAliveAfter: (run: ServerRun, wallTime: number) => boolean;
 	/** The runs of other servers that crashed at about the same time, as keys. */
 	readonly listRecentCrashes: (run: ServerRun, now: number) => readonly string[];
 };
@@ -43,11 +53,20 @@
 /** A port that was probed within this time is not probed again, because one crash breaks the connections of many requests. */
 const PROBE_REUSE_MS = 250;
 
+/** Maximum number of servers whose last response is remembered, well above the number of servers of a site. */
+const MAXIMUM_ALIVE_SERVERS = 4000;
+
 type Inspection = {
 	readonly port: Promise<PortState>;
 	readonly probedAt: number;
-	/** The server's entry when the connection broke, in case it is removed later. */
-	readonly before: ReturnType<ServerView['find']>;
+};
+
+/** A request whose server may have crashed, and the listener for the verdict that it has. */
+type Watch = {
+	readonly run: ServerRun;
+	/** As in `RunEvidence`. */
+	readonly wasListed: boolean;
+	readonly onDidCrash: () => void;
 };
 
 /** Creates the detector of a daemon. */
@@ -56,7 +75,10 @@
 }: CrashDetectorDependencies): CrashDetector {
 	const inspections = new Map<string, Inspection>();
 	const crashedAtByRun = new Map<string, number>();
-	const waiters = new Map<string, {readonly run: ServerRun; readonly settle: Array<(hasCrashed: boolean) => void>}>();
+	const watches = new Set<Watch>();
+	const history = createEntryHistory();
+	/** Unix time of the last complete response, by server. */
+	const aliveAtByServer = new Map<string, number>();
 
 	function recordCrash(run: ServerRun, evidence: string): void {
 		const key = keyOfRun(run);
@@ -73,17 +95,17 @@
 		metrics.count('server.crashes', 1, {evidence});
 	}
 
-	function judge(run: ServerRun, port: PortState): boolean {
+	function judge({run, wasListed}: Omit<Watch, 'onDidCrash'>, port: PortState): boolean {
 		const key = keyOfRun(run);
 		if (crashedAtByRun.has(key)) {
 			return true;
 		}
 
-		const before = inspections.get(key)?.before;
+		const last = history.find(run.serverId);
 		const current = view.find(run.serverId);
-		const isAddressTaken = before !== undefined && view.all().some(entry => entry.id !== before.id && entry.address === before.address && entry.port === before.port);
+		const isAddressTaken = last !== undefined && view.all().some(entry => entry.id !== last.id && entry.address === last.address && entry.port === last.port);
 		const hasCrashed = hasRunCrashed(run, {
-			before, current, isAddressTaken, port,
+			last, wasListed, current, isAddressTaken, port,
 		});
 		if (hasCrashed) {
 			recordCrash(run, port === 'refused' ? 'port' : 'entry');
@@ -92,68 +114,88 @@
 		return hasCrashed;
 	}
 
-	function beginInspection(run: ServerRun): Inspection {
+	async function inspectPort(run: ServerRun): Promise<PortState> {
 		const key = keyOfRun(run);
 		const known = inspections.get(key);
 		const now = clock.monotonic();
 		if (known !== undefined && now - known.probedAt < PROBE_REUSE_MS) {
-			return known;
+			return known.port;
 		}
 
-		const before = known?.before ?? view.find(run.serverId);
-		const port = before === undefined ? Promise.resolve<PortState>('unknown') : probe({address: before.address, peerPort: before.port});
-		const inspection = {port, before, probedAt: now};
+		const last = history.find(run.serverId);
+		const inspection = {port: last === undefined ? Promise.resolve<PortState>('unknown') : probe({address: last.address, peerPort: last.port}), probedAt: now};
 		inspections.set(key, inspection);
-		loop.after(VERDICT_TIMEOUT_MS, () => {
+		loop.after(PROBE_REUSE_MS, () => {
 			if (inspections.get(key) === inspection) {
 				inspections.delete(key);
-				if (waiters.has(key)) {
-					log.info('no crash of the backend server is known', {...run, isListed: view.find(run.serverId) !== undefined});
-				}
-
-				settle(key, crashedAtByRun.has(key));
 			}
 		});
-		return inspection;
+		return inspection.port;
 	}
 
-	function settle(key: string, hasCrashed: boolean): void {
-		const waiter = waiters.get(key);
-		waiters.delete(key);
-		waiter?.settle.forEach(resolve => {
-			resolve(hasCrashed);
+	function watch(watched: Watch): Disposable {
+		watches.add(watched);
+		return createDisposable(() => {
+			watches.delete(watched);
+		});
+	}
+
+	/** Waits until entries show whether a run has crashed. */
+	async function awaitVerdict(run: ServerRun, wasListed: boolean): Promise<boolean> {
+		return new Promise(resolve => {
+			const watching = watch({
+				run, wasListed, onDidCrash() {
+					resolve(true);
+				},
+			});
+			loop.after(VERDICT_TIMEOUT_MS, () => {
+				watching.dispose();
+				if (!crashedAtByRun.has(keyOfRun(run))) {
+					log.debug('no crash of the backend server is known', {...run, isListed: history.isListed(run.serverId)});
+				}
+
+				resolve(crashedAtByRun.has(keyOfRun(run)));
+			});
 		});
 	}
 
 	view.onDidChange(() => {
-		[...waiters].filter(([, {run}]) => judge(run, 'unknown')).forEach(([key]) => {
-			settle(key, true);
+		history.update(view.all(), clock.monotonic());
+		[...watches].filter(watched => judge(watched, 'unknown')).forEach(watched => {
+			watches.delete(watched);
+			watched.onDidCrash();
 		});
 	});
+	history.update(view.all(), clock.monotonic());
 
 	return {
 		currentRun: serverId => ({serverId, startedAt: view.find(serverId)?.startedAt}),
-		async inspect(run) {
-			return judge(run, await beginInspection(run).port);
+		inspect(run, end) {
+			const wasListed = end === 'silent' || history.isListed(run.serverId);
+			return {
+				first: inspectPort(run).then(port => judge({run, wasListed}, port)),
+				final: judge({run, wasListed}, 'unknown') ? Promise.resolve(true) : awaitVerdict(run, wasListed),
+			};
 		},
-		async awaitVerdict(run) {
-			const key = keyOfRun(run);
-			if (judge(run, 'unknown') || !inspections.has(key)) {
-				return crashedAtByRun.has(key);
+		watch: (run, onDidCrash) => watch({run, wasListed: true, onDidCrash}),
+		hasCrashed: run => crashedAtByRun.has(keyOfRun(run)),
+		recordAlive({serverId}) {
+			// The newest entry is last, so that the oldest ones are dropped first.
+			aliveAtByServer.delete(serverId);
+			aliveAtByServer.set(serverId, clock.wall());
+			if (aliveAtByServer.size > MAXIMUM_ALIVE_SERVERS) {
+				aliveAtByServer.delete([...aliveAtByServer.keys()][0]!);
 			}
-
-			return new Promise(resolve => {
-				const waiter = waiters.get(key) ?? {run, settle: []};
-				waiter.settle.push(resolve);
-				waiters.set(key, waiter);
-			});
 		},
-		hasCrashed: run => crashedAtByRun.has(keyOfRun(run)),
+		wasAliveAfter(run, wallTime) {
+			const aliveAt = aliveAtByServer.get(run.serverId);
+			const last = history.find(run.serverId);
+			const nextStart = last?.startedAt !== undefined && run.startedAt !== undefined && last.startedAt > run.startedAt ? last.startedAt : Number.POSITIVE_INFINITY;
+			return aliveAt !== undefined && aliveAt > wallTime && aliveAt < nextStart;
+		},
 		listRecentCrashes: (run, now) => [...crashedAtByRun].filter(([key, at]) => key !== keyOfRun(run) && now - at < COMMON_CRASH_WINDOW_MS).map(([key]) => key),
 		dispose() {
-			[...waiters.keys()].forEach(key => {
-				settle(key, false);
-			});
+			watches.clear();
 		},
 	};
 }
--- a/src/gateway/node/request-guard.ts
+++ b/src/gateway/node/request-guard.ts
@@ -6,7 +6,7 @@
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {SuspectTable} from '../../requests/common/suspect-table.js';
 import type {SuspectLedger} from '../../requests/node/suspect-ledger.js';
-import type {RequestGuard} from '../common/request-guard.js';
+import type {GuardedRequest, RequestGuard} from '../common/request-guard.js';
 import {keyOfRun, type ServerRun} from '../common/server-run.js';
 import type {CrashDetector} from './crash-detector.js';
 
@@ -24,13 +24,19 @@
 /** Time for which the next attempt of a request waits to learn whether its server crashed. */
 const VERDICT_WAIT_MS = 100;
 
+/** How an attempt ended whose server may have crashed. */
+type SuspectEnd = 'broken' | 'silent' | 'open';
+
 /** Creates the guard of a daemon. */
 export function createRequestGuard({
 	detector, table, ledger, clock, loop, log, metrics,
 }: RequestGuardDependencies): RequestGuard {
-	function recordVerdict(requestId: string, fingerprint: string, run: ServerRun, hasCrashed: boolean): void {
-		log.info(hasCrashed ? 'request broke with its server' : 'request lost its connection', {requestId, fingerprint, ...run});
-		metrics.count('request.broken', 1, {verdict: hasCrashed ? 'crash' : 'connection'});
+	function recordVerdict(requestId: string, fingerprint: string, run: ServerRun, verdict: {readonly end: SuspectEnd; readonly hasCrashed: boolean}): void {
+		const {end, hasCrashed} = verdict;
+		log.info(hasCrashed ? 'request broke with its server' : (end === 'silent' ? 'request got no response' : 'request lost its connection'), {
+			requestId, fingerprint, ...run, end,
+		});
+		metrics.count('request.broken', 1, {verdict: hasCrashed ? 'crash' : 'connection', end});
 		if (!hasCrashed) {
 			return;
 		}
@@ -51,16 +57,34 @@
 	}
 
 	async function recordBroken(requestId: string, fingerprint: string, run: ServerRun): Promise<void> {
-		if (await detector.inspect(run)) {
-			recordVerdict(requestId, fingerprint, run, true);
+		const {first, final} = detector.inspect(run, 'broken');
+		if (await first) {
+			recordVerdict(requestId, fingerprint, run, {end: 'broken', hasCrashed: true});
 			return;
 		}
 
-		void detector.awaitVerdict(run).then(hasCrashed => {
-			recordVerdict(requestId, fingerprint, run, hasCrashed);
+		void final.then(hasCrashed => {
+			recordVerdict(requestId, fingerprint, run, {end: 'broken', hasCrashed});
 		});
 	}
 
+	/** Blames a request that got no response if its server has crashed, unless the server completed another response after the request had ended. */
+	async function recordSilent(requestId: string, fingerprint: string, run: ServerRun): Promise<void> {
+		const endedAt = clock.wall();
+		const {first, final} = detector.inspect(run, 'silent');
+		const hasCrashed = await first || await final;
+		recordVerdict(requestId, fingerprint, run, {end: 'silent', hasCrashed: hasCrashed && !detector.wasAliveAfter(run, endedAt)});
+	}
+
+	/** Blames a request that is still open when entries show that its server has crashed. */
+	function watchOpen({requestId, fingerprint}: GuardedRequest, run: ServerRun) {
+		return fingerprint === undefined
+			? undefined
+			: detector.watch(run, () => {
+				recordVerdict(requestId, fingerprint(), run, {end: 'open', hasCrashed: true});
+			});
+	}
+
 	return {
 		check(request, now) {
 			return request.fingerprint === undefined || table.isEmpty()
@@ -69,8 +93,14 @@
 		},
 		begin(request, serverId) {
 			const run = detector.currentRun(serverId);
+			const watch = watchOpen(request, run);
 			return async outcome => {
+				watch?.dispose();
 				const {fingerprint, requestId} = request;
+				if (outcome === 'completed') {
+					detector.recordAlive(run);
+				}
+
 				if (fingerprint === undefined) {
 					return;
 				}
@@ -80,7 +110,7 @@
 				}
 
 				if (outcome === 'silent') {
-					log.info('request got no response', {requestId, fingerprint: fingerprint(), ...run});
+					void recordSilent(requestId, fingerprint(), run);
 				}
 
 				if (outcome === 'broken') {
--- a/src/gateway/test/attempt-policy.test.ts
+++ b/src/gateway/test/attempt-policy.test.ts
@@ -2,7 +2,9 @@
 import * as assert from 'uvu/assert';
 import {createNotRun, createOutcomeUnknown} from '../../base/common/failure.js';
 import type {ResponseHead} from '../common/server-protocol.js';
-import {decideAfterAttempt, type AttemptEnd, type AttemptState} from '../common/attempt-policy.js';
+import {
+	classifyOutcome, decideAfterAttempt, type AttemptEnd, type AttemptState,
+} from '../common/attempt-policy.js';
 
 const test = suite('decision after an attempt');
 const origin = {step: 'call', peer: 's1'};
@@ -52,4 +54,13 @@
 	assert.is(decideAfterAttempt(notSent, state({servers: 3, repeatability: 'nonIdempotent'}), false), 'refuse');
 });
 
+test('an attempt without a response is silent if its deadline passed or its caller left, and broken if its connection broke', () => {
+	const none = {hasTimedOut: false, hasCallerLeft: false};
+	assert.is(classifyOutcome(unknown, none), 'broken');
+	assert.is(classifyOutcome(unknown, {...none, hasTimedOut: true}), 'silent');
+	assert.is(classifyOutcome(unknown, {...none, hasCallerLeft: true}), 'silent');
+	assert.is(classifyOutcome(notSent, {...none, hasTimedOut: true}), 'unclear');
+	assert.is(classifyOutcome(answer(200), none), 'completed');
+});
+
 test.run();
--- a/src/gateway/test/server-run.test.ts
+++ b/src/gateway/test/server-run.test.ts
@@ -9,7 +9,7 @@
 	id: 's', pool: 'p', address: '10.0.0.1', port: 80, availabilityZone: 'z', slots: 4, isLeaving: false, versions: new Map(), sequence: 1, startedAt: 1000,
 };
 const sound: RunEvidence = {
-	before: entry, current: entry, isAddressTaken: false, port: 'open',
+	last: entry, wasListed: true, current: entry, isAddressTaken: false, port: 'open',
 };
 
 const cases: ReadonlyArray<readonly [string, Partial<RunEvidence>, boolean]> = [
@@ -20,8 +20,9 @@
 	['a server whose address another one uses has crashed', {isAddressTaken: true}, true],
 	['a server that started again under its id has crashed', {current: {...entry, startedAt: 2000}}, true],
 	['a late entry of an earlier start shows no crash', {current: {...entry, startedAt: 500}}, false],
-	['a server that was leaving has ended as planned', {before: {...entry, isLeaving: true}, current: undefined, port: 'refused'}, false],
-	['a server that was removed before its connection broke has ended as planned', {before: undefined, current: undefined, port: 'refused'}, false],
+	['a server that was leaving has ended as planned', {last: {...entry, isLeaving: true}, current: undefined, port: 'refused'}, false],
+	['a server that was removed before its connection broke has ended as planned', {wasListed: false, current: undefined, port: 'refused'}, false],
+	['a server that was never known shows no crash', {last: undefined, current: undefined, port: 'refused'}, false],
 ];
 
 cases.forEach(([name, evidence, hasCrashed]) => {
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -2,7 +2,9 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {findCrashViolations, STABLE_MS} from './checkers/crash-checker.js';
-import {createCrashingFleet, DARKENING, POISON, type CrashingFleet} from './fakes/crashing-fleet.js';
+import {
+	createCrashingFleet, DARKENING, POISON, type CrashingFleet,
+} from './fakes/crashing-fleet.js';
 
 const test = suite('requests that crash servers');
 const SEEDS = 20 * Number(process.env.FUZZ_FACTOR ?? 1);
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -151,11 +151,11 @@
 				loop.after(ENTRY_DELAY_MS, publishEntries);
 			}
 		});
-		loop.after(downMs, now => {
+		loop.after(downMs, () => {
 			server.isUp = true;
 			server.isDark = false;
 			server.isListed = true;
-			server.startedAt = 1000 + now;
+			server.startedAt = clock.wall();
 			loop.after(ENTRY_DELAY_MS, publishEntries);
 		});
 	}
