Take a refused connection for a crash only if other daemons see it too

Seen by callers: a daemon whose links to the servers are cut, by links that refuse, takes each of its servers for crashed and blames the requests that ran there. Cause: hasRunCrashed took one refused connection as proof, and the removal of an entry as well; a partition refuses too, and a server that leaves without notice is removed while it still serves. Class of fault: one daemon's view taken for the state of the world. Ruled out: entries alone as evidence, as a server that stays down is listed for three heartbeats more, and a fourth crash would come before. Change: a port that does not open is compared with those of two other servers (do the own links work?) and with the views of three other daemons, other zones first. A removed entry counts only if nobody reaches the server's port. Cost: at most 3 calls to daemons and 12 connections to servers a crash and daemon.

--- a/src/gateway/common/server-run.ts
+++ b/src/gateway/common/server-run.ts
@@ -1,5 +1,5 @@
 /** Decides whether one run of a backend server has crashed, from its entries and from its port. */
-import type {PortState} from '../../limits/common/stopped-daemons.js';
+import type {PortView} from './port-view.js';
 import type {ServerEntry} from './server-view.js';
 
 /** One run of a server, from a start until its process ends. */
@@ -19,8 +19,8 @@
 	readonly current: ServerEntry | undefined;
 	/** Whether another server is listed at the address now. */
 	readonly isAddressTaken: boolean;
-	/** State of the server's port after the connection broke. */
-	readonly port: PortState;
+	/** The server's port after the request had ended, or after its entry had disappeared, as several daemons see it. */
+	readonly port: PortView;
 };
 
 /** Returns a key that differs between the runs of a server. */
@@ -28,9 +28,13 @@
 	return `${serverId}@${startedAt ?? ''}`;
 }
 
-/** Whether the run has certainly crashed. A server that was leaving may have ended as planned, and a broken connection alone may be a fault of the network. */
+/**
+ * Whether the run has certainly crashed. A server that was leaving may have ended as planned, and a broken connection alone may be
+ * a fault of the network. An entry also disappears when a server leaves without notice, and then the server still serves for a while.
+ */
 export function hasRunCrashed(run: ServerRun, {last, wasListed, current, isAddressTaken, port}: RunEvidence): boolean {
 	const hasStartedAgain = [last, current].some(entry => entry?.startedAt !== undefined && run.startedAt !== undefined && entry.startedAt > run.startedAt);
 	const wasLeaving = !wasListed || last === undefined || last.isLeaving;
-	return hasStartedAgain || (!wasLeaving && (port === 'refused' || current === undefined || isAddressTaken));
+	const hasEnded = port === 'refused' || (port === 'silent' && current === undefined);
+	return hasStartedAgain || (!wasLeaving && (hasEnded || isAddressTaken));
 }
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -18,6 +18,7 @@
 import {hostKey} from '../settings/common/host.js';
 import {createDeploymentHolder, listResumablePools, type DeploymentHolder} from './common/deployment.js';
 import {deploymentSourceKey} from './common/deployment-source.js';
+import {createEntryHistory} from './common/entry-history.js';
 import {hostedSuspectRules} from './common/suspect-rules.js';
 import {serverProtocolKey} from './common/server-protocol.js';
 import {createSharedLoads, type SharedLoads} from './common/shared-loads.js';
@@ -28,6 +29,7 @@
 import {createSuspectObjects} from './node/suspect-objects.js';
 import {createFeed, type Feed} from './node/feed.js';
 import {createForwarder, type Forwarder} from './node/forwarder.js';
+import {createPortInspection} from './node/port-inspection.js';
 import {createRequestGuard} from './node/request-guard.js';
 import {createServerAcquisition} from './node/server-acquisition.js';
 import {createServerCaller, type ServerCaller} from './node/server-caller.js';
@@ -106,7 +108,16 @@
 		},
 	});
 	const acquisition = createServerAcquisition({...context, permits, isUsable: view.table.isUsable});
-	const detector = createCrashDetector({...context, view, probe: probePort});
+	const history = createEntryHistory();
+	view.onDidChange(() => {
+		history.update(view.all(), context.clock.monotonic());
+	});
+	const ports = createPortInspection({
+		...context, view, history, mesh: context.use(peerMeshKey), probe: probePort,
+	});
+	const detector = createCrashDetector({
+		...context, view, history, ports,
+	});
 	const suspects = createSuspectTable(hostedSuspectRules);
 	const exchange = createSuspectExchange({
 		...context, table: suspects, rules: hostedSuspectRules, objects: createSuspectObjects({...context, api: context.use(objectApiKey)}), mesh: context.use(peerMeshKey),
--- a/src/gateway/node/crash-detector.ts
+++ b/src/gateway/node/crash-detector.ts
@@ -4,11 +4,11 @@
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
-import type {PortState} from '../../limits/common/stopped-daemons.js';
-import type {PeerAddress} from '../../peers/common/peers.js';
-import {createEntryHistory} from '../common/entry-history.js';
+import type {EntryHistory} from '../common/entry-history.js';
+import type {PortView} from '../common/port-view.js';
 import {hasRunCrashed, keyOfRun, type ServerRun} from '../common/server-run.js';
 import type {ServerView} from '../common/server-view.js';
+import type {PortInspection} from './port-inspection.js';
 
 /** Detects crashes of backend servers. */
 export type CrashDetector = Disposable & {
@@ -36,7 +36,9 @@
 /** Dependencies of a detector. */
 export type CrashDetectorDependencies = {
 	readonly view: Pick<ServerView, 'all' | 'find' | 'onDidChange'>;
-	readonly probe: (peer: PeerAddress) => Promise<PortState>;
+	/** The last entries of servers, which is kept up to date. */
+	readonly history: EntryHistory;
+	readonly ports: PortInspection;
 	readonly clock: Clock;
 	readonly loop: Loop;
 	readonly log: Log;
@@ -57,7 +59,7 @@
 const MAXIMUM_ALIVE_SERVERS = 4000;
 
 type Inspection = {
-	readonly port: Promise<PortState>;
+	readonly port: Promise<PortView>;
 	readonly probedAt: number;
 };
 
@@ -66,17 +68,18 @@
 	readonly run: ServerRun;
 	/** As in `RunEvidence`. */
 	readonly wasListed: boolean;
+	/** Whether the port was inspected after the entry had disappeared. */
+	isInspected: boolean;
 	readonly onDidCrash: () => void;
 };
 
 /** Creates the detector of a daemon. */
 export function createCrashDetector({
-	view, probe, clock, loop, log, metrics,
+	view, history, ports, clock, loop, log, metrics,
 }: CrashDetectorDependencies): CrashDetector {
 	const inspections = new Map<string, Inspection>();
 	const crashedAtByRun = new Map<string, number>();
 	const watches = new Set<Watch>();
-	const history = createEntryHistory();
 	/** Unix time of the last complete response, by server. */
 	const aliveAtByServer = new Map<string, number>();
 
@@ -95,7 +98,7 @@
 		metrics.count('server.crashes', 1, {evidence});
 	}
 
-	function judge({run, wasListed}: Omit<Watch, 'onDidCrash'>, port: PortState): boolean {
+	function judge({run, wasListed}: Pick<Watch, 'run' | 'wasListed'>, port: PortView): boolean {
 		const key = keyOfRun(run);
 		if (crashedAtByRun.has(key)) {
 			return true;
@@ -108,13 +111,13 @@
 			last, wasListed, current, isAddressTaken, port,
 		});
 		if (hasCrashed) {
-			recordCrash(run, port === 'refused' ? 'port' : 'entry');
+			recordCrash(run, port === 'refused' || port === 'silent' ? 'port' : 'entry');
 		}
 
 		return hasCrashed;
 	}
 
-	async function inspectPort(run: ServerRun): Promise<PortState> {
+	async function inspectPort(run: ServerRun): Promise<PortView> {
 		const key = keyOfRun(run);
 		const known = inspections.get(key);
 		const now = clock.monotonic();
@@ -123,7 +126,7 @@
 		}
 
 		const last = history.find(run.serverId);
-		const inspection = {port: last === undefined ? Promise.resolve<PortState>('unknown') : probe({address: last.address, peerPort: last.port}), probedAt: now};
+		const inspection: Inspection = {port: last === undefined ? Promise.resolve('unknown') : ports.inspect(last), probedAt: now};
 		inspections.set(key, inspection);
 		loop.after(PROBE_REUSE_MS, () => {
 			if (inspections.get(key) === inspection) {
@@ -144,7 +147,7 @@
 	async function awaitVerdict(run: ServerRun, wasListed: boolean): Promise<boolean> {
 		return new Promise(resolve => {
 			const watching = watch({
-				run, wasListed, onDidCrash() {
+				run, wasListed, isInspected: false, onDidCrash() {
 					resolve(true);
 				},
 			});
@@ -159,14 +162,24 @@
 		});
 	}
 
+	function finish(watched: Watch, port: PortView): boolean {
+		if (!watches.has(watched) || !judge(watched, port)) {
+			return false;
+		}
+
+		watches.delete(watched);
+		watched.onDidCrash();
+		return true;
+	}
+
 	view.onDidChange(() => {
-		history.update(view.all(), clock.monotonic());
-		[...watches].filter(watched => judge(watched, 'unknown')).forEach(watched => {
-			watches.delete(watched);
-			watched.onDidCrash();
+		watches.forEach(watched => {
+			if (!finish(watched, 'unknown') && watched.wasListed && !watched.isInspected && !history.isListed(watched.run.serverId)) {
+				watched.isInspected = true;
+				void inspectPort(watched.run).then(port => finish(watched, port));
+			}
 		});
 	});
-	history.update(view.all(), clock.monotonic());
 
 	return {
 		currentRun: serverId => ({serverId, startedAt: view.find(serverId)?.startedAt}),
@@ -177,7 +190,9 @@
 				final: judge({run, wasListed}, 'unknown') ? Promise.resolve(true) : awaitVerdict(run, wasListed),
 			};
 		},
-		watch: (run, onDidCrash) => watch({run, wasListed: true, onDidCrash}),
+		watch: (run, onDidCrash) => watch({
+			run, wasListed: true, isInspected: false, onDidCrash,
+		}),
 		hasCrashed: run => crashedAtByRun.has(keyOfRun(run)),
 		recordAlive({serverId}) {
 			// The newest entry is last, so that the oldest ones are dropped first.
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -6,9 +6,11 @@
 import type {Route} from '../../src/gateway/common/deployment.js';
 import {permissiveRequestGuard} from '../../src/gateway/common/request-guard.js';
 import type {ResponseHead, ServerProtocol} from '../../src/gateway/common/server-protocol.js';
+import {createEntryHistory} from '../../src/gateway/common/entry-history.js';
 import {createServerView, type ServerEntry, type ServerView} from '../../src/gateway/common/server-view.js';
 import {hostedSuspectRules} from '../../src/gateway/common/suspect-rules.js';
 import {createCrashDetector} from '../../src/gateway/node/crash-detector.js';
+import {createPortInspection} from '../../src/gateway/node/port-inspection.js';
 import {createForwarder, type Forwarder, type PlainRequest} from '../../src/gateway/node/forwarder.js';
 import {createRequestGuard} from '../../src/gateway/node/request-guard.js';
 import {createServerAcquisition} from '../../src/gateway/node/server-acquisition.js';
@@ -231,8 +233,16 @@
 		const exchange = createSuspectExchange({
 			table, rules: hostedSuspectRules, mesh, clock, loop, random, log: silentLog, objects: createSuspectObjects({api: objects.open(name), loop, log: silentLog}),
 		});
+		const history = createEntryHistory();
+		view.onDidChange(() => {
+			history.update(view.all(), clock.monotonic());
+		});
+		history.update(view.all(), clock.monotonic());
+		const ports = createPortInspection({
+			view, history, mesh, random, log: silentLog, probe: async ({address}) => probeFrom(name, address),
+		});
 		const detector = createCrashDetector({
-			view, clock, loop, log: silentLog, metrics: silentMetrics, probe: async ({address}) => probeFrom(name, address),
+			view, history, ports, clock, loop, log: silentLog, metrics: silentMetrics,
 		});
 		const guard = options.isGuarded === false
 			? permissiveRequestGuard
