Try a refused request at one server and by one daemon, and at most twice a day

Seen by callers: a request that crashes each server that runs it is refused for 60 s (5 s in a burst of crashes); then each daemon let it through, each to as many servers as its route allows, and again after each longer refusal. Class of fault: a limit held by each daemon instead of by all. Ruled out: refusing for good, as no server is reserved for suspects and an innocent request may be blamed; longer refusals alone, as several daemons still let it through at once. Change: when a refusal ends, the request needs a trial, which one of its keepers grants to one daemon, for one server. The trial is recorded, stored and announced like a crash before it begins, so that it counts also if its end is not seen, and withdrawn if no server crashed. A completed trial clears the request on all daemons. The refusal grows by trials, no longer by crashes, so that one fault under many servers does not refuse a popular request for longer. The tests of the table now expect 'trial' where a refusal has ended, and growth by trials.

--- a/src/gateway/common/request-guard.ts
+++ b/src/gateway/common/request-guard.ts
@@ -23,13 +23,28 @@
 /** Guards the servers of one daemon. */
 export type RequestGuard = {
 	/** Whether a request may be sent to a server; the failure says when it may be sent again. */
-	readonly check: (request: GuardedRequest, now: number) => Result<void, Failure>;
-	/** Records that an attempt is about to be sent. The returned function records its end; its promise resolves within a bounded time, when `check` takes the end into account. */
-	readonly begin: (request: GuardedRequest, serverId: string) => (outcome: AttemptOutcome) => Promise<void>;
+	readonly admit: (request: GuardedRequest) => Promise<Result<Admission, Failure>>;
+	/** Whether an admission still holds, after the request has waited for a server. */
+	readonly confirm: (request: GuardedRequest, admission: Admission, now: number) => Result<void, Failure>;
+	/** Records that no attempt follows on an admission. */
+	readonly cancel: (admission: Admission) => void;
+	/** Records that an attempt is about to be sent. The returned function records its end; its promise resolves within a bounded time, when `admit` takes the end into account. */
+	readonly begin: (request: GuardedRequest, serverId: string, admission: Admission) => (outcome: AttemptOutcome) => Promise<void>;
 };
 
+/** Allows one attempt. */
+export type Admission = {
+	/** Id of the trial; undefined for requests that are not refused. A trial runs at one server only. */
+	readonly trialId: string | undefined;
+};
+
+/** Admits requests that no crash is known of. */
+export const openAdmission: Admission = {trialId: undefined};
+
 /** A guard that allows every request and records nothing. */
 export const permissiveRequestGuard: RequestGuard = {
-	check: () => ok(),
+	admit: async () => ok(openAdmission),
+	confirm: () => ok(),
+	cancel: () => undefined,
 	begin: () => async () => undefined,
 };
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -123,7 +123,7 @@
 		...context, table: suspects, rules: hostedSuspectRules, objects: createSuspectObjects({...context, api: context.use(objectApiKey)}), mesh: context.use(peerMeshKey),
 	});
 	const guard = createRequestGuard({
-		...context, detector, table: suspects, ledger: createSuspectLedger({table: suspects, transport: exchange}),
+		...context, detector, table: suspects, ledger: createSuspectLedger({table: suspects, transport: exchange}), trials: exchange,
 	});
 	const serverIdsOf = (pool: string) => view.list(pool).map(entry => entry.id);
 	const forwarder = createForwarder({
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -19,7 +19,7 @@
 import {
 	classifyOutcome, decideAfterAttempt, isNotRun, type AttemptEnd,
 } from '../common/attempt-policy.js';
-import type {RequestGuard} from '../common/request-guard.js';
+import type {Admission, RequestGuard} from '../common/request-guard.js';
 import type {ServerAcquisition} from './server-acquisition.js';
 import type {BackendResponse, ServerCaller, ServerRequest} from './server-caller.js';
 
@@ -86,6 +86,12 @@
 /** Statuses from this one on count as failures of the server. */
 const FIRST_ERROR_STATUS = 500;
 
+/** A server for the next attempt, and the guard's admission to it. */
+type AdmittedDispatch = {
+	readonly dispatch: Dispatch;
+	readonly admission: Admission;
+};
+
 type Progress = {
 	readonly triedServers: string[];
 	mayHaveRun: boolean;
@@ -95,6 +101,8 @@
 	lastResponse: Result<BackendResponse, Failure> | undefined;
 	/** Resolves when the guard takes the last attempt into account. */
 	verdict: Promise<void>;
+	/** Whether the request is tried at one server only, as others have crashed under it. */
+	isTrial: boolean;
 };
 
 /** Creates a forwarder. */
@@ -140,9 +148,9 @@
 		});
 	}
 
-	async function attemptServer(dispatch: Dispatch, request: PlainRequest, progress: Progress, signal: AbortSignal): Promise<Result<BackendResponse, Failure>> {
+	async function attemptServer({dispatch, admission}: AdmittedDispatch, request: PlainRequest, progress: Progress, signal: AbortSignal): Promise<Result<BackendResponse, Failure>> {
 		const remainingMs = request.deadlineAt - clock.monotonic() - RESPONSE_MARGIN_MS;
-		const endAttempt = guard.begin(request, dispatch.server.id);
+		const endAttempt = guard.begin(request, dispatch.server.id, admission);
 		const result = await caller.attempt(dispatch.server, request, {
 			requestId: request.requestId, remainingMs, serverId: dispatch.server.id, ...(request.urgency !== undefined && {urgency: request.urgency}),
 		}, {timeoutMs: Math.max(1, remainingMs), signal});
@@ -178,7 +186,7 @@
 
 	async function forward(request: PlainRequest): Promise<Result<BackendResponse, Failure>> {
 		const progress: Progress = {
-			triedServers: [], mayHaveRun: false, openAttempts: 0, startedAttempts: 0, lastResponse: undefined, verdict: Promise.resolve(),
+			triedServers: [], mayHaveRun: false, openAttempts: 0, startedAttempts: 0, lastResponse: undefined, verdict: Promise.resolve(), isTrial: false,
 		};
 		const abortController = new AbortController();
 		const onDisconnect = () => {
@@ -230,7 +238,7 @@
 			const decision = decideAfterAttempt(end, {
 				repeatability: request.route.repeatability,
 				servers: progress.startedAttempts,
-				attempts: request.route.attempts,
+				attempts: progress.isTrial ? 1 : request.route.attempts,
 				remainingMs: request.deadlineAt - now,
 				minimumAttemptMs: MINIMUM_ATTEMPT_MS,
 			}, progress.mayHaveRun);
@@ -262,13 +270,22 @@
 		}
 
 		/** Acquires a server, unless the guard refuses the request, also when other daemons reported crashes while it waited. */
-		async function acquireUnlessRefused(canWait: boolean): Promise<Result<Dispatch, Failure>> {
-			const refusal = guard.check(request, clock.monotonic());
-			const chosen = refusal.isErr() ? err(refusal.error) : await acquireServer(request, progress.triedServers, startedAt, canWait);
-			return chosen.andThen(dispatch => guard.check(request, clock.monotonic()).map(() => dispatch).mapErr(failure => {
+		async function acquireUnlessRefused(canWait: boolean): Promise<Result<AdmittedDispatch, Failure>> {
+			const admitted = await guard.admit(request);
+			if (admitted.isErr()) {
+				return err(admitted.error);
+			}
+
+			const admission = admitted.value;
+			progress.isTrial ||= admission.trialId !== undefined;
+			const chosen = await acquireServer(request, progress.triedServers, startedAt, canWait);
+			return chosen.andThen(dispatch => guard.confirm(request, admission, clock.monotonic()).map(() => ({dispatch, admission})).mapErr(failure => {
 				dispatch.end(clock.monotonic(), 'cancelled');
 				return failure;
-			}));
+			})).mapErr(failure => {
+				guard.cancel(admission);
+				return failure;
+			});
 		}
 
 		async function startAttempt(canWait: boolean): Promise<void> {
@@ -283,14 +300,16 @@
 				return;
 			}
 
-			progress.triedServers.push(chosen.value.server.id);
-			handleAttemptEnd(await attemptServer(chosen.value, request, progress, abortController.signal), chosen.value.server.id);
+			const {server} = chosen.value.dispatch;
+			progress.triedServers.push(server.id);
+			handleAttemptEnd(await attemptServer(chosen.value, request, progress, abortController.signal), server.id);
 		}
 
 		/** Handles an attempt for which no server was found, or whose request ended meanwhile. */
-		function handleUnsent(chosen: Result<Dispatch, Failure>): void {
-			chosen.match(dispatch => {
+		function handleUnsent(chosen: Result<AdmittedDispatch, Failure>): void {
+			chosen.match(({dispatch, admission}) => {
 				dispatch.end(clock.monotonic(), 'cancelled');
+				guard.cancel(admission);
 				if (!request.signal.aborted) {
 					// Another attempt has been delivered meanwhile.
 					return;
@@ -310,7 +329,7 @@
 		const hedgeTimer = loop.after(request.route.goalMs * HEDGE_DELAY_SHARE, () => {
 			const hasAttempts = progress.startedAttempts < request.route.attempts;
 			const isSent = progress.triedServers.length > 0;
-			if (request.route.repeatability === 'idempotent' && isSent && progress.openAttempts === 1 && hasAttempts && hedgeBudget.spend()) {
+			if (request.route.repeatability === 'idempotent' && isSent && !progress.isTrial && progress.openAttempts === 1 && hasAttempts && hedgeBudget.spend()) {
 				log.debug('hedging a slow attempt', {requestId: request.requestId, slow: progress.triedServers.at(-1)});
 				void startAttempt(false);
 			}
--- a/src/gateway/node/request-guard.ts
+++ b/src/gateway/node/request-guard.ts
@@ -1,20 +1,25 @@
 /** Determines which requests of callers ran on servers that crashed, and refuses those under which several did. */
-import {ok} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
+import {createNotRun, type Failure} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {SuspectTable} from '../../requests/common/suspect-table.js';
 import type {SuspectLedger} from '../../requests/node/suspect-ledger.js';
-import type {GuardedRequest, RequestGuard} from '../common/request-guard.js';
+import {
+	openAdmission, type Admission, type GuardedRequest, type RequestGuard,
+} from '../common/request-guard.js';
 import {keyOfRun, type ServerRun} from '../common/server-run.js';
 import type {CrashDetector} from './crash-detector.js';
+import type {SuspectExchange} from './suspect-exchange.js';
 
 /** Dependencies of the guard. */
 export type RequestGuardDependencies = {
 	readonly detector: CrashDetector;
 	readonly table: Pick<SuspectTable, 'find' | 'isEmpty'>;
 	readonly ledger: SuspectLedger;
+	readonly trials: Pick<SuspectExchange, 'claimTrial'>;
 	readonly clock: Clock;
 	readonly loop: Loop;
 	readonly log: Log;
@@ -23,21 +28,29 @@
 
 /** Time for which the next attempt of a request waits to learn whether its server crashed. */
 const VERDICT_WAIT_MS = 100;
+/** Retry-after time for a request that came to be refused while it waited for a server, in milliseconds. */
+const RETRY_AFTER_MS = 1000;
 
 /** How an attempt ended whose server may have crashed. */
 type SuspectEnd = 'broken' | 'silent' | 'open';
 
 /** Creates the guard of a daemon. */
 export function createRequestGuard({
-	detector, table, ledger, clock, loop, log, metrics,
+	detector, table, ledger, trials, clock, loop, log, metrics,
 }: RequestGuardDependencies): RequestGuard {
-	function recordVerdict(requestId: string, fingerprint: string, run: ServerRun, verdict: {readonly end: SuspectEnd; readonly hasCrashed: boolean}): void {
-		const {end, hasCrashed} = verdict;
+	function recordVerdict(requestId: string, fingerprint: string, run: ServerRun, verdict: {readonly end: SuspectEnd; readonly hasCrashed: boolean; readonly trialId: string | undefined}): void {
+		const {end, hasCrashed, trialId} = verdict;
 		log.info(hasCrashed ? 'request broke with its server' : (end === 'silent' ? 'request got no response' : 'request lost its connection'), {
 			requestId, fingerprint, ...run, end,
 		});
 		metrics.count('request.broken', 1, {verdict: hasCrashed ? 'crash' : 'connection', end});
 		if (!hasCrashed) {
+			withdrawTrial(trialId);
+			return;
+		}
+
+		if (trialId !== undefined) {
+			// The trial was recorded like a crash before it began.
 			return;
 		}
 
@@ -56,44 +69,69 @@
 		}, now);
 	}
 
-	async function recordBroken(requestId: string, fingerprint: string, run: ServerRun): Promise<void> {
+	function withdrawTrial(trialId: string | undefined): void {
+		if (trialId !== undefined) {
+			ledger.withdraw([trialId], clock.monotonic());
+		}
+	}
+
+	async function recordBroken(requestId: string, fingerprint: string, run: ServerRun, trialId: string | undefined): Promise<void> {
 		const {first, final} = detector.inspect(run, 'broken');
 		if (await first) {
-			recordVerdict(requestId, fingerprint, run, {end: 'broken', hasCrashed: true});
+			recordVerdict(requestId, fingerprint, run, {end: 'broken', hasCrashed: true, trialId});
 			return;
 		}
 
 		void final.then(hasCrashed => {
-			recordVerdict(requestId, fingerprint, run, {end: 'broken', hasCrashed});
+			recordVerdict(requestId, fingerprint, run, {end: 'broken', hasCrashed, trialId});
 		});
 	}
 
 	/** Blames a request that got no response if its server has crashed, unless the server completed another response after the request had ended. */
-	async function recordSilent(requestId: string, fingerprint: string, run: ServerRun): Promise<void> {
+	async function recordSilent(requestId: string, fingerprint: string, run: ServerRun, trialId: string | undefined): Promise<void> {
 		const endedAt = clock.wall();
 		const {first, final} = detector.inspect(run, 'silent');
 		const hasCrashed = await first || await final;
-		recordVerdict(requestId, fingerprint, run, {end: 'silent', hasCrashed: hasCrashed && !detector.wasAliveAfter(run, endedAt)});
+		recordVerdict(requestId, fingerprint, run, {end: 'silent', hasCrashed: hasCrashed && !detector.wasAliveAfter(run, endedAt), trialId});
 	}
 
 	/** Blames a request that is still open when entries show that its server has crashed. */
-	function watchOpen({requestId, fingerprint}: GuardedRequest, run: ServerRun) {
+	function watchOpen({requestId, fingerprint}: GuardedRequest, run: ServerRun, {trialId}: Admission) {
 		return fingerprint === undefined
 			? undefined
 			: detector.watch(run, () => {
-				recordVerdict(requestId, fingerprint(), run, {end: 'open', hasCrashed: true});
+				recordVerdict(requestId, fingerprint(), run, {end: 'open', hasCrashed: true, trialId});
 			});
 	}
 
+	function check({fingerprint}: GuardedRequest, now: number): Result<boolean, Failure> {
+		return fingerprint === undefined || table.isEmpty() ? ok(false) : ledger.check(fingerprint(), now).map(isolation => isolation === 'trial');
+	}
+
 	return {
-		check(request, now) {
-			return request.fingerprint === undefined || table.isEmpty()
-				? ok()
-				: ledger.check(request.fingerprint(), now).map(() => undefined);
+		async admit(request) {
+			const checked = check(request, clock.monotonic());
+			if (checked.isErr() || !checked.value) {
+				return checked.map(() => openAdmission);
+			}
+
+			const claimed = await trials.claimTrial(request.fingerprint!());
+			log.info('trial of a request that was refused', {requestId: request.requestId, fingerprint: request.fingerprint!(), ...claimed.match(trialId => ({trialId}), failure => ({reason: failure.message}))});
+			return claimed.map(trialId => ({trialId}));
+		},
+		confirm(request, {trialId}, now) {
+			const checked = trialId === undefined ? check(request, now) : ok(false);
+			return checked.andThen(needsTrial => needsTrial
+				? err(createNotRun('suspect', {step: 'check suspects', peer: 'self'}, 'backend servers crashed while running this request', RETRY_AFTER_MS))
+				: ok());
 		},
-		begin(request, serverId) {
+		cancel({trialId}) {
+			withdrawTrial(trialId);
+		},
+		begin(request, serverId, admission) {
+			const {trialId} = admission;
 			const run = detector.currentRun(serverId);
-			const watch = watchOpen(request, run);
+			const watch = watchOpen(request, run, admission);
 			return async outcome => {
 				watch?.dispose();
 				const {fingerprint, requestId} = request;
@@ -106,15 +144,19 @@
 				}
 
 				if (outcome === 'completed' && !table.isEmpty()) {
-					ledger.recordCompleted(fingerprint(), clock.monotonic());
+					ledger.recordCompleted(fingerprint(), clock.monotonic(), trialId !== undefined);
+				}
+
+				if (outcome === 'unclear') {
+					withdrawTrial(trialId);
 				}
 
 				if (outcome === 'silent') {
-					void recordSilent(requestId, fingerprint(), run);
+					void recordSilent(requestId, fingerprint(), run, trialId);
 				}
 
 				if (outcome === 'broken') {
-					await Promise.race([recordBroken(requestId, fingerprint(), run), loop.sleep(VERDICT_WAIT_MS)]);
+					await Promise.race([recordBroken(requestId, fingerprint(), run, trialId), loop.sleep(VERDICT_WAIT_MS)]);
 				}
 			};
 		},
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -14,7 +14,7 @@
 import type {Dispatch} from '../../routing/common/router.js';
 import {classifyOutcome, type AttemptEnd} from '../common/attempt-policy.js';
 import {choosePool} from '../common/deployment.js';
-import type {RequestGuard} from '../common/request-guard.js';
+import type {Admission, RequestGuard} from '../common/request-guard.js';
 import type {ServerProtocol} from '../common/server-protocol.js';
 import type {ServerEntry} from '../common/server-view.js';
 import {allowsServer, type Resumption, type StreamOrigin} from '../common/stream-origin.js';
@@ -57,6 +57,12 @@
 /** Maximum number of unsent bytes buffered for a caller that reads too slowly; beyond it the stream is ended. */
 const MAXIMUM_UNREAD_BYTES = 512 * 1024;
 
+/** A server for the next attempt, and the guard's admission to it. */
+type AdmittedDispatch = {
+	readonly dispatch: Dispatch;
+	readonly admission: Admission;
+};
+
 type StreamState = {
 	triedServers: readonly string[];
 	/** Id of the last complete event that was sent to the caller. */
@@ -71,6 +77,8 @@
 	readonly arrivedAt: number;
 	/** Resolves when the guard takes the last attempt into account. */
 	verdict: Promise<void>;
+	/** Whether the stream is tried at one server only, as others have crashed under it. */
+	isTrial: boolean;
 };
 
 /** Creates the forwarder. */
@@ -110,16 +118,25 @@
 	}
 
 	/** Acquires a server, unless the guard refuses the request, also when other daemons reported crashes while it waited. */
-	async function acquireUnlessRefused(request: PlainRequest, state: StreamState): Promise<Result<Dispatch, Failure>> {
-		const refusal = guard.check(request, clock.monotonic());
-		const acquired = refusal.isErr() ? err(refusal.error) : await acquireServer(request, state);
+	async function acquireUnlessRefused(request: PlainRequest, state: StreamState): Promise<Result<AdmittedDispatch, Failure>> {
+		const admitted = await guard.admit(request);
+		if (admitted.isErr()) {
+			return err(admitted.error);
+		}
+
+		const admission = admitted.value;
+		state.isTrial ||= admission.trialId !== undefined;
+		const acquired = await acquireServer(request, state);
 		if (acquired.isErr()) {
-			return acquired;
+			guard.cancel(admission);
+			return err(acquired.error);
 		}
 
-		const recorded = await recordBegin(request, state, acquired.value);
-		return recorded.andThen(() => guard.check(request, clock.monotonic())).map(() => acquired.value).mapErr(failure => {
-			acquired.value.end(clock.monotonic(), 'cancelled');
+		const dispatch = acquired.value;
+		const recorded = await recordBegin(request, state, dispatch);
+		return recorded.andThen(() => guard.confirm(request, admission, clock.monotonic())).map(() => ({dispatch, admission})).mapErr(failure => {
+			dispatch.end(clock.monotonic(), 'cancelled');
+			guard.cancel(admission);
 			return failure;
 		});
 	}
@@ -140,9 +157,10 @@
 			return 'stop';
 		}
 
-		const chosen = acquired.value;
+		const {dispatch: chosen, admission} = acquired.value;
 		if (request.signal.aborted) {
 			chosen.end(clock.monotonic(), 'cancelled');
+			guard.cancel(admission);
 			return 'stop';
 		}
 
@@ -162,7 +180,7 @@
 			state.origin ??= {kind: 'version', pool: chosen.server.pool, softwareVersion: softwareVersion ?? ''};
 		}, request.route.canResume);
 		const resumeAfter = state.lastEventId === undefined ? {} : {resumeAfter: String(state.lastEventId)};
-		const endAttempt = guard.begin(request, chosen.server.id);
+		const endAttempt = guard.begin(request, chosen.server.id, admission);
 		const {softwareVersion} = findServer(chosen.server.id) ?? {};
 		log.info('stream sent to server', {
 			requestId: request.requestId, serverId: chosen.server.id, softwareVersion, after: state.lastEventId, resumes: request.resumption?.firstRequestId,
@@ -241,7 +259,7 @@
 			return undefined;
 		}
 
-		const canTryAnother = state.triedServers.length < request.route.attempts && clock.monotonic() < request.deadlineAt;
+		const canTryAnother = !state.isTrial && state.triedServers.length < request.route.attempts && clock.monotonic() < request.deadlineAt;
 		if (outcome === 'next' && canTryAnother) {
 			return forwardWithRetries(request, response, state, isLast);
 		}
@@ -271,7 +289,7 @@
 		}
 
 		return forwardWithRetries(request, response, {
-			triedServers: [], lastEventId: undefined, origin: origin.value, hasBegun: false, mayHaveRun: false, refusal: undefined, arrivedAt: clock.monotonic(), verdict: Promise.resolve(),
+			triedServers: [], lastEventId: undefined, origin: origin.value, hasBegun: false, mayHaveRun: false, refusal: undefined, arrivedAt: clock.monotonic(), verdict: Promise.resolve(), isTrial: false,
 		}, isLast);
 	}
 
--- a/src/gateway/node/suspect-exchange.ts
+++ b/src/gateway/node/suspect-exchange.ts
@@ -2,9 +2,11 @@
  * Exchanges suspects between the daemons of a hosted platform. The crashes of a request are counted by its keepers, two daemons that all
  * others choose alike. Once they suffice to refuse the request, a keeper stores them and tells all daemons.
  */
+import {err, ok, type Result} from 'neverthrow';
 import PQueue from 'p-queue';
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
+import {createNotRun, type Failure} from '../../base/common/failure.js';
 import {rankByRendezvous} from '../../base/common/hash.js';
 import type {Random} from '../../base/common/random.js';
 import type {Log} from '../../kernel/common/log.js';
@@ -16,7 +18,10 @@
 import type {SuspectObjects} from './suspect-objects.js';
 
 /** The exchange of one daemon. */
-export type SuspectExchange = Pick<SuspectTransport, 'announce' | 'report' | 'spread'> & Disposable;
+export type SuspectExchange = Pick<SuspectTransport, 'announce' | 'report' | 'spread'> & Disposable & {
+	/** Asks a keeper to let a request be tried once, after its refusal has ended; resolves with the id of the trial. */
+	readonly claimTrial: (fingerprint: string) => Promise<Result<string, Failure>>;
+};
 
 /** Dependencies of the exchange. */
 export type SuspectExchangeDependencies = {
@@ -46,6 +51,11 @@
 const REPORT_CALL = 'suspect-crashes';
 const ANNOUNCE_CALL = 'suspects-refused';
 const LIST_CALL = 'suspects-known';
+const TRIAL_CALL = 'suspect-trial';
+/** Status of a keeper that refuses a trial. */
+const STATUS_CONFLICT = 409;
+/** Retry-after time when no keeper grants a trial, in milliseconds. */
+const TRIAL_RETRY_AFTER_MS = 2000;
 
 type Missed = {
 	readonly daemon: PeerDaemon;
@@ -163,6 +173,64 @@
 		return {status: 200, body: {crashes: refused.flat()}};
 	});
 
+	/**
+	 * Records a trial like a crash, before it begins: the request is refused for all others meanwhile, and the trial counts also if its end is not
+	 * seen. It is withdrawn when the server did not crash.
+	 */
+	function grantTrial(fingerprint: string): Crash | undefined {
+		const now = clock.monotonic();
+		if (!table.check(fingerprint, now).map(isolation => isolation === 'trial').unwrapOr(false)) {
+			return undefined;
+		}
+
+		const known = table.find(fingerprint);
+		const trial: Crash = {
+			fingerprint,
+			crashId: `${fingerprint}/trial ${known.length}`,
+			serverId: `trial ${known.length} of ${fingerprint}`,
+			at: 0,
+			alone: false,
+			acquitted: false,
+			isTrial: true,
+		};
+		table.add([trial], now);
+		decide([fingerprint]);
+		return trial;
+	}
+
+	mesh.handle(TRIAL_CALL, async body => {
+		const crashes = parseCrashes(body, TRIAL_CALL);
+		table.add(crashes, clock.monotonic());
+		const trial = crashes[0] === undefined ? undefined : grantTrial(crashes[0].fingerprint);
+		return trial === undefined ? {status: STATUS_CONFLICT, body: null} : {status: 200, body: {crashes: [trial]}};
+	});
+
+	/** Asks one keeper for a trial; `unknown` if it did not answer. */
+	async function askForTrial(keeper: PeerDaemon, fingerprint: string): Promise<string | 'refused' | 'unknown'> {
+		if (keeper.name === mesh.self.name) {
+			return grantTrial(fingerprint)?.crashId ?? 'refused';
+		}
+
+		const replied = await mesh.call(keeper, TRIAL_CALL, {crashes: table.find(fingerprint)}, CALL_TIMEOUT_MS);
+		if (replied.isErr() || ![200, STATUS_CONFLICT].includes(replied.value.status)) {
+			return 'unknown';
+		}
+
+		const trial = replied.value.status === 200 ? parseCrashes(replied.value.body, TRIAL_CALL)[0] : undefined;
+		table.add(trial === undefined ? [] : [trial], clock.monotonic());
+		return trial?.crashId ?? 'refused';
+	}
+
+	async function claimTrial(fingerprint: string): Promise<Result<string, Failure>> {
+		const answer = await rankKeepers(fingerprint).reduce<Promise<string>>(async (previous, keeper) => {
+			const known = await previous;
+			return known === 'unknown' ? askForTrial(keeper, fingerprint) : known;
+		}, Promise.resolve('unknown'));
+		return answer === 'unknown' || answer === 'refused'
+			? err(createNotRun('suspect', {step: 'claim trial', peer: 'keepers'}, answer === 'unknown' ? 'no keeper of the suspect answers' : 'another daemon tries the request, or its refusal goes on', TRIAL_RETRY_AFTER_MS))
+			: ok(answer);
+	}
+
 	async function readObjects(): Promise<void> {
 		const read = await objects.readAll();
 		read.match(crashes => {
@@ -231,6 +299,7 @@
 			await announceAll(fingerprints);
 		},
 		spread: () => undefined,
+		claimTrial,
 		dispose() {
 			task.dispose();
 			calls.clear();
--- a/src/requests/common/suspect-guard.ts
+++ b/src/requests/common/suspect-guard.ts
@@ -4,8 +4,8 @@
 import {createServiceKey} from '../../kernel/common/contribution.js';
 import type {BackendServer} from '../../routing/common/router.js';
 
-/** How a request may run: on a server with other requests, or on one that runs nothing else. */
-export type Isolation = 'shared' | 'alone';
+/** How a request may run: on a server with other requests, on one that runs nothing else, or once more, after its refusal has ended, to see whether it still crashes a server. */
+export type Isolation = 'shared' | 'alone' | 'trial';
 
 /** An attempt whose connection broke after the request had been sent. */
 export type BrokenAttempt = {
--- a/src/requests/common/suspect-table.ts
+++ b/src/requests/common/suspect-table.ts
@@ -22,6 +22,10 @@
 	readonly acquitted: boolean;
 	/** Other servers, which did not run the request, crashed at about the same time, so the crash says less about it. */
 	readonly isCommon?: boolean;
+	/** The acquittal also counts while the request is refused: it completed a trial, or the server did not crash after all. */
+	readonly isCleared?: boolean;
+	/** Stands for a trial, which is recorded before it begins and withdrawn when no server crashed. */
+	readonly isTrial?: boolean;
 };
 
 /** When a request is refused, and for how long. */
@@ -34,8 +38,10 @@
 	readonly refusalMs: number;
 	/** The same for a request most of whose crashes were common ones. */
 	readonly commonRefusalMs: number;
-	/** Factor by which each further crash extends the refusal. */
+	/** Factor by which each trial extends the refusal. Further crashes don't, as one fault can end several servers that run the same content. */
 	readonly refusalGrowth: number;
+	/** Trials after which the request is refused for `MAXIMUM_REFUSAL_MS`, as each may crash another server. */
+	readonly maximumTrials: number;
 };
 
 /** The suspects known to one daemon. */
@@ -44,8 +50,10 @@
 	readonly add: (crashes: readonly Crash[], now: number) => readonly Crash[];
 	/** Returns how a request may run; fails with `suspect` when it is permanently refused. */
 	readonly check: (fingerprint: string, now: number) => Result<Isolation, Failure>;
-	/** Clears a request that completed; returns the crashes that changed. A refused request stays refused until its refusal ends. */
-	readonly acquit: (fingerprint: string, now: number) => readonly Crash[];
+	/** Clears a request that completed; returns the crashes that changed. A refused request stays refused until its refusal ends, unless it completed a trial. */
+	readonly acquit: (fingerprint: string, now: number, isTrial?: boolean) => readonly Crash[];
+	/** Clears single crashes that were none, by id; returns those that changed. */
+	readonly withdraw: (crashIds: readonly string[], now: number) => readonly Crash[];
 	/** The crashes of one request, with those it was acquitted of. */
 	readonly find: (fingerprint: string) => readonly Crash[];
 	/** Whether the table is empty. */
@@ -59,7 +67,7 @@
 
 /** Rules for requests that run alone after their first crash: the second crash has no other cause, so the refusal is permanent. */
 export const permanentRefusal: SuspectRules = {
-	crashesToRefuse: 2, isolatesSuspects: true, refusalMs: Number.POSITIVE_INFINITY, commonRefusalMs: Number.POSITIVE_INFINITY, refusalGrowth: 1,
+	crashesToRefuse: 2, isolatesSuspects: true, refusalMs: Number.POSITIVE_INFINITY, commonRefusalMs: Number.POSITIVE_INFINITY, refusalGrowth: 1, maximumTrials: 0,
 };
 
 /** Maximum duration of a refusal that ends. */
@@ -138,9 +146,10 @@
 	/** Time at which the refusal of a guilty request ends. */
 	function refusedUntil(fingerprint: string): number {
 		const crashes = crashesOf(fingerprint);
-		const ownCrashes = crashes.filter(crash => crash.isCommon !== true).length;
+		const ownCrashes = crashes.filter(crash => crash.isCommon !== true && crash.isTrial !== true).length;
+		const trials = crashes.filter(crash => crash.isTrial === true).length;
 		const firstMs = ownCrashes >= rules.crashesToRefuse - 1 ? rules.refusalMs : rules.commonRefusalMs;
-		const durationMs = firstMs * (rules.refusalGrowth ** Math.max(0, crashes.length - rules.crashesToRefuse));
+		const durationMs = trials > 0 && trials >= rules.maximumTrials ? Math.max(firstMs, MAXIMUM_REFUSAL_MS) : firstMs * (rules.refusalGrowth ** trials);
 		const lastAt = Math.max(...crashes.map(crash => crash.receivedAt));
 		return lastAt + (Number.isFinite(durationMs) ? Math.min(durationMs, MAXIMUM_REFUSAL_MS) : durationMs);
 	}
@@ -157,7 +166,15 @@
 
 	function isNewCrash(crash: Crash, now: number): boolean {
 		const known = entryByCrashId.get(crash.crashId);
-		return known === undefined || (crash.acquitted && !known.acquitted && !isRefused(crash.fingerprint, now));
+		return known === undefined || (crash.acquitted && !known.acquitted && (crash.isCleared === true || !isRefused(crash.fingerprint, now)));
+	}
+
+	function clear(crashes: readonly Entry[], isCleared: boolean, now: number): readonly Crash[] {
+		const cleared = crashes.map(crash => ({...toCrash(crash), acquitted: true, ...(isCleared && {isCleared})}));
+		cleared.forEach(crash => {
+			put(crash, now);
+		});
+		return cleared;
 	}
 
 	return {
@@ -177,18 +194,17 @@
 				return err(createNotRun('suspect', {step: 'check suspects', peer: 'self'}, message, Number.isFinite(remainingMs) ? remainingMs : undefined));
 			}
 
-			return ok(rules.isolatesSuspects && crashes.some(crash => now - crash.receivedAt < ISOLATION_PERIOD_MS) ? 'alone' : 'shared');
-		},
-		acquit(fingerprint, now) {
-			if (isRefused(fingerprint, now)) {
-				return [];
+			if (isGuilty(fingerprint)) {
+				return ok('trial');
 			}
 
-			const cleared = crashesOf(fingerprint).map(crash => ({...toCrash(crash), acquitted: true}));
-			cleared.forEach(crash => {
-				put(crash, now);
-			});
-			return cleared;
+			return ok(rules.isolatesSuspects && crashes.some(crash => now - crash.receivedAt < ISOLATION_PERIOD_MS) ? 'alone' : 'shared');
+		},
+		acquit(fingerprint, now, isTrial = false) {
+			return !isTrial && isRefused(fingerprint, now) ? [] : clear(crashesOf(fingerprint), isTrial, now);
+		},
+		withdraw(crashIds, now) {
+			return clear(crashIds.flatMap(crashId => entryByCrashId.get(crashId) ?? []).filter(crash => !crash.acquitted), true, now);
 		},
 		find: fingerprint => [...crashIdsByFingerprint.get(fingerprint) ?? []].flatMap(crashId => entryByCrashId.get(crashId) ?? []).map(toCrash),
 		isEmpty: () => entryByCrashId.size === 0,
--- a/src/requests/node/suspect-ledger.ts
+++ b/src/requests/node/suspect-ledger.ts
@@ -4,7 +4,11 @@
 import type {SuspectTransport} from '../common/suspect-transport.js';
 
 /** The suspects as one daemon records them. */
-export type SuspectLedger = Pick<SuspectGuard, 'check' | 'recordCompleted'> & {
+export type SuspectLedger = Pick<SuspectGuard, 'check'> & {
+	/** Clears a request that completed, as far as `SuspectTable.acquit` does. */
+	readonly recordCompleted: (fingerprint: string, now: number, isTrial?: boolean) => void;
+	/** Clears crashes that were none, by id. */
+	readonly withdraw: (crashIds: readonly string[], now: number) => void;
 	/** Records a crash under a request; resolves within a bounded time, normally once other daemons have it. */
 	readonly recordCrash: (crash: Crash, now: number) => Promise<void>;
 };
@@ -28,17 +32,23 @@
 		}
 	}
 
+	function publishCleared(cleared: readonly Crash[]): void {
+		if (cleared.length > 0) {
+			void publishCrashes(cleared);
+		}
+	}
+
 	return {
 		check: table.check,
 		async recordCrash(crash, now) {
 			table.add([crash], now);
 			await publishCrashes([crash]);
 		},
-		recordCompleted(fingerprint, now) {
-			const cleared = table.acquit(fingerprint, now);
-			if (cleared.length > 0) {
-				void publishCrashes(cleared);
-			}
+		recordCompleted(fingerprint, now, isTrial) {
+			publishCleared(table.acquit(fingerprint, now, isTrial));
+		},
+		withdraw(crashIds, now) {
+			publishCleared(table.withdraw(crashIds, now));
 		},
 	};
 }
--- a/src/requests/test/suspects.test.ts
+++ b/src/requests/test/suspects.test.ts
@@ -120,15 +120,15 @@
 });
 
 const endingRules: SuspectRules = {
-	crashesToRefuse: 3, isolatesSuspects: false, refusalMs: 60_000, commonRefusalMs: 5000, refusalGrowth: 4,
+	crashesToRefuse: 3, isolatesSuspects: false, refusalMs: 60_000, commonRefusalMs: 5000, refusalGrowth: 4, maximumTrials: 2,
 };
 
-test('a refusal that ends is longer after each further crash, and a completed request is cleared of all crashes', () => {
+test('a refusal that ends is longer after each trial that crashed a server, and a completed request is cleared of all crashes', () => {
 	const table = createSuspectTable(endingRules);
 	table.add(['1', '2', '3'].map(id => crash('f', id)), 0);
 	assert.is(table.check('f', 59_999)._unsafeUnwrapErr().retryAfterMs, 1);
-	assert.is(table.check('f', 60_000)._unsafeUnwrap(), 'shared');
-	table.add([crash('f', '4')], 61_000);
+	assert.is(table.check('f', 60_000)._unsafeUnwrap(), 'trial');
+	table.add([{...crash('f', '4'), isTrial: true}], 61_000);
 	assert.ok(table.check('f', 300_999).isErr());
 	assert.ok(table.check('f', 301_000).isOk());
 	assert.is(table.acquit('f', 301_001).length, 4);
@@ -136,6 +136,39 @@
 	assert.ok(table.check('f', 302_001).isOk());
 });
 
+test('a request that crashes a server in each trial is refused for a day after the last one', () => {
+	const table = createSuspectTable(endingRules);
+	table.add(['1', '2', '3', '4', '5'].map(id => ({...crash('f', id), isTrial: Number(id) > 3})), 0);
+	assert.ok(table.check('f', 86_399_999).isErr());
+	assert.is(table.check('f', 86_400_000)._unsafeUnwrap(), 'trial');
+});
+
+test('a request that completes a trial is cleared also where others still refuse it', () => {
+	const table = createSuspectTable(endingRules);
+	const other = createSuspectTable(endingRules);
+	table.add(['1', '2', '3', '4'].map(id => crash('f', id)), 0);
+	other.add(['1', '2', '3', '4'].map(id => crash('f', id)), 0);
+	assert.equal(table.acquit('f', 1), []);
+	other.add(table.acquit('f', 1, true), 1);
+	assert.is(table.check('f', 2)._unsafeUnwrap(), 'shared');
+	assert.is(other.check('f', 2)._unsafeUnwrap(), 'shared');
+});
+
+test('a crash that was none is withdrawn while the request is refused', () => {
+	const table = createSuspectTable(endingRules);
+	table.add(['1', '2', '3'].map(id => crash('f', id)), 0);
+	assert.is(table.withdraw(['2', 'unknown'], 1).length, 1);
+	assert.is(table.check('f', 2)._unsafeUnwrap(), 'shared');
+	assert.is(table.find('f').filter(({acquitted}) => !acquitted).length, 2);
+});
+
+test('a fault that ends many servers at once refuses what ran on all of them only for as long as three crashes do', () => {
+	const table = createSuspectTable(endingRules);
+	table.add(Array.from({length: 40}, (_, index) => ({...crash('f', `${index}`), isCommon: true})), 0);
+	assert.ok(table.check('f', 4999).isErr());
+	assert.is(table.check('f', 5000)._unsafeUnwrap(), 'trial');
+});
+
 test('crashes at a time when other servers crashed as well refuse a request for less long', () => {
 	const table = createSuspectTable(endingRules);
 	table.add([{...crash('f', '1'), isCommon: true}, {...crash('f', '2'), isCommon: true}, crash('f', '3')], 0);
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -247,7 +247,7 @@
 		const guard = options.isGuarded === false
 			? permissiveRequestGuard
 			: createRequestGuard({
-				detector, table, ledger: createSuspectLedger({table, transport: exchange}), clock, loop, log: silentLog, metrics: silentMetrics,
+				detector, table, ledger: createSuspectLedger({table, transport: exchange}), trials: exchange, clock, loop, log: silentLog, metrics: silentMetrics,
 			});
 		const caller: ServerCaller = {
 			attempt: async (target, request, attempt, attemptOptions) => run(servers.find(server => server.id === target.id)!, name, request.path, {...attemptOptions, requestId: attempt.requestId}),
