Wait for the verdict on a server's crash until its entries can be read again

Seen by callers: a daemon that reaches neither a crashed server nor the store takes the crash for a lost connection after 6 s, so that the request may crash another server. Cause: the time limit of the verdict counted also while the entries could not be read. Change: it counts from when the entries are up to date again, for a minute at most.

--- a/src/gateway/common/server-view.ts
+++ b/src/gateway/common/server-view.ts
@@ -33,6 +33,8 @@
 	readonly update: (entries: readonly ServerEntry[], now: number) => void;
 	/** Records whether the store answered. */
 	readonly recordConnectivity: (isConnected: boolean, now: number) => void;
+	/** Monotonic time since which the entries have been up to date; undefined while the store does not answer. */
+	readonly connectedSince: () => number | undefined;
 	/** Drops missing servers whose grace period has ended. */
 	readonly expire: (now: number) => void;
 	readonly find: (serverId: string) => ServerEntry | undefined;
@@ -163,6 +165,7 @@
 
 			isConnected = hasAnswered;
 		},
+		connectedSince: () => (isConnected ? reconnectedAt : undefined),
 		expire(now) {
 			if (missingSinceById.size > 0) {
 				publish(merge(lastListed, now), now);
--- a/src/gateway/node/crash-detector.ts
+++ b/src/gateway/node/crash-detector.ts
@@ -18,7 +18,7 @@
 	readonly inspect: (run: ServerRun, end: 'broken' | 'silent') => {
 		/** Resolves within a bounded time, as far as it is known by then. */
 		readonly first: Promise<boolean>;
-		/** Resolves once entries show a crash, or with false when `VERDICT_TIMEOUT_MS` has passed. */
+		/** Resolves once entries show a crash, or with false when they have been up to date for `VERDICT_TIMEOUT_MS`. */
 		readonly final: Promise<boolean>;
 	};
 	/** Calls the listener once if entries show that the run has crashed while a request on it is open, until it is disposed. */
@@ -35,7 +35,7 @@
 
 /** Dependencies of a detector. */
 export type CrashDetectorDependencies = {
-	readonly view: Pick<ServerView, 'all' | 'find' | 'onDidChange'>;
+	readonly view: Pick<ServerView, 'all' | 'connectedSince' | 'find' | 'onDidChange'>;
 	/** The last entries of servers, which is kept up to date. */
 	readonly history: EntryHistory;
 	readonly ports: PortInspection;
@@ -47,6 +47,8 @@
 
 /** Time within which the entry of a crashed server disappears or shows a later start: three heartbeats of a server, and the time to hear of it. */
 const VERDICT_TIMEOUT_MS = 6000;
+/** Maximum time to wait for a verdict while the entries can not be read. */
+const MAXIMUM_VERDICT_WAIT_MS = 60_000;
 /** Crashes within this time of each other may have one cause. */
 const COMMON_CRASH_WINDOW_MS = 3000;
 /** Crashed runs are remembered for this long, so that requests whose end is noticed later are attributed to them. */
@@ -143,6 +145,19 @@
 		});
 	}
 
+	/** Calls `end` once the entries have been up to date for long enough to show a crash that happened before `startedAt`. */
+	function endWatch(startedAt: number, now: number, end: () => void): void {
+		const dueAt = Math.max(startedAt, view.connectedSince() ?? now) + VERDICT_TIMEOUT_MS;
+		if (now >= Math.min(dueAt, startedAt + MAXIMUM_VERDICT_WAIT_MS)) {
+			end();
+			return;
+		}
+
+		loop.after(Math.min(VERDICT_TIMEOUT_MS, dueAt - now), later => {
+			endWatch(startedAt, later, end);
+		});
+	}
+
 	/** Waits until entries show whether a run has crashed. */
 	async function awaitVerdict(run: ServerRun, wasListed: boolean): Promise<boolean> {
 		return new Promise(resolve => {
@@ -151,7 +166,7 @@
 					resolve(true);
 				},
 			});
-			loop.after(VERDICT_TIMEOUT_MS, () => {
+			endWatch(clock.monotonic(), clock.monotonic(), () => {
 				watching.dispose();
 				if (!crashedAtByRun.has(keyOfRun(run))) {
 					log.debug('no crash of the backend server is known', {...run, isListed: history.isListed(run.serverId)});
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -353,6 +353,15 @@
 		/** Cuts daemons off from the store. */
 		cutFromStore(affected: readonly string[], durationMs: number) {
 			disturb(affected, objects.partitioned, durationMs);
+			affected.forEach(name => {
+				daemons.get(name)?.view.recordConnectivity(false, clock.monotonic());
+			});
+			loop.after(durationMs, now => {
+				affected.forEach(name => {
+					daemons.get(name)?.view.recordConnectivity(!objects.partitioned.has(name), now);
+				});
+				publishEntries();
+			});
 		},
 		/** Cuts daemons off from each other. */
 		cutFromPeers(affected: readonly string[], durationMs: number) {
