Clear requests when servers that refused connections turn out to be running

Cause: a server that all daemons are cut off from, by links that refuse, counted as crashed for good, although it went on writing its entry; a request that had run on three such servers stayed refused. Change: a crash that was seen by ports only is withdrawn, on all daemons, when the entries have been up to date for 6 s and still show the same run.

--- a/src/gateway/node/crash-detector.ts
+++ b/src/gateway/node/crash-detector.ts
@@ -23,6 +23,8 @@
 	};
 	/** Calls the listener once if entries show that the run has crashed while a request on it is open, until it is disposed. */
 	readonly watch: (run: ServerRun, onDidCrash: () => void) => Disposable;
+	/** Calls the listener with runs that still serve, although their ports had been refused as if they had crashed. */
+	readonly onDidWithdraw: (listener: (run: ServerRun) => void) => void;
 	/** Whether the run is known to have crashed. */
 	readonly hasCrashed: (run: ServerRun) => boolean;
 	/** Records a complete response of the run. */
@@ -82,9 +84,29 @@
 	const inspections = new Map<string, Inspection>();
 	const crashedAtByRun = new Map<string, number>();
 	const watches = new Set<Watch>();
+	let isOpen = true;
+	const withdrawalListeners: Array<(run: ServerRun) => void> = [];
 	/** Unix time of the last complete response, by server. */
 	const aliveAtByServer = new Map<string, number>();
 
+	/** Withdraws a crash that was seen by the port only, once entries show that the run goes on. */
+	function checkListed(run: ServerRun): void {
+		const crashedAt = clock.monotonic();
+		endWatch(crashedAt, crashedAt, () => {
+			const current = view.find(run.serverId);
+			if (!isOpen || current?.startedAt === undefined || current.startedAt !== run.startedAt || current.isLeaving || view.connectedSince() === undefined) {
+				return;
+			}
+
+			crashedAtByRun.delete(keyOfRun(run));
+			log.info('backend server has not crashed', {...run, evidence: 'entry'});
+			metrics.count('server.crashes_withdrawn', 1);
+			withdrawalListeners.forEach(listener => {
+				listener(run);
+			});
+		});
+	}
+
 	function recordCrash(run: ServerRun, evidence: string): void {
 		const key = keyOfRun(run);
 		if (crashedAtByRun.has(key)) {
@@ -113,7 +135,11 @@
 			last, wasListed, current, isAddressTaken, port,
 		});
 		if (hasCrashed) {
-			recordCrash(run, port === 'refused' || port === 'silent' ? 'port' : 'entry');
+			const isSeenByPort = port === 'refused' || port === 'silent';
+			recordCrash(run, isSeenByPort ? 'port' : 'entry');
+			if (isSeenByPort) {
+				checkListed(run);
+			}
 		}
 
 		return hasCrashed;
@@ -208,6 +234,9 @@
 		watch: (run, onDidCrash) => watch({
 			run, wasListed: true, isInspected: false, onDidCrash,
 		}),
+		onDidWithdraw(listener) {
+			withdrawalListeners.push(listener);
+		},
 		hasCrashed: run => crashedAtByRun.has(keyOfRun(run)),
 		recordAlive({serverId}) {
 			// The newest entry is last, so that the oldest ones are dropped first.
@@ -225,6 +254,7 @@
 		},
 		listRecentCrashes: (run, now) => [...crashedAtByRun].filter(([key, at]) => key !== keyOfRun(run) && now - at < COMMON_CRASH_WINDOW_MS).map(([key]) => key),
 		dispose() {
+			isOpen = false;
 			watches.clear();
 		},
 	};
--- a/src/gateway/node/request-guard.ts
+++ b/src/gateway/node/request-guard.ts
@@ -17,7 +17,7 @@
 /** Dependencies of the guard. */
 export type RequestGuardDependencies = {
 	readonly detector: CrashDetector;
-	readonly table: Pick<SuspectTable, 'find' | 'isEmpty'>;
+	readonly table: Pick<SuspectTable, 'find' | 'isEmpty' | 'listByServer'>;
 	readonly ledger: SuspectLedger;
 	readonly trials: Pick<SuspectExchange, 'claimTrial'>;
 	readonly clock: Clock;
@@ -108,6 +108,10 @@
 		return fingerprint === undefined || table.isEmpty() ? ok(false) : ledger.check(fingerprint(), now).map(isolation => isolation === 'trial');
 	}
 
+	detector.onDidWithdraw(run => {
+		ledger.withdraw(table.listByServer(keyOfRun(run)).map(({crashId}) => crashId), clock.monotonic());
+	});
+
 	return {
 		async admit(request) {
 			const checked = check(request, clock.monotonic());
--- a/src/requests/common/suspect-table.ts
+++ b/src/requests/common/suspect-table.ts
@@ -54,6 +54,8 @@
 	readonly acquit: (fingerprint: string, now: number, isTrial?: boolean) => readonly Crash[];
 	/** Clears single crashes that were none, by id; returns those that changed. */
 	readonly withdraw: (crashIds: readonly string[], now: number) => readonly Crash[];
+	/** The crashes of one server. */
+	readonly listByServer: (serverId: string) => readonly Crash[];
 	/** The crashes of one request, with those it was acquitted of. */
 	readonly find: (fingerprint: string) => readonly Crash[];
 	/** Whether the table is empty. */
@@ -206,6 +208,7 @@
 		withdraw(crashIds, now) {
 			return clear(crashIds.flatMap(crashId => entryByCrashId.get(crashId) ?? []).filter(crash => !crash.acquitted), true, now);
 		},
+		listByServer: serverId => [...crashIdsByServer.get(serverId) ?? []].flatMap(crashId => entryByCrashId.get(crashId) ?? []).map(toCrash),
 		find: fingerprint => [...crashIdsByFingerprint.get(fingerprint) ?? []].flatMap(crashId => entryByCrashId.get(crashId) ?? []).map(toCrash),
 		isEmpty: () => entryByCrashId.size === 0,
 		recent: count => [...entryByCrashId.values()].slice(-count).map(toCrash),
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -183,6 +183,25 @@
 	assert.ok(fleet.names.every(name => fleet.daemons.get(name)!.table.list().every(crash => crash.acquitted)), 'no request is blamed');
 });
 
+// Incident docs/incidents/unseen-crashes.md: servers that no daemon could reach counted as crashed for good, although they went on writing their entries.
+test('a request is cleared when the servers that refused connections turn out to be running', async () => {
+	const fleet = createCrashingFleet({
+		daemons: 5, servers: 12, seed: 19, attempts: 1,
+	});
+	await repeat(4, async index => {
+		void fleet.send('innocent', 'd0');
+		await fleet.time.advance(20);
+		fleet.servers.filter(server => server.running.size > 0).forEach(server => {
+			fleet.hide(server, 5000, 'refuses');
+		});
+		await fleet.time.advance(index === 3 ? 8000 : 200);
+	});
+	assert.ok(fleet.names.every(name => fleet.daemons.get(name)!.table.find('innocent').every(crash => crash.acquitted)));
+	const answer = fleet.send('innocent', 'd1');
+	await fleet.time.advance(1000);
+	assert.ok((await answer)!.result.isOk());
+});
+
 // Incident docs/incidents/unseen-crashes.md: a daemon cut off from the servers, and from the store, took a crash for a lost connection for good.
 test('a daemon that can reach neither the server nor the store learns of a crash once it reaches the store', async () => {
 	const fleet = createCrashingFleet({daemons: 5, servers: 16, seed: 16});
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -111,6 +111,7 @@
 	const crashes: SeenCrash[] = [];
 	const answers: CrashAnswer[] = [];
 	const stranded = new Map<string, LinkFault>();
+	const hidden = new Map<string, LinkFault>();
 	const breakByDaemon = new WeakMap<() => void, string>();
 	const disturbances: Array<{readonly daemon: string; readonly from: number; readonly until: number}> = [];
 	let requestCount = 0;
@@ -164,7 +165,7 @@
 
 	/** How new connections from a daemon to a server fail; undefined if they succeed. */
 	function faultOf(server: FleetServer, daemon: string): LinkFault | undefined {
-		return stranded.get(daemon) ?? (server.isUp ? undefined : (server.isDark ? 'hangs' : 'refuses'));
+		return stranded.get(daemon) ?? hidden.get(server.id) ?? (server.isUp ? undefined : (server.isDark ? 'hangs' : 'refuses'));
 	}
 
 	async function run(server: FleetServer, daemon: string, content: string, {requestId, onHead, timeoutMs, signal}: AttemptOptions & {readonly requestId: string}): Promise<Result<BackendResponse, Failure>> {
@@ -350,6 +351,17 @@
 				});
 			});
 		},
+		/** Cuts a server off from all daemons. It goes on running, and writes its entry. */
+		hide(server: FleetServer, durationMs: number, fault: LinkFault) {
+			hidden.set(server.id, fault);
+			[...server.running].forEach(breakRun => {
+				breakRun();
+			});
+			server.running.clear();
+			loop.after(durationMs, () => {
+				hidden.delete(server.id);
+			});
+		},
 		/** Cuts daemons off from the store. */
 		cutFromStore(affected: readonly string[], durationMs: number) {
 			disturb(affected, objects.partitioned, durationMs);
