Name trials uniquely over restarts of daemons

Cause: a trial was named by the number of known crashes. After all daemons had been killed that number repeated, the new trial was taken for the known one, and did not count.

--- a/src/gateway/node/suspect-exchange.ts
+++ b/src/gateway/node/suspect-exchange.ts
@@ -80,6 +80,7 @@
 	const missedByName = new Map<string, Missed>();
 	let hasReadObjects = false;
 	let hasAskedPeer = false;
+	let trialCount = 0;
 	let exchangedAt = Number.NEGATIVE_INFINITY;
 
 	function rankKeepers(fingerprint: string): readonly PeerDaemon[] {
@@ -183,11 +184,13 @@
 			return undefined;
 		}
 
-		const known = table.find(fingerprint);
+		trialCount += 1;
+		// The name is unique over restarts: a crash with a known id would be taken for the known one.
+		const name = `trial ${mesh.self.name}.${mesh.self.incarnation}.${trialCount}`;
 		const trial: Crash = {
 			fingerprint,
-			crashId: `${fingerprint}/trial ${known.length}`,
-			serverId: `trial ${known.length} of ${fingerprint}`,
+			crashId: `${fingerprint}/${name}`,
+			serverId: name,
 			at: 0,
 			alone: false,
 			acquitted: false,
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -302,7 +302,10 @@
 	return fleet;
 }
 
-Array.from({length: SEEDS}, (_, index) => index + 1).forEach(seed => {
+/** Seeds in which the names of trials repeated after a restart, so that the later ones did not count. */
+const NAMED_TWICE = [45, 297];
+
+[...new Set([...Array.from({length: SEEDS}, (_, index) => index + 1), ...NAMED_TWICE])].forEach(seed => {
 	test(`crashing requests are refused and innocent ones served in the end, while daemons are killed and cut off, seed ${seed}`, async () => {
 		const fleet = await playFaults(seed);
 		assert.equal(findCrashViolations(fleet), []);
