Log when the links to the servers of a pool are cut, and when they can be used again

The logs named a failed attempt, but not whether its connection had been established, nor that no server of a pool could be reached. Nothing depends on it yet.

--- a/src/adapters/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -26,6 +26,10 @@
 	 * sent again over a new one, and the outcome of any other call is unknown. `new` opens a connection for this call only.
 	 */
 	readonly connection?: 'kept' | 'new';
+	/** Time limit for establishing a new connection; undefined leaves only `timeoutMs`. */
+	readonly connectTimeoutMs?: number;
+	/** Called when a new connection was established, or could not be. */
+	readonly onDidConnect?: (isConnected: boolean) => void;
 	/** Called before the first byte can have been sent. */
 	readonly onSent?: () => void;
 	/** Receives the chunks of a 200 response as they arrive, instead of the response's `body`. A returned text aborts the call and is the reason. */
@@ -214,6 +218,46 @@
 	});
 }
 
+/** Reports how establishing a new connection ended, and ends it when it takes longer than `connectTimeoutMs`. */
+function watchConnecting(request: ClientRequest, {connectTimeoutMs, onDidConnect}: HttpCall, onTimeout: () => void): void {
+	request.on('socket', socket => {
+		if (!socket.connecting) {
+			return;
+		}
+
+		let isSettled = false;
+		const settle = (isConnected: boolean) => {
+			if (!isSettled) {
+				isSettled = true;
+				clearTimeout(timer);
+				onDidConnect?.(isConnected);
+			}
+		};
+
+		const timer = connectTimeoutMs === undefined
+			? undefined
+			: setTimeout(() => {
+				// A loop that was held up may run the timer before it sees a connection that was established in time.
+				setImmediate(() => {
+					if (!isSettled && socket.connecting) {
+						settle(false);
+						onTimeout();
+					}
+				});
+			}, connectTimeoutMs);
+		socket.once('connect', () => {
+			settle(true);
+		});
+		socket.once('error', () => {
+			settle(false);
+		});
+		socket.once('close', () => {
+			// The call was aborted before it was known whether the peer answers.
+			clearTimeout(timer);
+		});
+	});
+}
+
 /** Makes one attempt of a call. Failures contain the call's step and the peer's host and port. */
 export async function exchange(call: HttpCall, target: Target): Promise<Exchange> {
 	const origin = {step: call.step, peer: target.base.host};
@@ -226,6 +270,9 @@
 		const completion = createCompletion(call, origin, request, resolve);
 		let hasResponse = false;
 		watchSending(request, completion.markSent);
+		watchConnecting(request, call, () => {
+			completion.fail('unavailable', `no connection within ${call.connectTimeoutMs} ms`);
+		});
 		request.on('error', error => {
 			completion.fail('unavailable', error.message, request.reusedSocket && !hasResponse);
 		});
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -22,6 +22,7 @@
 import {hostedSuspectRules} from './common/suspect-rules.js';
 import {serverProtocolKey} from './common/server-protocol.js';
 import {createSharedLoads, type SharedLoads} from './common/shared-loads.js';
+import {createServerLinks, type ServerLinks} from './common/server-links.js';
 import {createServerStatements, type ServerStatements} from './common/server-statements.js';
 import {createServerView, type ServerView} from './common/server-view.js';
 import {createCrashDetector, type CrashDetector} from './node/crash-detector.js';
@@ -42,6 +43,7 @@
 	readonly view: ServerView;
 	readonly loads: SharedLoads;
 	readonly dispatcher: Dispatcher;
+	readonly links: ServerLinks;
 	readonly caller: ServerCaller;
 	readonly forwarder: Forwarder;
 	readonly streams: StreamForwarder;
@@ -88,7 +90,14 @@
 	const statements = createServerStatements({
 		limits, limitUsage, startTimeOf: serverId => view.find(serverId)?.startedAt, onLeaving: view.recordLeaving,
 	});
-	const caller = createServerCaller({...context, protocol, statements});
+	const links = createServerLinks(pool => view.list(pool).length);
+	links.onDidChange(({pool, isCut}) => {
+		context.log.info(isCut ? 'links to a pool are cut' : 'links to a pool can be used again', {pool, servers: view.list(pool).length});
+		context.metrics.gauge('server_links.cut', isCut ? 1 : 0, {pool});
+	});
+	const caller = createServerCaller({
+		...context, protocol, statements, links,
+	});
 	view.onDidStartLeaving(notice => {
 		context.log.info('backend server says that it is leaving', {serverId: notice.serverId, startedAt: notice.startedAt});
 	});
@@ -142,7 +151,7 @@
 		...context, dispatcher, caller, acquisition, guard, records, serverIdsOf, protocol, findServer,
 	});
 	return {
-		deployment, view, loads, dispatcher, caller, forwarder, streams, limits, limitUsage, statements, permits, detector, exchange, records,
+		deployment, view, loads, dispatcher, links, caller, forwarder, streams, limits, limitUsage, statements, permits, detector, exchange, records,
 	};
 }
 
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -5,6 +5,7 @@
 import type {Failure} from '../../base/common/failure.js';
 import {exchange, type HttpResponse} from '../../adapters/node/http-exchange.js';
 import type {BackendServer} from '../../routing/common/router.js';
+import type {ServerLinks} from '../common/server-links.js';
 import type {ResponseHead, ServerAttempt, ServerProtocol} from '../common/server-protocol.js';
 import type {ServerStatements} from '../common/server-statements.js';
 
@@ -29,6 +30,10 @@
 	readonly onHead?: (head: ResponseHead, headers: IncomingHttpHeaders) => void;
 	/** Receives the body of a 200 response as it arrives, instead of the response's `body`. A returned string is an error that aborts the rest. */
 	readonly onData?: (chunk: Uint8Array) => string | undefined;
+	/** Time limit for establishing a new connection, in milliseconds. */
+	readonly connectTimeoutMs?: number;
+	/** Called when a new connection was established, or could not be. */
+	readonly onDidConnect?: (isConnected: boolean) => void;
 	/** Opens a new connection that is used only for this attempt. */
 	readonly usesNewConnection?: boolean;
 };
@@ -43,6 +48,7 @@
 export type ServerCallerDependencies = {
 	readonly protocol: ServerProtocol;
 	readonly statements: ServerStatements;
+	readonly links: Pick<ServerLinks, 'recordConnected' | 'recordFailed'>;
 	readonly clock: Clock;
 };
 
@@ -71,7 +77,9 @@
 }
 
 /** Creates a server caller. */
-export function createServerCaller({protocol, statements, clock}: ServerCallerDependencies): ServerCaller {
+export function createServerCaller({
+	protocol, statements, links, clock,
+}: ServerCallerDependencies): ServerCaller {
 	const agent = new Agent({keepAlive: true, timeout: IDLE_CONNECTION_TIMEOUT_MS, scheduling: 'lifo'});
 	const singleUseAgent = new Agent({keepAlive: false});
 
@@ -90,6 +98,15 @@
 				// A connection reset directly after the last bytes is reported as a normal end, so a response without a length can't be known to be complete.
 				acceptsConnectionEnd: false,
 				...(options.onData && {onData: options.onData}),
+				...(options.connectTimeoutMs !== undefined && {connectTimeoutMs: options.connectTimeoutMs}),
+				onDidConnect(isConnected) {
+					options.onDidConnect?.(isConnected);
+					if (isConnected) {
+						links.recordConnected(server.pool, clock.monotonic());
+					} else {
+						links.recordFailed(server.pool, server.id, clock.monotonic());
+					}
+				},
 				onHead(status, headers) {
 					const head = protocol.readHead(status, headers);
 					if (head.requestId !== attempt.requestId && !(head.requestId === undefined && (head.isNotRun || head.isOtherServer))) {
--- a/src/gateway/test/server-caller.test.ts
+++ b/src/gateway/test/server-caller.test.ts
@@ -10,6 +10,7 @@
 import {
 	ServerProtocol, type ResponseHead, type EventReader, type ServerAttempt,
 } from '../common/server-protocol.js';
+import {createServerLinks} from '../common/server-links.js';
 import {createServerStatements} from '../common/server-statements.js';
 import {copyEndToEndHeaders, createServerCaller} from '../node/server-caller.js';
 
@@ -52,6 +53,7 @@
 function createCaller(startTimeOf: () => number | undefined, onLeaving: (notice: unknown) => void) {
 	const limits = createServerLimits();
 	return createServerCaller({
+		links: createServerLinks(() => 1),
 		protocol: new IdProtocol(),
 		statements: createServerStatements({
 			startTimeOf, onLeaving, limits, limitUsage: createLimitUsage(limits),
