Send attempts over another daemon when the links to the servers are cut

Cause: a daemon used only its own links; a connection that hung cost each request its deadline, and nothing was learned from the attempt before. Class of fault: no other way for a path that the daemons already have between them. Weighed: saying 'not ready' moves new connections only, and below half of a zone all daemons are used again, so a zone that is cut whole gains nothing; handing on whole requests would need guard, permits, versions and deadlines twice, once for each daemon. So a single attempt is handed on: server, permit, guard, deadline and software version stay with the first daemon, and every way to a server (first and further attempt, hedge, stream, taken-up stream, scoring call, item) passes the same place. Change: connecting to a server is limited to 300 ms. While they are cut, attempts go over one other daemon (one hop: it uses its own links only), near ones first, at most 160 at a time there; daemons that are cut too, busy or of an earlier build refuse at once. Requests that may be repeated are sent again when their links are cut under them; others wait. If no daemon takes a request it is refused at once.

--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -226,6 +226,10 @@
 		}, {
 			timeoutMs: MAXIMUM_RUN_MS,
 			signal: run.abort.signal,
+			onCut() {
+				abortRun(run, 'the links to the engines are cut');
+				return 'wait';
+			},
 			onHead(head) {
 				onHead(run, head);
 			},
--- /dev/null
+++ b/src/gateway/common/relay.ts
@@ -0,0 +1,54 @@
+/** Relays: one daemon sends an attempt to a backend server for another one, which has no link to the server. The attempt stays the other daemon's in all else. */
+import type {Result} from 'neverthrow';
+import type {Failure} from '../../base/common/failure.js';
+import type {PeerDaemon} from '../../peers/common/peer-mesh.js';
+import type {ServerAttempt} from './server-protocol.js';
+
+/** An attempt that another daemon is asked to send. */
+export type RelayCall = {
+	readonly server: {readonly id: string; readonly address: string; readonly port: number};
+	readonly method: string;
+	/** Path with query. */
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string | readonly string[]>>;
+	readonly body: Uint8Array | undefined;
+	readonly attempt: ServerAttempt;
+	/** Time limit of the attempt, in milliseconds. */
+	readonly timeoutMs: number;
+};
+
+/** Status line and headers of a server's response. */
+export type RelayedHead = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | readonly string[]>>;
+};
+
+/** Receives the response of a relayed attempt. */
+export type RelaySink = {
+	/** Receives the head, before any data; a returned text aborts the attempt and is the reason. */
+	readonly onHead: (head: RelayedHead) => string | undefined;
+	/** Receives the body as it arrives; a returned text aborts the attempt and is the reason. */
+	readonly onData: (chunk: Uint8Array) => string | undefined;
+};
+
+/** Why a daemon did not send an attempt; the request has not run. */
+export type RelayRefusal
+	/** It relays as many attempts as it may. */
+	= | 'busy'
+	/** Its own links to the pool are cut. */
+		| 'cut'
+	/** It is of a build without relays. */
+		| 'unsupported'
+	/** It could not be connected to. */
+		| 'unreachable';
+
+/** How a relayed attempt ended. */
+export type RelayEnd
+	= | {readonly kind: 'refused'; readonly reason: RelayRefusal}
+	/** The response is complete, or the attempt failed as stated. */
+		| {readonly kind: 'ended'; readonly result: Result<void, Failure>};
+
+/** Carries attempts to other daemons. */
+export type RelayTransport = {
+	readonly send: (peer: PeerDaemon, call: RelayCall, sink: RelaySink, signal: AbortSignal) => Promise<RelayEnd>;
+};
--- a/src/gateway/common/server-links.ts
+++ b/src/gateway/common/server-links.ts
@@ -79,7 +79,9 @@
 				setCut(pool, links, true);
 			}
 		},
-		forget: reset,
+		forget(pool) {
+			reset(pool);
+		},
 		isCut: pool => linksByPool.get(pool)?.isCut ?? false,
 		listCut: () => [...linksByPool].filter(([, {isCut}]) => isCut).map(([pool]) => pool),
 		isDoubtful: (pool, now) => now - linksOf(pool).connectedAt >= SOUND_MS,
--- a/src/gateway/common/server-statements.ts
+++ b/src/gateway/common/server-statements.ts
@@ -8,6 +8,8 @@
 export type ServerStatements = {
 	/** Counts a request that is about to be sent. The returned function records the head of its response. */
 	readonly begin: (serverId: string, sentAt: number) => (head: ResponseHead, now: number) => void;
+	/** The same for a request that another daemon sends and counts. */
+	readonly observe: (serverId: string, sentAt: number) => (head: ResponseHead, now: number) => void;
 };
 
 /** Dependencies of the records. */
@@ -24,22 +26,27 @@
 export function createServerStatements({
 	startTimeOf, onLeaving, limits, limitUsage,
 }: ServerStatementDependencies): ServerStatements {
+	function observe(serverId: string, sentAt: number) {
+		const startedAt = startTimeOf(serverId);
+		return (head: ResponseHead, now: number) => {
+			if (head.isOtherServer) {
+				return;
+			}
+
+			limits.recordResponse({
+				serverId, startedAt, perSecond: head.limitPerSecond, sentAt,
+			}, now);
+			if (head.isLeaving) {
+				onLeaving({serverId, startedAt}, now);
+			}
+		};
+	}
+
 	return {
+		observe,
 		begin(serverId, sentAt) {
-			const startedAt = startTimeOf(serverId);
-			limitUsage.recordSend(serverId, startedAt);
-			return (head, now) => {
-				if (head.isOtherServer) {
-					return;
-				}
-
-				limits.recordResponse({
-					serverId, startedAt, perSecond: head.limitPerSecond, sentAt,
-				}, now);
-				if (head.isLeaving) {
-					onLeaving({serverId, startedAt}, now);
-				}
-			};
+			limitUsage.recordSend(serverId, startTimeOf(serverId));
+			return observe(serverId, sentAt);
 		},
 	};
 }
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -9,6 +9,7 @@
 import {probePort} from '../limits/node/port-probe.js';
 import {createServerPermits} from '../limits/node/server-permits.js';
 import {createServerLimits, type ServerLimits} from '../limits/common/server-limits.js';
+import {peerStreamsKey} from '../peers/node/peer-streams.js';
 import {peerMeshKey} from '../peers/common/peer-mesh.js';
 import {createSuspectTable} from '../requests/common/suspect-table.js';
 import {createSuspectLedger} from '../requests/node/suspect-ledger.js';
@@ -22,6 +23,8 @@
 import {hostedSuspectRules} from './common/suspect-rules.js';
 import {serverProtocolKey} from './common/server-protocol.js';
 import {createSharedLoads, type SharedLoads} from './common/shared-loads.js';
+import {createOpenAttempts, type OpenAttempts} from './common/open-attempts.js';
+import {createRelayChoice} from './common/relay-choice.js';
 import {createServerLinks, type ServerLinks} from './common/server-links.js';
 import {createServerStatements, type ServerStatements} from './common/server-statements.js';
 import {createServerView, type ServerView} from './common/server-view.js';
@@ -31,6 +34,10 @@
 import {createFeed, type Feed} from './node/feed.js';
 import {createForwarder, type Forwarder} from './node/forwarder.js';
 import {createPortInspection} from './node/port-inspection.js';
+import {createHttpRelayTransport, serveRelays} from './node/http-relay.js';
+import {startLinkMonitor} from './node/link-monitor.js';
+import {createRelayHelper} from './node/relay-helper.js';
+import {createRelayingCaller} from './node/relaying-caller.js';
 import {createRequestGuard} from './node/request-guard.js';
 import {createServerAcquisition} from './node/server-acquisition.js';
 import {createServerCaller, type ServerCaller} from './node/server-caller.js';
@@ -44,6 +51,7 @@
 	readonly loads: SharedLoads;
 	readonly dispatcher: Dispatcher;
 	readonly links: ServerLinks;
+	readonly attempts: OpenAttempts;
 	readonly caller: ServerCaller;
 	readonly forwarder: Forwarder;
 	readonly streams: StreamForwarder;
@@ -67,6 +75,8 @@
 /** Minimum time between these polls, as a share of the drain time of a leaving server. The rest of that time is left for forwarding changes to followers. */
 const SERVERS_POLL_INTERVAL_SHARE = 0.48;
 const EXPIRY_CHECK_MS = 250;
+/** Time limit for connecting to a server to learn whether the links work. */
+const LINK_PROBE_TIMEOUT_MS = 300;
 /** Time between log lines on the requests that were sent to servers with a limit. */
 const LIMIT_USE_PERIOD_MS = 4000;
 /** Time for the last responses to be written to callers after the backend servers have responded. */
@@ -95,9 +105,20 @@
 		context.log.info(isCut ? 'links to a pool are cut' : 'links to a pool can be used again', {pool, servers: view.list(pool).length});
 		context.metrics.gauge('server_links.cut', isCut ? 1 : 0, {pool});
 	});
-	const caller = createServerCaller({
+	const direct = createServerCaller({
 		...context, protocol, statements, links,
 	});
+	const mesh = context.use(peerMeshKey);
+	const streams = context.use(peerStreamsKey);
+	const findUsable = (serverId: string) => (view.find(serverId)?.isLeaving === false ? view.table.find(serverId) : undefined);
+	const relayHelper = createRelayHelper({
+		...context, direct, links, findServer: findUsable,
+	});
+	serveRelays(streams, relayHelper, context.loop);
+	const attempts = createOpenAttempts();
+	const caller = createRelayingCaller({
+		...context, direct, links, attempts, choice: createRelayChoice(mesh.self, context.random), transport: createHttpRelayTransport(streams), mesh, protocol, statements,
+	});
 	view.onDidStartLeaving(notice => {
 		context.log.info('backend server says that it is leaving', {serverId: notice.serverId, startedAt: notice.startedAt});
 	});
@@ -147,11 +168,11 @@
 	});
 	// The entry of a run that has crashed says nothing about the run that follows it under the same id.
 	const findServer = (serverId: string) => (detector.hasCrashed(detector.currentRun(serverId)) ? undefined : view.find(serverId));
-	const streams = createStreamForwarder({
+	const streamForwarder = createStreamForwarder({
 		...context, dispatcher, caller, acquisition, guard, records, serverIdsOf, protocol, findServer,
 	});
 	return {
-		deployment, view, loads, dispatcher, links, caller, forwarder, streams, limits, limitUsage, statements, permits, detector, exchange, records,
+		deployment, view, loads, dispatcher, links, attempts, caller, forwarder, streams: streamForwarder, limits, limitUsage, statements, permits, detector, exchange, records,
 	};
 }
 
@@ -247,6 +268,9 @@
 				gateway.detector,
 				gateway.exchange,
 				gateway.records,
+				startLinkMonitor({
+					...context, ...gateway, probe: async peer => probePort(peer, LINK_PROBE_TIMEOUT_MS),
+				}),
 				context.loop.every({name: 'expire servers', periodMs: EXPIRY_CHECK_MS, run: gateway.view.expire}),
 				context.loop.every({
 					name: 'use of limited servers',
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -153,7 +153,7 @@
 		const endAttempt = guard.begin(request, dispatch.server.id, admission);
 		const result = await caller.attempt(dispatch.server, request, {
 			requestId: request.requestId, remainingMs, serverId: dispatch.server.id, ...(request.urgency !== undefined && {urgency: request.urgency}),
-		}, {timeoutMs: Math.max(1, remainingMs), signal});
+		}, {timeoutMs: Math.max(1, remainingMs), signal, onCut: () => request.route.repeatability === 'idempotent' ? 'restart' : 'wait'});
 		const now = clock.monotonic();
 		progress.verdict = endAttempt(classifyOutcome(toAttemptEnd(result), {hasTimedOut: now >= request.deadlineAt - RESPONSE_MARGIN_MS, hasCallerLeft: request.signal.aborted}));
 		result.match(response => {
--- /dev/null
+++ b/src/gateway/node/relay-helper.ts
@@ -0,0 +1,120 @@
+/** Sends attempts to backend servers for other daemons, as far as this daemon reaches the servers itself. */
+import {err, type Result} from 'neverthrow';
+import {createNotRun, type Failure} from '../../base/common/failure.js';
+import type {Log} from '../../kernel/common/log.js';
+import type {BackendServer} from '../../routing/common/router.js';
+import type {
+	RelayCall, RelayedHead, RelayEnd, RelayRefusal, RelaySink,
+} from '../common/relay.js';
+import type {ServerLinks} from '../common/server-links.js';
+import type {ServerCaller} from './server-caller.js';
+
+/** The serving side of relays. */
+export type RelayHelper = {
+	/** Whether this daemon would refuse an attempt at the server now, and why. */
+	readonly findRefusal: (serverId: string) => RelayRefusal | undefined;
+	/** Sends an attempt over this daemon's own links, and never over another daemon. */
+	readonly relay: (call: RelayCall, sink: RelaySink, signal: AbortSignal) => Promise<RelayEnd>;
+};
+
+/** Dependencies of the helper. */
+export type RelayHelperDependencies = {
+	/** Sends attempts over the daemon's own links. */
+	readonly direct: Pick<ServerCaller, 'attempt'>;
+	readonly links: Pick<ServerLinks, 'isCut'>;
+	/** A server that may get requests, as this daemon knows it. */
+	readonly findServer: (serverId: string) => BackendServer | undefined;
+	readonly log: Log;
+};
+
+/** Maximum number of attempts that one daemon relays at a time, so that the daemons that still reach the servers keep room for their own callers. */
+const MAXIMUM_RELAYED = 160;
+/** Time limit for connecting to a server for another daemon, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 300;
+
+function toHead(status: number, headers: Readonly<Record<string, string | readonly string[] | undefined>>): RelayedHead {
+	return {status, headers: Object.fromEntries(Object.entries(headers).flatMap(([name, value]) => (value === undefined ? [] : [[name, value]])))};
+}
+
+/** Creates the helper. */
+export function createRelayHelper({
+	direct, links, findServer, log,
+}: RelayHelperDependencies): RelayHelper {
+	let relayed = 0;
+
+	function findRefusal(serverId: string): RelayRefusal | undefined {
+		const server = findServer(serverId);
+		if (server !== undefined && links.isCut(server.pool)) {
+			return 'cut';
+		}
+
+		return relayed >= MAXIMUM_RELAYED ? 'busy' : undefined;
+	}
+
+	async function send(call: RelayCall, server: BackendServer, sink: RelaySink, signal: AbortSignal): Promise<Result<void, Failure>> {
+		let hasHead = false;
+		const problems: string[] = [];
+		const abort = new AbortController();
+		const onAbort = () => {
+			abort.abort();
+		};
+
+		signal.addEventListener('abort', onAbort, {once: true});
+		const passOn = (problem: string | undefined) => {
+			if (problem !== undefined) {
+				problems.push(problem);
+				abort.abort();
+			}
+		};
+
+		const answered = await direct.attempt(server, call, call.attempt, {
+			timeoutMs: call.timeoutMs,
+			connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, call.timeoutMs),
+			signal: abort.signal,
+			onHead(head, headers) {
+				if (head.status === 200) {
+					hasHead = true;
+					passOn(sink.onHead(toHead(head.status, headers)));
+				}
+			},
+			onData(chunk) {
+				const problem = sink.onData(chunk);
+				passOn(problem);
+				return problem;
+			},
+		});
+		signal.removeEventListener('abort', onAbort);
+		return answered.map(({status, headers, body}) => {
+			if (!hasHead) {
+				sink.onHead(toHead(status, headers));
+				sink.onData(body);
+			}
+
+			return undefined;
+		});
+	}
+
+	return {
+		findRefusal,
+		async relay(call, sink, signal) {
+			const refusal = findRefusal(call.server.id);
+			if (refusal !== undefined) {
+				return {kind: 'refused', reason: refusal};
+			}
+
+			const server = findServer(call.server.id);
+			const isSame = server?.address === call.server.address && server.port === call.server.port;
+			relayed += 1;
+			const result = server !== undefined && isSame
+				? await send(call, server, sink, signal)
+				: err(createNotRun('rejected', {step: 'relay attempt', peer: call.server.id}, 'this daemon does not know the server, or knows that it is leaving'));
+			relayed -= 1;
+			if (result.isErr() && result.error.effect === 'notRun' && server !== undefined && links.isCut(server.pool)) {
+				return {kind: 'refused', reason: 'cut'};
+			}
+
+			log.debug('attempt relayed', {requestId: call.attempt.requestId, serverId: call.server.id, ...result.match(() => ({}), failure => ({reason: failure.message, effect: failure.effect}))});
+			return {kind: 'ended', result};
+		},
+	};
+}
--- /dev/null
+++ b/src/gateway/node/relaying-caller.ts
@@ -0,0 +1,215 @@
+/** Calls backend servers over the daemon's own links, and over another daemon where these are cut. Over another daemon means one hop: that daemon uses only its own links. */
+import {Buffer} from 'node:buffer';
+import {err, ok, type Result} from 'neverthrow';
+import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import type {Clock} from '../../base/common/clock.js';
+import type {Log} from '../../kernel/common/log.js';
+import type {Metrics} from '../../kernel/common/metrics.js';
+import type {PeerMesh} from '../../peers/common/peer-mesh.js';
+import type {BackendServer} from '../../routing/common/router.js';
+import type {OpenAttempts} from '../common/open-attempts.js';
+import type {RelayChoice} from '../common/relay-choice.js';
+import type {
+	RelayCall, RelayedHead, RelaySink, RelayTransport,
+} from '../common/relay.js';
+import type {ServerLinks} from '../common/server-links.js';
+import type {ResponseHead, ServerAttempt, ServerProtocol} from '../common/server-protocol.js';
+import type {ServerStatements} from '../common/server-statements.js';
+import type {
+	AttemptOptions, BackendResponse, ServerCaller, ServerRequest,
+} from './server-caller.js';
+
+/** Dependencies of the caller. */
+export type RelayingCallerDependencies = {
+	readonly direct: ServerCaller;
+	readonly links: ServerLinks;
+	readonly attempts: OpenAttempts;
+	readonly choice: RelayChoice;
+	readonly transport: RelayTransport;
+	readonly mesh: Pick<PeerMesh, 'others'>;
+	readonly protocol: Pick<ServerProtocol, 'readHead'>;
+	readonly statements: ServerStatements;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+/** Time limit for connecting to a server: longer than a connection between regions takes and a VM is paused by its quota, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 300;
+/** Maximum number of daemons that are asked to relay one attempt. */
+const MAXIMUM_ASKED = 6;
+/** Maximum size of a body that is not read as it arrives. */
+const MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
+
+/** One attempt with the time that it has. */
+type Call = {
+	readonly server: BackendServer;
+	readonly request: ServerRequest;
+	readonly attempt: ServerAttempt;
+	readonly options: AttemptOptions;
+};
+
+/** Collects the response of a relayed attempt. */
+type Collector = RelaySink & {
+	readonly complete: () => Result<BackendResponse, Failure>;
+};
+
+/** Creates the caller. */
+export function createRelayingCaller(dependencies: RelayingCallerDependencies): ServerCaller {
+	const {
+		direct, links, attempts, choice, transport, mesh, protocol, statements, clock, log, metrics,
+	} = dependencies;
+
+	links.onDidChange(({pool, isCut}) => {
+		if (isCut) {
+			attempts.cut(pool);
+		}
+	});
+
+	/** The same attempt after some of its time has passed. */
+	function shorten({server, request, attempt, options}: Call, elapsedMs: number): Call {
+		return {
+			server, request, attempt: {...attempt, remainingMs: attempt.remainingMs - elapsedMs}, options: {...options, timeoutMs: options.timeoutMs - elapsedMs},
+		};
+	}
+
+	function createCollector({server, request, attempt, options}: Call): Collector {
+		const heads: Array<{readonly head: ResponseHead; readonly relayed: RelayedHead}> = [];
+		const chunks: Uint8Array[] = [];
+		let length = 0;
+		const recordHead = statements.observe(server.id, clock.monotonic());
+		return {
+			onHead(relayed) {
+				const headers = Object.fromEntries(Object.entries(relayed.headers).map(([name, value]) => [name, typeof value === 'string' ? value : [...value]]));
+				const head = protocol.readHead(relayed.status, headers);
+				heads.push({head, relayed});
+				recordHead(head, clock.monotonic());
+				options.onHead?.(head, headers);
+				return undefined;
+			},
+			onData(chunk) {
+				if (options.onData !== undefined && heads[0]?.head.status === 200) {
+					return options.onData(chunk);
+				}
+
+				chunks.push(chunk);
+				length += chunk.length;
+				return length > MAXIMUM_BODY_BYTES ? `the response body is larger than ${MAXIMUM_BODY_BYTES} bytes` : undefined;
+			},
+			complete() {
+				const [received] = heads;
+				return received === undefined
+					? err(createOutcomeUnknown('incomplete', {step: 'relay attempt', peer: server.id}, `no response to ${request.method} of request ${attempt.requestId}`))
+					: createResponse(received.relayed, received.head, Buffer.concat(chunks));
+			},
+		};
+	}
+
+	/** Sends an attempt over other daemons, one after the other until one takes it; undefined if none does, so that the request has not run. */
+	async function relay(call: Call): Promise<Result<BackendResponse, Failure> | undefined> {
+		const startedAt = clock.monotonic();
+		const {server, request, attempt, options} = call;
+		const asked = choice.list(server.pool, mesh.others(), startedAt).slice(0, MAXIMUM_ASKED);
+		const taken = await asked.reduce<Promise<Result<BackendResponse, Failure> | undefined>>(async (previous, peer) => {
+			const known = await previous;
+			const now = clock.monotonic();
+			const left = shorten(call, now - startedAt);
+			if (known !== undefined || options.signal.aborted || left.options.timeoutMs <= 0) {
+				return known;
+			}
+
+			const relayCall: RelayCall = {
+				server: {id: server.id, address: server.address, port: server.port}, method: request.method, path: request.path, headers: request.headers, body: request.body, attempt: left.attempt, timeoutMs: left.options.timeoutMs,
+			};
+			const collector = createCollector(call);
+			const endOpen = choice.begin(peer.name);
+			const end = await transport.send(peer, relayCall, collector, options.signal);
+			endOpen();
+			if (end.kind === 'refused') {
+				choice.recordRefusal(server.pool, peer.name, end.reason, clock.monotonic());
+				return undefined;
+			}
+
+			return end.result.andThen(() => collector.complete());
+		}, Promise.resolve(undefined));
+		metrics.count('server_links.relayed', 1, {pool: server.pool, outcome: taken === undefined ? 'refused' : (taken.isOk() ? 'answered' : taken.error.effect)});
+		log.info('attempt over another daemon', {
+			requestId: attempt.requestId, serverId: server.id, tookMs: Math.round(clock.monotonic() - startedAt), outcome: taken === undefined ? 'no daemon took it' : taken.match(response => response.status, failure => failure.message),
+		});
+		return taken;
+	}
+
+	/** Sends an attempt over the own links. `isCutOff` tells that it ended because the links were cut, so that it may be sent again. */
+	async function attemptDirect({server, request, attempt, options}: Call) {
+		const abort = new AbortController();
+		let isCutOff = false;
+		let hasFailedToConnect = false;
+		let hasHead = false;
+		const onAbort = () => {
+			abort.abort();
+		};
+
+		const onCut = () => {
+			if (options.onCut?.() === 'restart' && !hasHead) {
+				isCutOff = true;
+				abort.abort();
+			}
+		};
+
+		const open = attempts.begin(server.pool, server.id, onCut, clock.monotonic());
+		const {onData} = options;
+		options.signal.addEventListener('abort', onAbort, {once: true});
+		const result = await direct.attempt(server, request, attempt, {
+			...options,
+			signal: abort.signal,
+			connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, options.timeoutMs),
+			onDidConnect(isConnected) {
+				hasFailedToConnect = !isConnected;
+			},
+			onHead(head, headers) {
+				hasHead = true;
+				open.recordHeard(clock.monotonic());
+				options.onHead?.(head, headers);
+			},
+			...(onData !== undefined && {
+				onData(chunk: Uint8Array) {
+					open.recordHeard(clock.monotonic());
+					return onData(chunk);
+				},
+			}),
+		});
+		options.signal.removeEventListener('abort', onAbort);
+		open.end();
+		return {result, hasFailedToConnect, isCutOff: isCutOff && result.isErr() && !options.signal.aborted};
+	}
+
+	return {
+		async attempt(server, request, attempt, options) {
+			const call: Call = {
+				server, request, attempt, options,
+			};
+			const startedAt = clock.monotonic();
+			if (links.isCut(server.pool)) {
+				return await relay(call) ?? err(createNotRun('unavailable', {step: 'call backend server', peer: server.id}, 'the links to the servers are cut, and no other daemon takes the request'));
+			}
+
+			const {result, hasFailedToConnect, isCutOff} = await attemptDirect(call);
+			const now = clock.monotonic();
+			const left = shorten(call, now - startedAt);
+			const mayRelay = !options.signal.aborted && left.options.timeoutMs > 0;
+			if (isCutOff && mayRelay) {
+				return await relay(left) ?? err(createOutcomeUnknown('unavailable', {step: 'call backend server', peer: server.id}, 'the link to the server was cut'));
+			}
+
+			const isNotSent = result.isErr() && result.error.effect === 'notRun' && hasFailedToConnect;
+			return isNotSent && mayRelay && links.isDoubtful(server.pool, now) ? await relay(left) ?? result : result;
+		},
+		close: direct.close,
+	};
+}
+
+function createResponse({status, headers}: RelayedHead, head: ResponseHead, body: Uint8Array): Result<BackendResponse, Failure> {
+	return ok({
+		status, headers: Object.fromEntries(Object.entries(headers).map(([name, value]) => [name, typeof value === 'string' ? value : [...value]])), body, head,
+	});
+}
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -32,6 +32,8 @@
 	readonly onData?: (chunk: Uint8Array) => string | undefined;
 	/** Time limit for establishing a new connection, in milliseconds. */
 	readonly connectTimeoutMs?: number;
+	/** Called when the links to the server's pool are cut before the response began; `restart` sends the request again, over another daemon. */
+	readonly onCut?: () => 'restart' | 'wait';
 	/** Called when a new connection was established, or could not be. */
 	readonly onDidConnect?: (isConnected: boolean) => void;
 	/** Opens a new connection that is used only for this attempt. */
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -190,6 +190,7 @@
 		}, {
 			timeoutMs: remainingMs,
 			signal: abortController.signal,
+			onCut: () => request.route.canResume && !state.hasBegun ? 'restart' : 'wait',
 			onHead(head, headers) {
 				if (head.status === 200 && !state.hasBegun) {
 					state.hasBegun = true;
--- a/src/gateway/test/server-caller.test.ts
+++ b/src/gateway/test/server-caller.test.ts
@@ -7,49 +7,13 @@
 import {createLimitUsage} from '../../limits/common/limit-usage.js';
 import {createServerLimits} from '../../limits/common/server-limits.js';
 import type {BackendServer} from '../../routing/common/router.js';
-import {
-	ServerProtocol, type ResponseHead, type EventReader, type ServerAttempt,
-} from '../common/server-protocol.js';
 import {createServerLinks} from '../common/server-links.js';
 import {createServerStatements} from '../common/server-statements.js';
 import {copyEndToEndHeaders, createServerCaller} from '../node/server-caller.js';
+import {IdProtocol} from './id-protocol.js';
 
 const test = suite('one attempt at a backend server');
 
-class IdProtocol extends ServerProtocol {
-	override readonly replacedHeaders = [];
-
-	override buildHeaders(attempt: ServerAttempt) {
-		return {'Request-Id': attempt.requestId};
-	}
-
-	override readHead(status: number, headers: Readonly<Record<string, unknown>>): ResponseHead {
-		return {
-			status, requestId: typeof headers['request-id'] === 'string' ? headers['request-id'] : undefined, isNotRun: headers['x-skipped'] !== undefined, isOtherServer: status === 421, isLeaving: headers['x-leaving'] !== undefined, limitPerSecond: undefined, load: undefined, signature: undefined, version: undefined,
-		};
-	}
-
-	override createEventReader(): EventReader {
-		return {feed: () => undefined};
-	}
-
-	override buildReportCall() {
-		return {method: 'GET', path: '/', headers: {}};
-	}
-
-	override readReport() {
-		return undefined;
-	}
-
-	override buildOrderCall() {
-		return {method: 'POST', path: '/', headers: {}};
-	}
-
-	override readOrderOutcome() {
-		return 'refused' as const;
-	}
-}
-
 function createCaller(startTimeOf: () => number | undefined, onLeaving: (notice: unknown) => void) {
 	const limits = createServerLimits();
 	return createServerCaller({
--- a/src/limits/node/port-probe.ts
+++ b/src/limits/node/port-probe.ts
@@ -6,7 +6,7 @@
 const TIMEOUT_MS = 500;
 
 /** Connects and closes at once. Returns `refused` only when the peer's host refuses the connection; a timeout or another error is `unknown`. */
-export async function probePort(peer: PeerAddress): Promise<PortState> {
+export async function probePort(peer: PeerAddress, timeoutMs = TIMEOUT_MS): Promise<PortState> {
 	return new Promise(resolve => {
 		const socket = connect({host: peer.address, port: peer.peerPort});
 		const settle = (state: PortState) => {
@@ -14,7 +14,7 @@
 			resolve(state);
 		};
 
-		socket.setTimeout(TIMEOUT_MS, () => {
+		socket.setTimeout(timeoutMs, () => {
 			settle('unknown');
 		});
 		socket.once('connect', () => {
--- a/src/objects/objects.contribution.ts
+++ b/src/objects/objects.contribution.ts
@@ -4,6 +4,7 @@
 import {objectApiKey, type ApiObject, type ObjectApi} from '../adapters/common/object-api.js';
 import {joinDisposables, type Disposable} from '../base/common/disposable.js';
 import {peerMeshKey, type PeerDaemon, type PeerMesh} from '../peers/common/peer-mesh.js';
+import {peerStreamsKey} from '../peers/node/peer-streams.js';
 import {createPeerMesh} from '../peers/node/peer-mesh.js';
 import {hostKey, type Host} from '../settings/common/host.js';
 import {DAEMON_OBJECT_KIND, parseDaemonEntry} from './common/daemon-directory.js';
@@ -76,6 +77,7 @@
 		mesh.setKnownDaemons(host.seeds.filter(seed => seed.ip !== self.ip).map(seed => createSeedDaemon(seed)));
 		const api = createRelayedApi({...context, directApi: context.use(directObjectApiKey), mesh});
 		context.provide(peerMeshKey, mesh);
+		context.provide(peerStreamsKey, mesh);
 		context.provide(objectApiKey, api);
 		const hasCallers = host.callers !== undefined;
 		if (hasCallers) {
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -11,9 +11,10 @@
 import type {
 	PeerDaemon, PeerHandler, PeerMesh, PeerReply,
 } from '../common/peer-mesh.js';
+import type {PeerStreamHandler, PeerStreams} from './peer-streams.js';
 
 /** A peer mesh with the server on its port. */
-export type ListeningPeerMesh = PeerMesh & {
+export type ListeningPeerMesh = PeerMesh & PeerStreams & {
 	readonly listen: () => Promise<void>;
 	readonly close: () => void;
 };
@@ -62,12 +63,20 @@
 /** Creates the mesh of one daemon. */
 export function createPeerMesh(self: PeerDaemon, clock: Clock, log: Log): ListeningPeerMesh {
 	const handlers = new Map<string, PeerHandler>();
+	const streamHandlers = new Map<string, PeerStreamHandler>();
 	const agent = new Agent({keepAlive: true, timeout: CLIENT_IDLE_TIMEOUT_MS});
 	let knownDaemons: readonly PeerDaemon[] = [];
 	const failedAtByName = new Map<string, number>();
 
 	async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const handler = handlers.get((request.url ?? '').slice(1));
+		const name = (request.url ?? '').slice(1);
+		const streamHandler = streamHandlers.get(name);
+		if (streamHandler !== undefined) {
+			await streamHandler(request, response);
+			return;
+		}
+
+		const handler = handlers.get(name);
 		const text = await readBody(request);
 		if (handler === undefined) {
 			sendReply(response, {status: 404, body: null});
@@ -87,15 +96,35 @@
 	});
 	server.keepAliveTimeout = SERVER_IDLE_TIMEOUT_MS;
 
+	function baseOf(peer: PeerDaemon): URL {
+		// The address from the directory takes precedence over the one that came with a message.
+		const listed = knownDaemons.find(daemon => daemon.name === peer.name && daemon.incarnation === peer.incarnation) ?? peer;
+		return new URL(`http://${listed.ip}:${listed.port}`);
+	}
+
+	function recordOutcome(peer: PeerDaemon, hasReplied: boolean): void {
+		if (hasReplied) {
+			failedAtByName.delete(peer.name);
+		} else {
+			failedAtByName.set(peer.name, clock.monotonic());
+		}
+	}
+
 	return {
 		self,
+		handleStream(name, handler) {
+			streamHandlers.set(name, handler);
+		},
+		async callStream(peer, name, call) {
+			const {result} = await exchange({
+				...call, step: `peer call ${name}`, method: 'POST', path: `/${name}`,
+			}, {base: baseOf(peer), agent});
+			return result;
+		},
 		handle(name, handler) {
 			handlers.set(name, handler);
 		},
 		async call(peer, name, body, timeoutMs): Promise<Result<PeerReply, Failure>> {
-			// The address from the directory takes precedence over the one that came with a message.
-			const listed = knownDaemons.find(daemon => daemon.name === peer.name && daemon.incarnation === peer.incarnation) ?? peer;
-			const base = new URL(`http://${listed.ip}:${listed.port}`);
 			const {result} = await exchange({
 				step: `peer call ${name}`,
 				method: 'POST',
@@ -103,12 +132,8 @@
 				headers: {'content-type': 'application/json'},
 				body: JSON.stringify(body),
 				timeoutMs,
-			}, {base, agent});
-			if (result.isErr()) {
-				failedAtByName.set(peer.name, clock.monotonic());
-			} else {
-				failedAtByName.delete(peer.name);
-			}
+			}, {base: baseOf(peer), agent});
+			recordOutcome(peer, result.isOk());
 
 			return result.andThen(httpResponse => ok({status: httpResponse.status, body: parseJson(Buffer.from(httpResponse.body).toString('utf8'))}));
 		},
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -7,11 +7,18 @@
 import {permissiveRequestGuard} from '../../src/gateway/common/request-guard.js';
 import type {ResponseHead, ServerProtocol} from '../../src/gateway/common/server-protocol.js';
 import {createEntryHistory} from '../../src/gateway/common/entry-history.js';
+import type {RelayCall, RelayEnd, RelaySink} from '../../src/gateway/common/relay.js';
+import {createOpenAttempts} from '../../src/gateway/common/open-attempts.js';
+import {createRelayChoice} from '../../src/gateway/common/relay-choice.js';
+import {createServerLinks} from '../../src/gateway/common/server-links.js';
 import {createServerView, type ServerEntry, type ServerView} from '../../src/gateway/common/server-view.js';
 import {hostedSuspectRules} from '../../src/gateway/common/suspect-rules.js';
 import {createCrashDetector} from '../../src/gateway/node/crash-detector.js';
 import {createPortInspection} from '../../src/gateway/node/port-inspection.js';
 import {createForwarder, type Forwarder, type PlainRequest} from '../../src/gateway/node/forwarder.js';
+import {startLinkMonitor} from '../../src/gateway/node/link-monitor.js';
+import {createRelayHelper, type RelayHelper} from '../../src/gateway/node/relay-helper.js';
+import {createRelayingCaller} from '../../src/gateway/node/relaying-caller.js';
 import {createRequestGuard} from '../../src/gateway/node/request-guard.js';
 import {createServerAcquisition} from '../../src/gateway/node/server-acquisition.js';
 import type {AttemptOptions, BackendResponse, ServerCaller} from '../../src/gateway/node/server-caller.js';
@@ -22,6 +29,7 @@
 import {silentMetrics} from '../../src/kernel/common/metrics.js';
 import type {PortState} from '../../src/limits/common/stopped-daemons.js';
 import {unlimitedPermits} from '../../src/limits/common/server-permits.js';
+import type {PeerDaemon} from '../../src/peers/common/peer-mesh.js';
 import {createSuspectTable, type SuspectTable} from '../../src/requests/common/suspect-table.js';
 import {createSuspectLedger} from '../../src/requests/node/suspect-ledger.js';
 import {createDispatcher} from '../../src/routing/common/dispatcher.js';
@@ -36,6 +44,7 @@
 /** What a caller got. */
 export type CrashAnswer = {
 	readonly content: string;
+	readonly daemon: string;
 	readonly sentAt: number;
 	readonly answeredAt: number;
 	readonly result: Result<unknown, Failure>;
@@ -92,8 +101,8 @@
 	} as unknown as ServerResponse;
 }
 
-/** Creates the simulation with running daemons and servers. With `isGuarded` false, daemons take no notice of crashes. */
-export function createCrashingFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number; readonly attempts?: number; readonly isGuarded?: boolean}) {
+/** Creates the simulation with running daemons and servers. With `isGuarded` false, daemons take no notice of crashes; those for which `relays` is false neither send attempts over other daemons nor for them. */
+export function createCrashingFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number; readonly attempts?: number; readonly isGuarded?: boolean; readonly relays?: (name: string) => boolean}) {
 	const random = createSeededRandom(options.seed);
 	const time = createVirtualTime(random);
 	const {clock, loop} = time;
@@ -107,10 +116,14 @@
 	}));
 	const names = Array.from({length: options.daemons}, (_, index) => `d${index}`);
 	const daemons = new Map<string, FleetDaemon>();
-	const arrivals: CrashArrival[] = [];
+	const arrivals: Array<CrashArrival & {readonly requestId: string}> = [];
 	const crashes: SeenCrash[] = [];
 	const answers: CrashAnswer[] = [];
 	const stranded = new Map<string, LinkFault>();
+	const helpers = new Map<string, RelayHelper | undefined>();
+	const linkChanges: Array<{readonly daemon: string; readonly isCut: boolean; readonly at: number}> = [];
+	const relayCalls: Array<{readonly helper: string; readonly at: number}> = [];
+	const relayBreaks: Array<{readonly helper: string; readonly breakRelay: () => void}> = [];
 	const hidden = new Map<string, LinkFault>();
 	const breakByDaemon = new WeakMap<() => void, string>();
 	const disturbances: Array<{readonly daemon: string; readonly from: number; readonly until: number}> = [];
@@ -168,21 +181,21 @@
 		return stranded.get(daemon) ?? hidden.get(server.id) ?? (server.isUp ? undefined : (server.isDark ? 'hangs' : 'refuses'));
 	}
 
-	async function run(server: FleetServer, daemon: string, content: string, {requestId, onHead, timeoutMs, signal}: AttemptOptions & {readonly requestId: string}): Promise<Result<BackendResponse, Failure>> {
+	async function run(server: FleetServer, daemon: string, content: string, {requestId, onHead, onDidConnect, timeoutMs, connectTimeoutMs, signal}: AttemptOptions & {readonly requestId: string}): Promise<Result<BackendResponse, Failure>> {
 		const origin = {step: 'call backend server', peer: server.id};
 		await loop.sleep(LATENCY_MS);
 		const fault = faultOf(server, daemon);
-		if (fault === 'refuses') {
-			return err(createNotRun('unavailable', origin, 'connect ECONNREFUSED'));
+		if (fault === 'hangs') {
+			await loop.sleep(Math.min(timeoutMs, connectTimeoutMs ?? timeoutMs));
 		}
 
-		if (fault === 'hangs') {
-			await loop.sleep(timeoutMs);
-			return err(createNotRun('unavailable', origin, `no connection within ${timeoutMs} ms`));
+		onDidConnect?.(fault === undefined);
+		if (fault !== undefined) {
+			return err(createNotRun('unavailable', origin, `the connection ${fault}`));
 		}
 
 		arrivals.push({
-			content, serverId: server.id, daemon, at: clock.monotonic(),
+			content, requestId, serverId: server.id, daemon, at: clock.monotonic(),
 		});
 		return new Promise(resolve => {
 			const breakRun = () => {
@@ -206,6 +219,10 @@
 
 			loop.after(WORK_MS * (0.7 + (0.6 * random())), () => {
 				server.running.delete(breakRun);
+				if (stranded.get(daemon) === 'hangs') {
+					return;
+				}
+
 				const head: ResponseHead = {
 					status: 200, requestId, isNotRun: false, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: undefined, signature: 'sig', version: undefined,
 				};
@@ -217,6 +234,38 @@
 		});
 	}
 
+	function readHead(status: number): ResponseHead {
+		return {
+			status, requestId: undefined, isNotRun: false, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: undefined, signature: 'sig', version: undefined,
+		};
+	}
+
+	/** Carries an attempt to another daemon, whose end breaks it. */
+	async function send(peer: PeerDaemon, call: RelayCall, sink: RelaySink, signal: AbortSignal): Promise<RelayEnd> {
+		relayCalls.push({helper: peer.name, at: clock.monotonic()});
+		await loop.sleep(LATENCY_MS);
+		if (!daemons.has(peer.name)) {
+			return {kind: 'refused', reason: 'unreachable'};
+		}
+
+		const helper = helpers.get(peer.name);
+		if (helper === undefined) {
+			return {kind: 'refused', reason: 'unsupported'};
+		}
+
+		const broken = new Promise<RelayEnd>(resolve => {
+			relayBreaks.push({
+				helper: peer.name,
+				breakRelay() {
+					resolve({kind: 'ended', result: err(createOutcomeUnknown('incomplete', {step: 'relay attempt', peer: peer.name}, 'the daemon ended'))});
+				},
+			});
+		});
+		const end = await Promise.race([helper.relay(call, sink, signal), broken]);
+		await loop.sleep(LATENCY_MS);
+		return end;
+	}
+
 	async function probeFrom(daemon: string, serverId: string): Promise<PortState> {
 		const server = servers.find(({id}) => id === serverId)!;
 		const fault = faultOf(server, daemon);
@@ -250,10 +299,40 @@
 			: createRequestGuard({
 				detector, table, ledger: createSuspectLedger({table, transport: exchange}), trials: exchange, clock, loop, log: silentLog, metrics: silentMetrics,
 			});
-		const caller: ServerCaller = {
-			attempt: async (target, request, attempt, attemptOptions) => run(servers.find(server => server.id === target.id)!, name, request.path, {...attemptOptions, requestId: attempt.requestId}),
+		const links = createServerLinks(() => servers.length);
+		links.onDidChange(({isCut}) => {
+			linkChanges.push({daemon: name, isCut, at: clock.monotonic()});
+		});
+		const direct: ServerCaller = {
+			attempt: async (target, request, attempt, attemptOptions) => run(servers.find(server => server.id === target.id)!, name, request.path, {
+				...attemptOptions,
+				requestId: attempt.requestId,
+				onDidConnect(isConnected) {
+					attemptOptions.onDidConnect?.(isConnected);
+					if (isConnected) {
+						links.recordConnected(POOL, clock.monotonic());
+					} else {
+						links.recordFailed(POOL, target.id, clock.monotonic());
+					}
+				},
+			}),
 			close: () => undefined,
 		};
+		const hasRelays = options.relays?.(name) !== false;
+		const openAttempts = createOpenAttempts();
+		helpers.set(name, hasRelays
+			? createRelayHelper({
+				direct, links, findServer: id => view.table.find(id), log: silentLog,
+			})
+			: undefined);
+		const caller = hasRelays
+			? createRelayingCaller({
+				direct, links, attempts: openAttempts, choice: createRelayChoice(mesh.self, random), transport: {send}, mesh, protocol: {readHead}, statements: {begin: () => () => undefined, observe: () => () => undefined}, clock, log: silentLog, metrics: silentMetrics,
+			})
+			: direct;
+		const monitor = startLinkMonitor({
+			links, attempts: openAttempts, view, probe: async ({address}) => probeFrom(name, address), loop, clock, random,
+		});
 		const dependencies = {
 			clock,
 			loop,
@@ -275,7 +354,7 @@
 		daemons.set(name, {
 			view, forwarder: createForwarder(dependencies), streams: createStreamForwarder({
 				...dependencies, protocol: eventlessProtocol, records: unrecordedStreams, findServer: () => ({pool: POOL, softwareVersion: 'v1'}),
-			}), table, end: joinDisposables([detector, exchange]).dispose,
+			}), table, end: joinDisposables([detector, exchange, monitor]).dispose,
 		});
 	}
 
@@ -293,7 +372,7 @@
 		});
 	}
 
-	async function send(content: string, name = names[Math.floor(random() * names.length)]!, kind: 'plain' | 'exempt' | 'stream' = 'plain', leavesAfterMs = Number.POSITIVE_INFINITY): Promise<CrashAnswer | undefined> {
+	async function sendAt(content: string, name = names[Math.floor(random() * names.length)]!, kind: 'plain' | 'once' | 'exempt' | 'stream' = 'plain', leavesAfterMs = Number.POSITIVE_INFINITY): Promise<CrashAnswer | undefined> {
 		const daemon = daemons.get(name);
 		if (daemon === undefined) {
 			return undefined;
@@ -309,24 +388,27 @@
 		}
 
 		const request: PlainRequest = {
-			requestId: `q${requestCount}`, method: 'POST', path: content, headers: {}, body: undefined, route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: departure.signal, urgency: undefined, permitUrgency: 'caller', fingerprint: kind === 'exempt' ? undefined : () => content,
+			requestId: `q${requestCount}`, method: 'POST', path: content, headers: {}, body: undefined, route: kind === 'once' ? {...route, repeatability: 'nonIdempotent'} : route, deadlineAt: sentAt + CALLER_DEADLINE_MS, signal: departure.signal, urgency: undefined, permitUrgency: 'caller', fingerprint: kind === 'exempt' ? undefined : () => content,
 		};
 		const failure = kind === 'stream' ? await daemon.streams.forward({...request, route: {...route, repeatability: 'stream', canResume: true}}, createResponse(), false) : undefined;
 		const result = kind === 'stream' ? (failure === undefined ? ok() : err(failure)) : await daemon.forwarder.forward(request);
 		const answer = {
-			content, sentAt, answeredAt: clock.monotonic(), result,
+			content, daemon: name, sentAt, answeredAt: clock.monotonic(), result,
 		};
 		answers.push(answer);
 		return answer;
 	}
 
 	return {
-		time, network, daemons, objects, names, servers, arrivals, crashes, answers, random, crash, send,
+		time, network, daemons, objects, names, servers, arrivals, crashes, answers, linkChanges, relayCalls, random, crash, send: sendAt,
 		/** Kills daemons at once and starts them again, without any memory. */
 		restart(affected: readonly string[], downMs: number) {
 			affected.forEach(name => {
 				disturbances.push({daemon: name, from: clock.monotonic(), until: clock.monotonic() + downMs});
 				network.kill(name);
+				relayBreaks.filter(({helper}) => helper === name).forEach(({breakRelay}) => {
+					breakRelay();
+				});
 				daemons.get(name)?.end();
 				daemons.delete(name);
 				loop.after(downMs, () => {
