Give the lease on orders up when the engines can not be reached

Seen by callers: while the holder of the lease is cut off from the engines, no engine loads a new version; steps that need it wait until their due time. Cause: the lease passed on only when its holder stopped or could not be reached; a holder that is cut off from engines only renews it on. Ruled out: orders over another daemon, as an order must come from the machine that holds the lease. Three new tests; the first fails without the change (the holder keeps the lease).

--- a/src/orders/common/lease-policy.ts
+++ b/src/orders/common/lease-policy.ts
@@ -12,6 +12,10 @@
 
 /** Renewals that fit into the time after which the lease lapses. */
 const RENEWALS_PER_LAPSE = 3;
+/** Share of the lapse time after which a holder that can not reach the engines releases the lease; calls that it had sent have ended by then. */
+const RELEASE_SHARE = 0.2;
+/** Share of the lapse time for which a daemon must have reached the engines before it takes the lease. */
+const SOUND_SHARE = 0.2;
 /** Share of the lapse time that covers differences between clocks and pauses of processes. */
 const MARGIN_SHARE = 0.15;
 
@@ -40,3 +44,27 @@
 export function canTake(holder: ObservedHolder, now: number, times: LeaseTimes): boolean {
 	return holder.hasProcessEnded || holder.isReleased || now - holder.seenAt >= times.lapseMs;
 }
+
+/** What a daemon knows of its own reach. */
+export type ReachRecord = {
+	/** Records whether the engines can be reached now. */
+	readonly record: (isReached: boolean, now: number) => void;
+	/** Whether the holder must release the lease. */
+	readonly mustRelease: (now: number, times: LeaseTimes) => boolean;
+	/** Whether the daemon may take the lease, as far as its reach is concerned. */
+	readonly mayTake: (now: number, times: LeaseTimes) => boolean;
+};
+
+/** Creates the record of a daemon that has just started, and may take the lease at once. */
+export function createReachRecord(): ReachRecord {
+	let reachedSince: number | undefined = Number.NEGATIVE_INFINITY;
+	let lostSince: number | undefined;
+	return {
+		record(isReached, now) {
+			reachedSince = isReached ? reachedSince ?? now : undefined;
+			lostSince = isReached ? undefined : lostSince ?? now;
+		},
+		mustRelease: (now, {lapseMs}) => lostSince !== undefined && now - lostSince >= lapseMs * RELEASE_SHARE,
+		mayTake: (now, {lapseMs}) => reachedSince !== undefined && now - reachedSince >= lapseMs * SOUND_SHARE,
+	};
+}
--- a/src/orders/node/order-lease.ts
+++ b/src/orders/node/order-lease.ts
@@ -7,7 +7,9 @@
 import type {Loop} from '../../kernel/common/loop.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
 import {isRefusedConnection} from '../../peers/common/process-end.js';
-import {canOrder, canTake, type LeaseTimes} from '../common/lease-policy.js';
+import {
+	canOrder, canTake, createReachRecord, type LeaseTimes,
+} from '../common/lease-policy.js';
 
 /** The lease as one daemon sees it. */
 export type OrderLease = Disposable & {
@@ -26,6 +28,8 @@
 	readonly random: Random;
 	readonly log: Log;
 	readonly times: LeaseTimes;
+	/** Whether this daemon can connect to the engines. */
+	readonly reachesEngines: () => boolean;
 	readonly onDidTake: () => void;
 	readonly onDidLose: () => void;
 };
@@ -65,6 +69,7 @@
 	let held: {readonly fencing: number; revision: number; renewedAt: number; renewals: number} | undefined;
 	let isLeaving = false;
 	let isOpen = true;
+	const reach = createReachRecord();
 
 	function recordObservation(object: ApiObject, now: number): void {
 		if (observed?.revision !== object.revision) {
@@ -180,13 +185,34 @@
 		await readLease();
 	}
 
+	/** Releases the lease, so that another daemon takes it at once. */
+	async function giveUp(reason: string): Promise<void> {
+		if (held === undefined) {
+			return;
+		}
+
+		const {revision, renewals} = held;
+		lose(reason);
+		const written = await api.replace(LEASE_ID, {renewals}, revision);
+		if (written.isErr()) {
+			log.info('lease on orders not released', {reason: written.error.message});
+		}
+	}
+
 	async function checkLease(): Promise<void> {
+		const now = clock.monotonic();
+		reach.record(dependencies.reachesEngines(), now);
+		if (held !== undefined && reach.mustRelease(now, times)) {
+			await giveUp('the engines can not be reached');
+			return;
+		}
+
 		if (held !== undefined) {
 			await renew(held);
 			return;
 		}
 
-		if (isLeaving) {
+		if (isLeaving || !reach.mayTake(now, times)) {
 			return;
 		}
 
@@ -222,19 +248,10 @@
 		void run();
 	});
 	return {
-		fencing: now => (held !== undefined && !isLeaving && canOrder(held.renewedAt, now, times) ? held.fencing : undefined),
+		fencing: now => (held !== undefined && !isLeaving && dependencies.reachesEngines() && canOrder(held.renewedAt, now, times) ? held.fencing : undefined),
 		async release() {
 			isLeaving = true;
-			if (held === undefined) {
-				return;
-			}
-
-			const {revision, renewals} = held;
-			lose('released');
-			const written = await api.replace(LEASE_ID, {renewals}, revision);
-			if (written.isErr()) {
-				log.info('lease on orders not released', {reason: written.error.message});
-			}
+			await giveUp('released');
 		},
 		dispose() {
 			isOpen = false;
--- a/src/orders/node/order-service.ts
+++ b/src/orders/node/order-service.ts
@@ -10,6 +10,7 @@
 import type {
 	EngineReport, OrderOutcome, ServerCall, ServerProtocol,
 } from '../../gateway/common/server-protocol.js';
+import type {ServerLinks} from '../../gateway/common/server-links.js';
 import type {ServerStatements} from '../../gateway/common/server-statements.js';
 import type {ServerEntry, ServerView} from '../../gateway/common/server-view.js';
 import type {Log} from '../../kernel/common/log.js';
@@ -31,6 +32,7 @@
 	readonly mesh: PeerMesh;
 	readonly lease: OrderLease;
 	readonly statements: ServerStatements;
+	readonly links: Pick<ServerLinks, 'recordConnected' | 'recordFailed'>;
 	readonly permits: ServerPermits;
 	readonly clock: Clock;
 	readonly loop: Loop;
@@ -55,6 +57,8 @@
 /** Time after which an unfinished load is planned again. */
 const LOAD_TIMEOUT_MS = 6000;
 const CALL_TIMEOUT_MS = 1000;
+/** Time limit for connecting to an engine. */
+const CONNECT_TIMEOUT_MS = 300;
 /** Time for which a call waits for an engine that limits its requests. */
 const PERMIT_PATIENCE_MS = 1500;
 /** Maximum size of an engine's report: 1,000 models of 100 bytes each, with a margin. */
@@ -75,7 +79,7 @@
 /** Creates the service. */
 export function createOrderService(dependencies: OrderServiceDependencies): OrderService {
 	const {
-		protocol, deployment, view, loads, mesh, lease, statements, permits, clock, loop, log,
+		protocol, deployment, view, loads, mesh, lease, statements, links, permits, clock, loop, log,
 	} = dependencies;
 	const agent = new Agent({keepAlive: true});
 	/** Engines with an unfinished order: the model that each loads, by engine id. */
@@ -97,6 +101,14 @@
 			timeoutMs: CALL_TIMEOUT_MS,
 			acceptsConnectionEnd: true,
 			maximumBytes: MAXIMUM_REPORT_BYTES,
+			connectTimeoutMs: CONNECT_TIMEOUT_MS,
+			onDidConnect(isConnected) {
+				if (isConnected) {
+					links.recordConnected(server.pool, clock.monotonic());
+				} else {
+					links.recordFailed(server.pool, server.id, clock.monotonic());
+				}
+			},
 			onHead(status, headers) {
 				recordHead(protocol.readHead(status, headers), clock.monotonic());
 				return undefined;
--- a/src/orders/orders.contribution.ts
+++ b/src/orders/orders.contribution.ts
@@ -59,6 +59,7 @@
 		const lease = createOrderLease({
 			...dependencies,
 			times: createLeaseTimes(host.bounds.leaseMs),
+			reachesEngines: () => !(gateway.deployment.current()?.pools ?? []).some(pool => pool.models.length > 0 && gateway.links.isCut(pool.name)),
 			onDidTake() {
 				following.dispose();
 				following = followVersions(context, service);
--- a/src/orders/test/order-lease.test.ts
+++ b/src/orders/test/order-lease.test.ts
@@ -16,12 +16,13 @@
 	const time = createVirtualTime(random);
 	const store = createMemoryObjects(time.loop);
 	const network = createMeshNetwork(time.loop);
+	const cut = new Set<string>();
 	const start = (name: string, incarnation = '1') => createOrderLease({
-		api: store.open(name), mesh: network.join(name, incarnation), clock: time.clock, loop: time.loop, random, log: silentLog, times, onDidTake: () => undefined, onDidLose: () => undefined,
+		api: store.open(name), mesh: network.join(name, incarnation), clock: time.clock, loop: time.loop, random, log: silentLog, times, reachesEngines: () => !cut.has(name), onDidTake: () => undefined, onDidLose: () => undefined,
 	});
 	const leases = new Map(names.map(name => [name, start(name)]));
 	return {
-		time, store, network, leases, start,
+		time, store, network, cut, leases, start,
 		holders: () => [...leases].flatMap(([name, lease]) => (lease.fencing(time.clock.monotonic()) === undefined ? [] : [name])),
 		fencing: () => [...leases.values()].flatMap(lease => lease.fencing(time.clock.monotonic()) ?? []),
 	};
@@ -90,6 +91,48 @@
 	assert.equal(world.fencing(), fencing);
 });
 
+// Incident docs/incidents/stranded-daemons.md: a holder without links to the engines kept the lease, and engines loaded no version meanwhile.
+test('a holder that can not reach the engines gives no order, and is replaced within 5 s by a daemon that can', async () => {
+	const world = createWorld(['d1', 'd2', 'd3']);
+	await world.time.advance(3000);
+	const [holder] = world.holders();
+	const [before] = world.fencing();
+	const others = ['d1', 'd2', 'd3'].filter(name => name !== holder);
+	world.cut.add(holder!).add(others[0]!);
+	assert.equal(world.holders(), []);
+	await world.time.advance(5000);
+	assert.equal(world.holders(), [others[1]]);
+	assert.ok(world.fencing()[0]! > before!);
+	world.cut.clear();
+	await world.time.advance(20_000);
+	assert.equal(world.holders(), [others[1]], 'the lease stays where it is when the links are back');
+});
+
+test('links that come and go do not pass the lease on', async () => {
+	const world = createWorld(['d1', 'd2']);
+	await world.time.advance(3000);
+	const [holder] = world.holders();
+	await Array.from({length: 20}).reduce<Promise<void>>(async previous => {
+		await previous;
+		world.cut.add(holder!);
+		await world.time.advance(300);
+		world.cut.delete(holder!);
+		await world.time.advance(1700);
+	}, Promise.resolve());
+	assert.equal(world.holders(), [holder]);
+});
+
+test('the lease is taken again after no daemon could reach the engines', async () => {
+	const world = createWorld(['d1', 'd2', 'd3']);
+	await world.time.advance(3000);
+	world.cut.add('d1').add('d2').add('d3');
+	await world.time.advance(10_000);
+	assert.equal(world.holders(), []);
+	world.cut.clear();
+	await world.time.advance(5000);
+	assert.is(world.holders().length, 1);
+});
+
 test('another daemon takes a released lease', async () => {
 	const world = createWorld(['d1', 'd2']);
 	await world.time.advance(3000);
