Move batches that stand still to daemons that reach the engines, and store new ones there

Cause: a batch passed on only when its owner stopped or could not be reached. Change: daemons say whether they reach a batch's engines; a cut-off daemon asks eight others and stores new batches at one of them, and hands a batch over that has made no progress for 1.5 s. A hand-over that fails is taken back. Daemons of earlier builds are not asked.

--- a/src/batches/batches.contribution.ts
+++ b/src/batches/batches.contribution.ts
@@ -58,6 +58,7 @@
 			eventIntervals: createEventIntervals(),
 			refusals: createRecentRefusals(),
 			scoring,
+			reachesEngines: ({host: routeHost, path}) => gateway.links.reachesRoute(gateway.deployment.findRoute(routeHost, path)?.pools ?? []),
 			onTick: exchange.tick,
 			onSubmit: exchange.exchangeReports,
 			cancelMs: host.bounds.cancelMs,
--- a/src/batches/node/batch-owner.ts
+++ b/src/batches/node/batch-owner.ts
@@ -24,6 +24,8 @@
 	/** Stops all runs; returns the text so far, which the next owner continues. */
 	readonly release: () => readonly PartialText[];
 	readonly isActive: () => boolean;
+	/** A number that grows with each event of a run, each finished item and each stored result. */
+	readonly progress: () => number;
 	/** The waiting items of the batch, which are reported to other owners. */
 	readonly demand: (now: number) => Demand;
 };
@@ -294,6 +296,7 @@
 			return partials;
 		},
 		isActive: () => !isLost() && states.some(state => !batchLog.isListed(state.item.id)),
+		progress: () => batchLog.results().length + states.reduce((sum, {phase, run}) => sum + (phase === 'finished' ? 1 : run.partial().lastEventId), 0),
 		demand: now => order.describeDemand(now, isLost()),
 		dispose: stopRuns,
 	};
--- a/src/batches/node/batch-service.ts
+++ b/src/batches/node/batch-service.ts
@@ -22,6 +22,8 @@
 	readonly random: Random;
 	/** Called with the other daemons that may own open batches and with this daemon's work, which is reported to them. */
 	readonly onTick: (owners: readonly PeerDaemon[], work: OwnWork, now: number) => void;
+	/** Whether this daemon reaches the engines of a batch. */
+	readonly reachesEngines: (batch: Pick<Batch, 'host' | 'path'>) => boolean;
 	/** Called with the same daemons before a submitted batch is stored. */
 	readonly onSubmit: (owners: readonly PeerDaemon[]) => void;
 };
@@ -40,11 +42,21 @@
 /** Time between checks of the owned batches, for unwritten results and slow engines. */
 const TICK_MS = 50;
 const RETRY_AFTER_MS = 500;
+/** Time without progress after which a batch whose engines are out of reach is handed over, and time between two trials. */
+const STALLED_MS = 1500;
+const HAND_OVER_PERIOD_MS = 2000;
 
 function unavailable(step: string, peer: string, reason: string): Failure {
 	return createNotRun('unavailable', {step, peer}, reason, RETRY_AFTER_MS);
 }
 
+/** How long a batch whose engines are out of reach has made no progress. */
+type Stall = {
+	readonly progress: number;
+	readonly since: number;
+	readonly triedAt: number;
+};
+
 /** Creates the batches of one daemon. */
 export function createBatchService(dependencies: BatchServiceDependencies): BatchService {
 	const {mesh, loop, log} = dependencies;
@@ -57,6 +69,35 @@
 		...dependencies, batches, calls, isLeaving, onStored: announce,
 	});
 
+	const stalls = new Map<string, Stall>();
+
+	/**
+	 * Hands batches over that do not go on because this daemon does not reach their engines. Mostly they go on over other daemons' links, and
+	 * then they stay, as a move interrupts all runs.
+	 */
+	function handOverCutOff(now: number): void {
+		const owned = batches.all().filter(entry => entry.owner?.isActive() === true);
+		const ownedIds = new Set(owned.map(({batch}) => batch.id));
+		[...stalls.keys()].filter(id => !ownedIds.has(id)).forEach(id => {
+			stalls.delete(id);
+		});
+		owned.forEach(entry => {
+			if (dependencies.reachesEngines(entry.batch)) {
+				stalls.delete(entry.batch.id);
+				return;
+			}
+
+			const progress = entry.owner!.progress();
+			const known = stalls.get(entry.batch.id);
+			const stall = known?.progress === progress ? known : {progress, since: now, triedAt: known?.triedAt ?? Number.NEGATIVE_INFINITY};
+			stalls.set(entry.batch.id, stall);
+			if (!leaving && now - stall.since >= STALLED_MS && now - stall.triedAt >= HAND_OVER_PERIOD_MS) {
+				stalls.set(entry.batch.id, {...stall, triedAt: now});
+				void calls.handOverCutOff(entry);
+			}
+		});
+	}
+
 	async function waitForResults(entry: HeldBatch, after: number, waitMs: number): Promise<void> {
 		if (waitMs <= 0 || entry.batchLog.results().length > after) {
 			return;
@@ -225,6 +266,7 @@
 			batches.all().forEach(entry => {
 				entry.owner?.tick(now);
 			});
+			handOverCutOff(now);
 		},
 	};
 }
--- a/src/batches/node/batch-submission.ts
+++ b/src/batches/node/batch-submission.ts
@@ -24,6 +24,8 @@
 	/** Called with the other daemons that may own open batches before a batch is stored here. */
 	readonly onSubmit: (owners: readonly PeerDaemon[]) => void;
 	readonly ownerChoice: OwnerChoice;
+	/** Whether this daemon reaches the engines of a batch. */
+	readonly reachesEngines: (batch: Pick<Batch, 'host' | 'path'>) => boolean;
 	/** Called once a batch is stored with this daemon as its owner. */
 	readonly onStored: (batch: Batch) => void;
 };
@@ -118,16 +120,20 @@
 		return outcome;
 	}
 
-	function chooseOwner(batch: Batch, deadlineAt: number, now: number): PeerDaemon | undefined {
-		return deadlineAt - now < FORWARD_TIMEOUT_MS + LOCAL_STORE_RESERVE_MS
-			? undefined
-			: dependencies.ownerChoice.choose(batch.id, mesh.self, mesh.othersByReachability(), batches.countOpen, now);
+	async function chooseOwner(batch: Batch, deadlineAt: number, now: number): Promise<PeerDaemon | undefined> {
+		if (deadlineAt - now < FORWARD_TIMEOUT_MS + LOCAL_STORE_RESERVE_MS) {
+			return undefined;
+		}
+
+		return dependencies.reachesEngines(batch)
+			? dependencies.ownerChoice.choose(batch.id, mesh.self, mesh.othersByReachability(), batches.countOpen, now)
+			: calls.findReaching(batch);
 	}
 
 	return {
 		async storeForwarded(batch) {
-			if (isLeaving()) {
-				return err(createNotRun('unavailable', {step: 'store batch', peer: batch.id}, 'this daemon is stopping'));
+			if (isLeaving() || !dependencies.reachesEngines(batch)) {
+				return err(createNotRun('unavailable', {step: 'store batch', peer: batch.id}, isLeaving() ? 'this daemon is stopping' : 'this daemon does not reach the engines'));
 			}
 
 			return batches.get(batch.id) === undefined ? storeHere(batch, clock.monotonic(), false) : ok();
@@ -141,7 +147,7 @@
 				return err(createNotRun('invalid', {step: 'store batch', peer: batch.id}, `the batch has more than ${MAXIMUM_BATCH_CHARACTERS} characters as JSON`));
 			}
 
-			const chosen = chooseOwner(batch, deadlineAt, clock.monotonic());
+			const chosen = await chooseOwner(batch, deadlineAt, clock.monotonic());
 			const forwarded = chosen === undefined ? 'notStored' : await forwardTo(batch, chosen);
 			return forwarded === 'stored' ? ok() : storeHere(batch, deadlineAt, forwarded === 'unknown');
 		},
--- a/src/batches/node/owner-calls.ts
+++ b/src/batches/node/owner-calls.ts
@@ -7,7 +7,7 @@
 import type {PeerDaemon, PeerMesh, PeerReply} from '../../peers/common/peer-mesh.js';
 import {isRefusedConnection} from '../../peers/common/process-end.js';
 import {listHighCapacityDaemons} from '../../peers/common/high-capacity-daemons.js';
-import type {PartialText} from '../common/batch.js';
+import type {Batch, PartialText} from '../common/batch.js';
 import {isSameDaemon, type HeldBatch, type HeldBatches} from './held-batches.js';
 
 /** Dependencies of the calls. */
@@ -19,6 +19,8 @@
 	readonly log: Log;
 	/** Whether this daemon is stopping, and takes no batch over. */
 	readonly isLeaving: () => boolean;
+	/** Whether this daemon reaches the engines of a batch. */
+	readonly reachesEngines: (batch: Pick<Batch, 'host' | 'path'>) => boolean;
 };
 
 /** Calls to owners. */
@@ -29,6 +31,10 @@
 	readonly withOwner: <T>(batchId: string, remote: (owner: PeerDaemon) => Promise<Result<PeerReply | undefined, Failure>>, read: (reply: PeerReply) => Result<T, Failure>, local: (entry: HeldBatch) => Promise<Result<T, Failure>>) => Promise<Result<T, Failure>>;
 	/** Takes a batch over from an owner that is unreachable, or that hands it over with the texts `partials`. Does not take it over when the log already names another owner. */
 	readonly adopt: (batchId: string, from: PeerDaemon, reason: string, partials?: readonly PartialText[]) => Promise<Result<HeldBatch, Failure>>;
+	/** Finds another daemon that reaches the engines of a batch. */
+	readonly findReaching: (batch: Batch) => Promise<PeerDaemon | undefined>;
+	/** Hands one batch over to a daemon that reaches its engines, and goes on with it here if there is none. Resolves with whether another daemon took it. */
+	readonly handOverCutOff: (entry: HeldBatch) => Promise<boolean>;
 	/** Hands all batches that run here over to other daemons; a batch that none accepts is not handed over. */
 	readonly handOver: () => Promise<void>;
 };
@@ -36,6 +42,10 @@
 /** Time without a reply after which an owner is replaced, when at least two calls have failed. */
 const OWNER_SILENCE_MS = 1500;
 const HAND_OVER_TIMEOUT_MS = 1500;
+/** Time limit of the question whether another daemon reaches the engines of a batch, and maximum number of daemons that are asked. */
+const REACH_TIMEOUT_MS = 300;
+const MAXIMUM_ASKED = 8;
+const REACH_CALL = 'batch-reach';
 
 /** Creates the calls. */
 export function createOwnerCalls(dependencies: OwnerCallDependencies): OwnerCalls {
@@ -167,7 +177,56 @@
 		}, Promise.resolve(false));
 	}
 
+	mesh.handle(REACH_CALL, async body => {
+		// The body is the one that `findReaching` of another daemon sent.
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
+		const batch = body as Pick<Batch, 'host' | 'path'>;
+		return {status: !isLeaving() && dependencies.reachesEngines(batch) ? 200 : 503, body: null};
+	});
+
+	/** Finds a daemon that reaches the engines of a batch, those with few open batches first. A daemon of an earlier build does not say whether it does. */
+	async function findReaching({host, path}: Batch): Promise<PeerDaemon | undefined> {
+		const candidates = mesh.othersByReachability()
+			.map(peer => ({peer, cost: batches.countOpen(peer.name) + random() + (peer.region === mesh.self.region ? 0 : 1)}))
+			.toSorted((a, b) => a.cost - b.cost)
+			.slice(0, MAXIMUM_ASKED)
+			.map(({peer}) => peer);
+		const reaching = await Promise.all(candidates.map(async peer => {
+			const reply = await mesh.call(peer, REACH_CALL, {host, path}, REACH_TIMEOUT_MS);
+			return reply.isOk() && reply.value.status === 200;
+		}));
+		return candidates.find((_, index) => reaching[index] === true);
+	}
+
+	async function handOverCutOff(entry: HeldBatch): Promise<boolean> {
+		const peer = await findReaching(entry.batch);
+		if (peer === undefined || isLeaving() || entry.owner === undefined) {
+			return false;
+		}
+
+		const partials = entry.owner.release();
+		entry.owner = undefined;
+		const reply = await mesh.call(peer, 'batch-adopt', {batchId: entry.batch.id, owner: mesh.self, partials}, HAND_OVER_TIMEOUT_MS);
+		const isTaken = reply.isOk() && reply.value.status === 200;
+		log.info('hand over batch', {
+			batchId: entry.batch.id, to: peer.name, isTaken, cause: 'the engines can not be reached', ...(reply.isErr() && {reason: reply.error.message}),
+		});
+		if (isTaken) {
+			batches.cacheOwner(entry.batch.id, peer);
+		}
+
+		// The log says who owns the batch now; a call without a reply may have been carried out.
+		await entry.writer.catchUp();
+		if (!isTaken && batches.isOwnedHere(entry) && !entry.batchLog.isEnded()) {
+			batches.startOwning(entry, partials);
+		}
+
+		return isTaken;
+	}
+
 	return {
+		findReaching,
+		handOverCutOff,
 		call: callOwner,
 		withOwner,
 		adopt,
--- a/src/gateway/common/server-links.ts
+++ b/src/gateway/common/server-links.ts
@@ -14,6 +14,8 @@
 	readonly forget: (pool: string) => void;
 	/** Whether no server of the pool can be connected to, as far as is known. */
 	readonly isCut: (pool: string) => boolean;
+	/** Whether a route can be served over the own links: those to at least one of its pools are not cut. */
+	readonly reachesRoute: (pools: ReadonlyArray<{readonly pool: string}>) => boolean;
 	/** The pools whose links are cut. */
 	readonly listCut: () => readonly string[];
 	/** Whether a connection that failed may have failed because of the links, and not because of its server. */
@@ -83,6 +85,7 @@
 			reset(pool);
 		},
 		isCut: pool => linksByPool.get(pool)?.isCut ?? false,
+		reachesRoute: pools => pools.length === 0 || pools.some(({pool}) => linksByPool.get(pool)?.isCut !== true),
 		listCut: () => [...linksByPool].filter(([, {isCut}]) => isCut).map(([pool]) => pool),
 		isDoubtful: (pool, now) => now - linksOf(pool).connectedAt >= SOUND_MS,
 		onDidChange: changes.event,
--- a/src/orders/common/lease-policy.ts
+++ b/src/orders/common/lease-policy.ts
@@ -45,26 +45,12 @@
 	return holder.hasProcessEnded || holder.isReleased || now - holder.seenAt >= times.lapseMs;
 }
 
-/** What a daemon knows of its own reach. */
-export type ReachRecord = {
-	/** Records whether the engines can be reached now. */
-	readonly record: (isReached: boolean, now: number) => void;
-	/** Whether the holder must release the lease. */
-	readonly mustRelease: (now: number, times: LeaseTimes) => boolean;
-	/** Whether the daemon may take the lease, as far as its reach is concerned. */
-	readonly mayTake: (now: number, times: LeaseTimes) => boolean;
-};
+/** Whether a holder that has not reached the engines for `lostForMs` must release the lease. */
+export function mustRelease(lostForMs: number, {lapseMs}: LeaseTimes): boolean {
+	return lostForMs >= lapseMs * RELEASE_SHARE;
+}
 
-/** Creates the record of a daemon that has just started, and may take the lease at once. */
-export function createReachRecord(): ReachRecord {
-	let reachedSince: number | undefined = Number.NEGATIVE_INFINITY;
-	let lostSince: number | undefined;
-	return {
-		record(isReached, now) {
-			reachedSince = isReached ? reachedSince ?? now : undefined;
-			lostSince = isReached ? undefined : lostSince ?? now;
-		},
-		mustRelease: (now, {lapseMs}) => lostSince !== undefined && now - lostSince >= lapseMs * RELEASE_SHARE,
-		mayTake: (now, {lapseMs}) => reachedSince !== undefined && now - reachedSince >= lapseMs * SOUND_SHARE,
-	};
+/** Whether a daemon that has reached the engines for `reachedForMs` may take the lease, as far as its reach is concerned. */
+export function reachesLongEnough(reachedForMs: number, {lapseMs}: LeaseTimes): boolean {
+	return reachedForMs >= lapseMs * SOUND_SHARE;
 }
--- a/src/orders/node/order-lease.ts
+++ b/src/orders/node/order-lease.ts
@@ -7,8 +7,9 @@
 import type {Loop} from '../../kernel/common/loop.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
 import {isRefusedConnection} from '../../peers/common/process-end.js';
+import {createReachRecord} from '../../gateway/common/reach-record.js';
 import {
-	canOrder, canTake, createReachRecord, type LeaseTimes,
+	canOrder, canTake, mustRelease, reachesLongEnough, type LeaseTimes,
 } from '../common/lease-policy.js';
 
 /** The lease as one daemon sees it. */
@@ -202,7 +203,7 @@
 	async function checkLease(): Promise<void> {
 		const now = clock.monotonic();
 		reach.record(dependencies.reachesEngines(), now);
-		if (held !== undefined && reach.mustRelease(now, times)) {
+		if (held !== undefined && mustRelease(reach.lostForMs(now), times)) {
 			await giveUp('the engines can not be reached');
 			return;
 		}
@@ -212,7 +213,7 @@
 			return;
 		}
 
-		if (isLeaving || !reach.mayTake(now, times)) {
+		if (isLeaving || !reachesLongEnough(reach.reachedForMs(now), times)) {
 			return;
 		}
 
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -150,10 +150,13 @@
 		};
 	}
 
+	/** Daemons that reach no engine. Runs that are open go on. */
+	const cutOff = new Set<string>();
+
 	async function generate(daemon: string, engine: SimulatedEngine, attempt: ServerAttempt, body: Uint8Array | undefined, options_: Parameters<ServerCaller['attempt']>[3]): Promise<Result<BackendResponse, Failure>> {
 		const origin = {step: 'call', peer: engine.id};
 		await loop.sleep(RESPONSE_HEAD_DELAY_MS);
-		if (engine.isDown) {
+		if (engine.isDown || cutOff.has(daemon)) {
 			return err(createNotRun('unavailable', origin, 'refused'));
 		}
 
@@ -259,7 +262,7 @@
 			},
 		});
 		const service = createBatchService({
-			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new TextEventProtocol(), eventIntervals: createEventIntervals(), startPriorities, workEstimate: createWorkEstimate(), ownerChoice: createOwnerChoice(), refusals: createRecentRefusals(), permits: unlimitedPermits, scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, onTick: exchange.tick, onSubmit: exchange.exchangeReports,
+			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new TextEventProtocol(), eventIntervals: createEventIntervals(), startPriorities, workEstimate: createWorkEstimate(), ownerChoice: createOwnerChoice(), refusals: createRecentRefusals(), permits: unlimitedPermits, scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, reachesEngines: () => !cutOff.has(name), onTick: exchange.tick, onSubmit: exchange.exchangeReports,
 			dispatcher: createDispatcher({
 				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, isReservedElsewhere: () => false,
 			}),
@@ -323,7 +326,7 @@
 	}
 
 	return {
-		time, store, network, engines, daemons, finish, readAll, scoreAttempts, lines,
+		time, store, network, engines, daemons, cutOff, finish, readAll, scoreAttempts, lines,
 		serviceOf: (name: string) => daemons.get(name)!.service,
 		startsOf: (itemId: string) => engines.flatMap(engine => engine.starts.filter(start => start.itemId === itemId)),
 		/** Stores a batch whose owner no longer runs and hands it over to the daemon `name` with the given partial texts. Returns the status of the reply. */
