--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -221,6 +221,9 @@
 
 				return [];
 			});
+			[...problems.keys()].filter(name => !objects.has(name)).forEach(name => {
+				problems.delete(name);
+			});
 			feed().recordEntries(entries);
 			const before = new Map(gateway.view.all().map(entry => [entry.id, entry.isLeaving]));
 			gateway.view.update(entries, now);
--- a/src/gateway/node/feed.ts
+++ b/src/gateway/node/feed.ts
@@ -3,6 +3,7 @@
  * long poll after each answer from the store, so that a failure of either is noticed by the missing response. This daemon then
  * polls the store itself until it has found a working source again.
  */
+import {isIpAddress, isPort} from '../../base/common/address.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
 import type {Log} from '../../kernel/common/log.js';
@@ -241,7 +242,12 @@
 	function applyResponse(from: PeerDaemon, response: FeedResponse): void {
 		const entryById = received?.name === from.name && received.incarnation === response.incarnation && !response.delta.isWhole ? received.entries : new Map<string, ServerEntry>();
 		response.delta.entries.forEach(entry => {
-			entryById.set(entry.id, fromFeedEntry(entry));
+			// A daemon of an earlier build may pass on entries that name no server.
+			if (isIpAddress(entry.address) && isPort(entry.port)) {
+				entryById.set(entry.id, fromFeedEntry(entry));
+			} else {
+				log.warn('entry of a backend server can not be used', {name: entry.id, source: from.name, problem: 'the address is not an IP address with a port'});
+			}
 		});
 		response.delta.removed.forEach(id => {
 			entryById.delete(id);
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -1,8 +1,9 @@
 /** Makes one attempt of a request at one backend server, over keep-alive connections, and checks that the response is complete and belongs to the request. */
 import {Agent, type IncomingHttpHeaders} from 'node:http';
-import type {Result} from 'neverthrow';
+import {err, type Result} from 'neverthrow';
 import type {Clock} from '../../base/common/clock.js';
 import type {Failure} from '../../base/common/failure.js';
+import {createHttpBase} from '../../adapters/node/http-base.js';
 import {exchange, type HttpResponse} from '../../adapters/node/http-exchange.js';
 import type {BackendServer} from '../../routing/common/router.js';
 import type {ServerLinks} from '../common/server-links.js';
@@ -87,6 +88,11 @@
 
 	return {
 		async attempt(server, request, attempt, options) {
+			const base = createHttpBase('call backend server', {ip: server.address, port: server.port});
+			if (base.isErr()) {
+				return err(base.error);
+			}
+
 			const heads: ResponseHead[] = [];
 			const recordHead = statements.begin(server.id, clock.monotonic());
 			const {result} = await exchange({
@@ -120,7 +126,7 @@
 					options.onHead?.(head, headers);
 					return undefined;
 				},
-			}, {base: new URL(`http://${server.address}:${server.port}`), agent: options.usesNewConnection === true ? singleUseAgent : agent});
+			}, {base: base.value, agent: options.usesNewConnection === true ? singleUseAgent : agent});
 			return result.map(response => ({...response, head: heads[0]!}));
 		},
 		close() {
--- a/src/gateway/test/feed.test.ts
+++ b/src/gateway/test/feed.test.ts
@@ -19,7 +19,7 @@
 
 function entry(id: string, more: Partial<ServerEntry> = {}): ServerEntry {
 	return {
-		id, pool: 'p', address: id, port: 1, availabilityZone: 'z', slots: 8, isLeaving: false, versions: new Map(), sequence: 1, startedAt: 1, softwareVersion: 'v1', ...more,
+		id, pool: 'p', address: '10.0.0.1', port: 1, availabilityZone: 'z', slots: 8, isLeaving: false, versions: new Map(), sequence: 1, startedAt: 1, softwareVersion: 'v1', ...more,
 	};
 }
 
--- a/src/objects/common/daemon-directory.ts
+++ b/src/objects/common/daemon-directory.ts
@@ -1,18 +1,23 @@
 /** The directory of a fleet's daemons: each daemon writes its own entry to the object API. */
+import {isIpAddress, isPort} from '../../base/common/address.js';
 import type {ApiObject} from '../../adapters/common/object-api.js';
 import type {PeerDaemon} from '../../peers/common/peer-mesh.js';
 
 /** Object kind of the daemons' entries. */
 export const DAEMON_OBJECT_KIND = 'daemons';
 
+function asText(value: unknown): string {
+	return typeof value === 'string' ? value : '';
+}
+
 /** Parses a daemon's entry; undefined when a required field is missing or invalid. */
 export function parseDaemonEntry(object: ApiObject): PeerDaemon | undefined {
-	// Only daemons write objects of this kind; an entry of another version may lack fields.
+	// Each field is checked below: an entry of another version may lack some, and one of another writer may hold anything.
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 	const entry = object.spec as Partial<PeerDaemon> | undefined;
-	return typeof entry?.name === 'string' && typeof entry.ip === 'string' && typeof entry.port === 'number' && typeof entry.incarnation === 'string'
+	return typeof entry?.name === 'string' && typeof entry.ip === 'string' && isIpAddress(entry.ip) && typeof entry.port === 'number' && isPort(entry.port) && typeof entry.incarnation === 'string'
 		? {
-			name: entry.name, incarnation: entry.incarnation, ip: entry.ip, port: entry.port, region: entry.region ?? '', availabilityZone: entry.availabilityZone ?? '', ...(typeof entry.capacity === 'number' && {capacity: entry.capacity}),
+			name: entry.name, incarnation: entry.incarnation, ip: entry.ip, port: entry.port, region: asText(entry.region), availabilityZone: asText(entry.availabilityZone), ...(Number.isFinite(entry.capacity) && {capacity: entry.capacity}),
 		}
 		: undefined;
 }
--- a/src/orders/node/order-service.ts
+++ b/src/orders/node/order-service.ts
@@ -5,6 +5,7 @@
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import {createDisposable} from '../../base/common/disposable.js';
 import type {Clock} from '../../base/common/clock.js';
+import {createHttpBase} from '../../adapters/node/http-base.js';
 import {exchange} from '../../adapters/node/http-exchange.js';
 import type {DeploymentHolder} from '../../gateway/common/deployment.js';
 import type {
@@ -91,6 +92,11 @@
 	let assignment: Assignment = new Map();
 
 	async function callServer(server: ServerEntry, call: ServerCall): Promise<Result<{readonly status: number; readonly body: string}, Failure>> {
+		const base = createHttpBase('call engine', {ip: server.address, port: server.port});
+		if (base.isErr()) {
+			return err(base.error);
+		}
+
 		const recordHead = statements.begin(server.id, clock.monotonic());
 		const {result} = await exchange({
 			step: 'call engine',
@@ -113,7 +119,7 @@
 				recordHead(protocol.readHead(status, headers), clock.monotonic());
 				return undefined;
 			},
-		}, {base: new URL(`http://${server.address}:${server.port}`), agent});
+		}, {base: base.value, agent});
 		return result.map(response => ({status: response.status, body: Buffer.from(response.body).toString('utf8')}));
 	}
 
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -3,8 +3,11 @@
 import {
 	Agent, createServer, type IncomingMessage, type ServerResponse,
 } from 'node:http';
-import {ok, type Result} from 'neverthrow';
+import {
+	err, ok, ResultAsync, type Result,
+} from 'neverthrow';
 import type {Failure} from '../../base/common/failure.js';
+import {createHttpBase} from '../../adapters/node/http-base.js';
 import {exchange} from '../../adapters/node/http-exchange.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
@@ -96,10 +99,10 @@
 	});
 	server.keepAliveTimeout = SERVER_IDLE_TIMEOUT_MS;
 
-	function baseOf(peer: PeerDaemon): URL {
+	function baseOf(peer: PeerDaemon): Result<URL, Failure> {
 		// The address from the directory takes precedence over the one that came with a message.
 		const listed = knownDaemons.find(daemon => daemon.name === peer.name && daemon.incarnation === peer.incarnation) ?? peer;
-		return new URL(`http://${listed.ip}:${listed.port}`);
+		return createHttpBase('call daemon', listed);
 	}
 
 	function recordOutcome(peer: PeerDaemon, hasReplied: boolean): void {
@@ -116,15 +119,19 @@
 			streamHandlers.set(name, handler);
 		},
 		async callStream(peer, name, call) {
-			const {result} = await exchange({
+			return baseOf(peer).asyncAndThen(base => new ResultAsync(exchange({
 				...call, step: `peer call ${name}`, method: 'POST', path: `/${name}`,
-			}, {base: baseOf(peer), agent});
-			return result;
+			}, {base, agent}).then(({result}) => result)));
 		},
 		handle(name, handler) {
 			handlers.set(name, handler);
 		},
 		async call(peer, name, body, timeoutMs): Promise<Result<PeerReply, Failure>> {
+			const base = baseOf(peer);
+			if (base.isErr()) {
+				return err(base.error);
+			}
+
 			const {result} = await exchange({
 				step: `peer call ${name}`,
 				method: 'POST',
@@ -132,7 +139,7 @@
 				headers: {'content-type': 'application/json'},
 				body: JSON.stringify(body),
 				timeoutMs,
-			}, {base: baseOf(peer), agent});
+			}, {base: base.value, agent});
 			recordOutcome(peer, result.isOk());
 
 			return result.andThen(httpResponse => ok({status: httpResponse.status, body: parseJson(Buffer.from(httpResponse.body).toString('utf8'))}));
