Cut streams that another response does not continue, and those that end within an event

Here: a further server's 200 that is no event stream was read as one, its bytes were dropped and the response ended as whole; a body that ended in the middle of an event lost that event and ended as whole; a first response that is no event stream lost its body on routes whose streams callers can continue. Not found: an error response within a stream (500 or 404, before the first event or after it) cuts the connection already; heads cut at any byte, and bodies shorter than their length, are never passed on as a success (each byte of three heads, plain requests and streams). Change: a response continues a stream only if both are event streams; a stream that ends within an event counts as broken: it goes on at another server, or is cut; another first response is passed on as it is. A continuation without events is complete, as a server may have nothing to add.

--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -232,6 +232,7 @@
 			},
 			onHead(head) {
 				onHead(run, head);
+				return undefined;
 			},
 			onData(chunk) {
 				return reader.feed(chunk);
--- a/src/gateway/node/relay-helper.ts
+++ b/src/gateway/node/relay-helper.ts
@@ -72,10 +72,14 @@
 			connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, call.timeoutMs),
 			signal: abort.signal,
 			onHead(head, headers) {
-				if (head.status === 200) {
-					hasHead = true;
-					passOn(sink.onHead(toHead(head.status, headers)));
+				if (head.status !== 200) {
+					return undefined;
 				}
+
+				hasHead = true;
+				const problem = sink.onHead(toHead(head.status, headers));
+				passOn(problem);
+				return problem;
 			},
 			onData(chunk) {
 				const problem = sink.onData(chunk);
--- a/src/gateway/node/relaying-caller.ts
+++ b/src/gateway/node/relaying-caller.ts
@@ -84,8 +84,7 @@
 				const head = protocol.readHead(relayed.status, headers);
 				heads.push({head, relayed});
 				recordHead(head, clock.monotonic());
-				options.onHead?.(head, headers);
-				return undefined;
+				return options.onHead?.(head, headers);
 			},
 			onData(chunk) {
 				if (options.onData !== undefined && heads[0]?.head.status === 200) {
@@ -169,7 +168,7 @@
 			onHead(head, headers) {
 				hasHead = true;
 				open.recordHeard(clock.monotonic());
-				options.onHead?.(head, headers);
+				return options.onHead?.(head, headers);
 			},
 			...(onData !== undefined && {
 				onData(chunk: Uint8Array) {
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -27,8 +27,8 @@
 export type AttemptOptions = {
 	readonly timeoutMs: number;
 	readonly signal: AbortSignal;
-	/** Receives the head of the response once it is known to belong to the request. */
-	readonly onHead?: (head: ResponseHead, headers: IncomingHttpHeaders) => void;
+	/** Receives the head of the response once it is known to belong to the request. A returned text aborts the attempt and is the reason. */
+	readonly onHead?: (head: ResponseHead, headers: IncomingHttpHeaders) => string | undefined;
 	/** Receives the body of a 200 response as it arrives, instead of the response's `body`. A returned string is an error that aborts the rest. */
 	readonly onData?: (chunk: Uint8Array) => string | undefined;
 	/** Time limit for establishing a new connection, in milliseconds. */
@@ -123,8 +123,7 @@
 
 					heads.push(head);
 					recordHead(head, clock.monotonic());
-					options.onHead?.(head, headers);
-					return undefined;
+					return options.onHead?.(head, headers);
 				},
 			}, {base: base.value, agent: options.usesNewConnection === true ? singleUseAgent : agent});
 			return result.map(response => ({...response, head: heads[0]!}));
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -1,5 +1,6 @@
 /** Forwards streams as their bytes arrive. A stream that has begun is continued from another server only if the route allows resuming. */
-import type {ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {
 	createNotRun, createOutcomeUnknown, wrapFailure, type Failure,
@@ -68,6 +69,8 @@
 	/** Id of the last complete event that was sent to the caller. */
 	lastEventId: number | undefined;
 	hasBegun: boolean;
+	/** Whether the response that was passed on is an event stream. Another one is passed on as it is, and can't be continued. */
+	isEventStream: boolean;
 	/** The servers at which the stream may go on, once its first event was sent; undefined for streams that can't be continued. */
 	origin: StreamOrigin | undefined;
 	/** Whether a server may have begun to run the request. */
@@ -178,7 +181,7 @@
 			state.lastEventId = id;
 			// A server of unknown version matches no other, so the stream goes on nowhere else.
 			state.origin ??= {kind: 'version', pool: chosen.server.pool, softwareVersion: softwareVersion ?? ''};
-		}, request.route.canResume);
+		}, () => request.route.canResume && state.isEventStream);
 		const resumeAfter = state.lastEventId === undefined ? {} : {resumeAfter: String(state.lastEventId)};
 		const endAttempt = guard.begin(request, chosen.server.id, admission);
 		const {softwareVersion} = findServer(chosen.server.id) ?? {};
@@ -192,12 +195,19 @@
 			signal: abortController.signal,
 			onCut: () => request.route.canResume && !state.hasBegun ? 'restart' : 'wait',
 			onHead(head, headers) {
+				if (head.status === 200 && state.hasBegun && !(isEventStream(headers) && state.isEventStream)) {
+					return 'the response does not continue the stream';
+				}
+
 				if (head.status === 200 && !state.hasBegun) {
 					state.hasBegun = true;
+					state.isEventStream = isEventStream(headers);
 					const forwardedHeaders = Object.fromEntries(Object.entries(headers).filter(([name]) => !CONNECTION_HEADERS.has(name)));
 					response.writeHead(200, {...forwardedHeaders, ...(isLast && {connection: 'close'})});
 					response.flushHeaders();
 				}
+
+				return undefined;
 			},
 			onData(chunk) {
 				return response.writableLength > MAXIMUM_UNREAD_BYTES ? `the caller has more than ${MAXIMUM_UNREAD_BYTES} bytes unread` : eventForwarder.forward(chunk);
@@ -210,6 +220,12 @@
 		));
 		return answered.match(backendResponse => {
 			chosen.end(clock.monotonic(), backendResponse.head.isOtherServer ? 'refused' : (backendResponse.head.isNotRun ? 'cancelled' : 'done'));
+			if (backendResponse.status === 200 && state.isEventStream && eventForwarder.endsWithinEvent()) {
+				log.info('stream ended within an event', {requestId: request.requestId, serverId: chosen.server.id, lastEventId: state.lastEventId});
+				state.mayHaveRun = true;
+				return request.route.canResume ? 'next' : 'stop';
+			}
+
 			if (backendResponse.status === 200) {
 				records.recordComplete(request.requestId);
 				response.end();
@@ -234,7 +250,7 @@
 				requestId: request.requestId, serverId: chosen.server.id, softwareVersion, lastEventId: state.lastEventId, reason: failure.message, effect: failure.effect,
 			});
 			state.mayHaveRun ||= failure.effect === 'outcomeUnknown';
-			return failure.effect === 'notRun' || request.route.canResume ? 'next' : 'stop';
+			return failure.effect === 'notRun' || (request.route.canResume && (!state.hasBegun || state.isEventStream)) ? 'next' : 'stop';
 		});
 	}
 
@@ -290,7 +306,7 @@
 		}
 
 		return forwardWithRetries(request, response, {
-			triedServers: [], lastEventId: undefined, origin: origin.value, hasBegun: false, mayHaveRun: false, refusal: undefined, arrivedAt: clock.monotonic(), verdict: Promise.resolve(), isTrial: false,
+			triedServers: [], lastEventId: undefined, origin: origin.value, hasBegun: false, isEventStream: false, mayHaveRun: false, refusal: undefined, arrivedAt: clock.monotonic(), verdict: Promise.resolve(), isTrial: false,
 		}, isLast);
 	}
 
@@ -304,20 +320,32 @@
 type EventForwarder = {
 	/** Forwards a chunk; returns a description of the error if the stream is malformed. */
 	readonly forward: (chunk: Uint8Array) => string | undefined;
+	/** Whether bytes of an event were received whose end was not. */
+	readonly endsWithinEvent: () => boolean;
 };
 
+const EVENT_STREAM_TYPE = 'text/event-stream';
+
+function isEventStream(headers: IncomingHttpHeaders): boolean {
+	return headers['content-type']?.split(';', 1)[0]?.trim().toLowerCase() === EVENT_STREAM_TYPE;
+}
+
 /**
  * Forwards bytes. With `completeEventsOnly`, for streams that can be resumed, it forwards only complete events, so that another
  * server can continue after the last one and the caller never receives part of an event twice.
  */
-function createEventForwarder(protocol: ServerProtocol, write: (chunk: Uint8Array) => void, onEvent: (id: number) => void, completeEventsOnly: boolean): EventForwarder {
+function createEventForwarder(protocol: ServerProtocol, write: (chunk: Uint8Array) => void, onEvent: (id: number) => void, completeEventsOnly: () => boolean): EventForwarder {
 	const reader = protocol.createEventReader(event => {
 		onEvent(event.id);
 	});
 	let incompleteEvent: Uint8Array = new Uint8Array(0);
+	/** The last bytes that were forwarded as they arrived. */
+	let tail = '';
 	return {
+		endsWithinEvent: () => incompleteEvent.length > 0 || (tail !== '' && !endsEvent(tail)),
 		forward(chunk) {
-			if (!completeEventsOnly) {
+			if (!completeEventsOnly()) {
+				tail = `${tail}${Buffer.from(chunk.subarray(-TAIL_BYTES)).toString('latin1')}`.slice(-TAIL_BYTES);
 				write(chunk);
 				return undefined;
 			}
@@ -338,6 +366,12 @@
 }
 
 const LINE_FEED = 10;
+/** Maximum length of a blank line, which ends an event, with the end of the line before it. */
+const TAIL_BYTES = 4;
+
+function endsEvent(tail: string): boolean {
+	return /[\n\r]{2}$/.test(tail.replaceAll('\r\n', '\n'));
+}
 
 /** Returns the index after the last blank line, 0 if there is none. */
 function findLastEventEnd(bytes: Uint8Array): number {
