Complete a text only at the end of an event stream

Change: such runs count as broken and go on after the last event; streams and items share the check.

--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -1,6 +1,7 @@
 /** Runs one item on engines until its text is complete. Each run continues after the last event of the one before. */
 import {Buffer} from 'node:buffer';
 import type {Result} from 'neverthrow';
+import {createEventTail, isEventStream} from '../../adapters/common/event-stream.js';
 import type {Failure} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
@@ -162,7 +163,7 @@
 		};
 	}
 
-	function onHead(run: RunState, head: ResponseHead): void {
+	function onHead(run: RunState, head: ResponseHead, contentType: string | undefined): void {
 		const serverId = run.dispatch!.server.id;
 		if (head.load !== undefined) {
 			loads.report(serverId, {...head.load, tokensPerSecond: 0, ageMs: 0}, clock.monotonic());
@@ -172,6 +173,11 @@
 			return;
 		}
 
+		if (!isEventStream(contentType)) {
+			abortRun(run, `the response is "${contentType ?? ''}", expected an event stream`);
+			return;
+		}
+
 		if (head.version !== undefined) {
 			view.recordVersion(serverId, batch.model, head.version);
 		}
@@ -216,7 +222,8 @@
 
 	async function callEngine(run: RunState, dispatch: Dispatch): Promise<Result<BackendResponse, Failure>> {
 		const reader = createReader(run);
-		return caller.attempt(dispatch.server, {
+		const tail = createEventTail();
+		const called = await caller.attempt(dispatch.server, {
 			method: 'POST', path: item.path, headers: {...item.headers, Host: batch.host}, body,
 		}, {
 			requestId: item.id,
@@ -230,14 +237,20 @@
 				abortRun(run, 'the links to the engines are cut');
 				return 'wait';
 			},
-			onHead(head) {
-				onHead(run, head);
+			onHead(head, headers) {
+				onHead(run, head, headers['content-type']);
 				return undefined;
 			},
 			onData(chunk) {
+				tail.addChunk(chunk);
 				return reader.feed(chunk);
 			},
 		});
+		if (called.isOk() && called.value.status === 200 && tail.endsWithinEvent()) {
+			run.brokenBy ??= 'the stream ended within an event';
+		}
+
+		return called;
 	}
 
 	function endDispatch(run: RunState, result: Result<BackendResponse, Failure>): void {
--- a/src/batches/test/batches.test.ts
+++ b/src/batches/test/batches.test.ts
@@ -187,6 +187,22 @@
 	assert.ok(world.engines.flatMap(engine => engine.starts).some(start => start.after > 10));
 });
 
+// Issue 31, further reports: a text whose stream ended within an event, or went on with another response, counted as complete.
+(['withinEvent', 'otherType'] as const).forEach(endsEarly => {
+	test(`a text is complete only at the end of an event stream, when an engine ends its responses early (${endsEarly})`, async () => {
+		const world = createBatchSimulation({daemons: ['d1'], engines: 2});
+		const lengths = [30, 30, 30, 30];
+		await world.finish(world.serviceOf('d1').submit(createBatch('b', lengths), 10_000));
+		await world.time.advance(400);
+		world.engines[0]!.endsEarly = endsEarly;
+		const victim = world.engines[1]!;
+		victim.isDown = true;
+		await world.time.advance(2500);
+		victim.isDown = false;
+		checkComplete(await world.readAll('b', ['d1']), 'b', lengths);
+	});
+});
+
 // Issue 25, second report: several engines crashed in a burst under one sound item, which was then never placed again.
 test('items under which engines crashed again and again are placed within 5 s once the engines stay up', async () => {
 	const world = createBatchSimulation({daemons: ['d1', 'd2'], engines: 3});
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -1,12 +1,12 @@
 /** Forwards streams as their bytes arrive. A stream that has begun is continued from another server only if the route allows resuming. */
-import {Buffer} from 'node:buffer';
-import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {
 	createNotRun, createOutcomeUnknown, wrapFailure, type Failure,
 } from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import {createTaskSet} from '../../base/common/task-set.js';
+import {createEventTail, isEventStream} from '../../adapters/common/event-stream.js';
 import {MAXIMUM_EVENT_BYTES} from '../../adapters/common/event-bound.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Random} from '../../base/common/random.js';
@@ -195,13 +195,13 @@
 			signal: abortController.signal,
 			onCut: () => request.route.canResume && !state.hasBegun ? 'restart' : 'wait',
 			onHead(head, headers) {
-				if (head.status === 200 && state.hasBegun && !(isEventStream(headers) && state.isEventStream)) {
+				if (head.status === 200 && state.hasBegun && !(isEventStream(headers['content-type']) && state.isEventStream)) {
 					return 'the response does not continue the stream';
 				}
 
 				if (head.status === 200 && !state.hasBegun) {
 					state.hasBegun = true;
-					state.isEventStream = isEventStream(headers);
+					state.isEventStream = isEventStream(headers['content-type']);
 					const forwardedHeaders = Object.fromEntries(Object.entries(headers).filter(([name]) => !CONNECTION_HEADERS.has(name)));
 					response.writeHead(200, {...forwardedHeaders, ...(isLast && {connection: 'close'})});
 					response.flushHeaders();
@@ -324,12 +324,6 @@
 	readonly endsWithinEvent: () => boolean;
 };
 
-const EVENT_STREAM_TYPE = 'text/event-stream';
-
-function isEventStream(headers: IncomingHttpHeaders): boolean {
-	return headers['content-type']?.split(';', 1)[0]?.trim().toLowerCase() === EVENT_STREAM_TYPE;
-}
-
 /**
  * Forwards bytes. With `completeEventsOnly`, for streams that can be resumed, it forwards only complete events, so that another
  * server can continue after the last one and the caller never receives part of an event twice.
@@ -340,12 +334,12 @@
 	});
 	let incompleteEvent: Uint8Array = new Uint8Array(0);
 	/** The last bytes that were forwarded as they arrived. */
-	let tail = '';
+	const tail = createEventTail();
 	return {
-		endsWithinEvent: () => incompleteEvent.length > 0 || (tail !== '' && !endsEvent(tail)),
+		endsWithinEvent: () => incompleteEvent.length > 0 || tail.endsWithinEvent(),
 		forward(chunk) {
 			if (!completeEventsOnly()) {
-				tail = `${tail}${Buffer.from(chunk.subarray(-TAIL_BYTES)).toString('latin1')}`.slice(-TAIL_BYTES);
+				tail.addChunk(chunk);
 				write(chunk);
 				return undefined;
 			}
@@ -366,13 +360,6 @@
 }
 
 const LINE_FEED = 10;
-/** Maximum length of a blank line, which ends an event, with the end of the line before it. */
-const TAIL_BYTES = 4;
-
-function endsEvent(tail: string): boolean {
-	return /[\n\r]{2}$/.test(tail.replaceAll('\r\n', '\n'));
-}
-
 /** Returns the index after the last blank line, 0 if there is none. */
 function findLastEventEnd(bytes: Uint8Array): number {
 	const index = bytes.findLastIndex((byte, position) => byte === LINE_FEED && position > 0 && bytes[position - 1] === LINE_FEED);
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -48,6 +48,8 @@
 	sendsIncompleteEvents?: boolean;
 	/** Whether each response ends properly, but before its first event. */
 	endsBeforeFirstEvent?: boolean;
+	/** How each response ends properly, but too early: within its second event, or as something other than an event stream. */
+	endsEarly?: 'withinEvent' | 'otherType';
 	/** Number of refused requests. */
 	refused: number;
 	/** Started runs of items. `after` is the id of the last event that the run continues from; `at` is the start time. */
@@ -87,7 +89,11 @@
 				}
 
 				const [id, data] = Buffer.from(chunk).toString('utf8').split(' ');
-				onEvent({id: Number(id), data: data ?? '', version: undefined});
+				if (data?.endsWith('\n\n') !== true) {
+					return undefined;
+				}
+
+				onEvent({id: Number(id), data: data.trimEnd(), version: undefined});
 				return undefined;
 			},
 		};
@@ -176,7 +182,7 @@
 		});
 		// An engine that has no further event to generate reports no version.
 		const head = {...createResponseHead(attempt.requestId, engine, 200), ...(after >= events && {version: undefined})};
-		options_.onHead?.(head, {});
+		options_.onHead?.(head, {'content-type': engine.endsEarly === 'otherType' ? 'application/json' : 'text/event-stream'});
 		const breakReason = await emit(engine, attempt.requestId, after, events, options_);
 		engine.running -= 1;
 		return breakReason === undefined
@@ -197,11 +203,16 @@
 				return 'reset';
 			}
 
+			if (engine.endsEarly !== undefined && (id === after + 2 || engine.endsEarly === 'otherType')) {
+				options_.onData?.(Buffer.from(`${id}`));
+				return options_.signal.aborted ? 'aborted' : undefined;
+			}
+
 			if (engine.sendsIncompleteEvents === true) {
 				id -= 1;
 				options_.onData?.(new Uint8Array(0));
 			} else {
-				options_.onData?.(Buffer.from(`${id} ${itemId}.${id}`));
+				options_.onData?.(Buffer.from(`${id} ${itemId}.${id}\n\n`));
 			}
 		}
 
--- a/test/fakes/versioned-fleet.ts
+++ b/test/fakes/versioned-fleet.ts
@@ -162,7 +162,7 @@
 				server.running.delete(breakRun);
 				resolve(err(createOutcomeUnknown('aborted', origin, 'aborted')));
 			});
-			onHead?.(head, {});
+			onHead?.(head, {'content-type': 'text/event-stream'});
 			const sendEvent = (id: number) => {
 				if (!isOpen) {
 					return;
