--- a/src/gateway/common/relay.ts
+++ b/src/gateway/common/relay.ts
@@ -33,7 +33,7 @@
 
 /** Why a daemon did not send an attempt; the request has not run. */
 export type RelayRefusal
-	/** It relays as many attempts as it may. */
+	/** It relays as many attempts as it may, or is stopping. */
 	= | 'busy'
 	/** Its own links to the pool are cut. */
 		| 'cut'
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -36,7 +36,7 @@
 import {createPortInspection} from './node/port-inspection.js';
 import {createHttpRelayTransport, serveRelays} from './node/http-relay.js';
 import {startLinkMonitor} from './node/link-monitor.js';
-import {createRelayHelper} from './node/relay-helper.js';
+import {createRelayHelper, type RelayHelper} from './node/relay-helper.js';
 import {createRelayingCaller} from './node/relaying-caller.js';
 import {createRequestGuard} from './node/request-guard.js';
 import {createServerAcquisition} from './node/server-acquisition.js';
@@ -53,6 +53,7 @@
 	readonly links: ServerLinks;
 	readonly attempts: OpenAttempts;
 	readonly caller: ServerCaller;
+	readonly relayHelper: RelayHelper;
 	readonly forwarder: Forwarder;
 	readonly streams: StreamForwarder;
 	readonly limits: ServerLimits;
@@ -81,6 +82,8 @@
 const LIMIT_USE_PERIOD_MS = 4000;
 /** Time for the last responses to be written to callers after the backend servers have responded. */
 const RESPONSE_FLUSH_MS = 50;
+/** Maximum time to wait for attempts that this daemon relays for others. */
+const RELAY_DRAIN_MS = 2000;
 /** Maximum number of prompt prefixes whose engine is remembered. */
 const MAXIMUM_PREFIXES = 2000;
 /** Cost weights in the choice of a server: prefill is fast, and traffic between regions costs time and money. */
@@ -172,7 +175,7 @@
 		...context, dispatcher, caller, acquisition, guard, records, serverIdsOf, protocol, findServer,
 	});
 	return {
-		deployment, view, loads, dispatcher, links, attempts, caller, forwarder, streams: streamForwarder, limits, limitUsage, statements, permits, detector, exchange, records,
+		deployment, view, loads, dispatcher, links, attempts, caller, relayHelper, forwarder, streams: streamForwarder, limits, limitUsage, statements, permits, detector, exchange, records,
 	};
 }
 
@@ -288,7 +291,9 @@
 			]),
 			// Runs after the caller server and the batches have drained, so that the last accepted requests end here, within the stop timeout.
 			async drain() {
-				await Promise.all([gateway.forwarder.whenIdle(), gateway.streams.whenIdle()]);
+				// An attempt that is cut here goes on over another daemon, so a long one does not hold up the stop.
+				const relays = Promise.race([gateway.relayHelper.drain(), context.loop.sleep(RELAY_DRAIN_MS)]);
+				await Promise.all([gateway.forwarder.whenIdle(), gateway.streams.whenIdle(), relays]);
 				await context.loop.sleep(RESPONSE_FLUSH_MS);
 			},
 		};
--- a/src/gateway/node/relay-helper.ts
+++ b/src/gateway/node/relay-helper.ts
@@ -1,6 +1,7 @@
 /** Sends attempts to backend servers for other daemons, as far as this daemon reaches the servers itself. */
 import {err, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
+import {createTaskSet} from '../../base/common/task-set.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {BackendServer} from '../../routing/common/router.js';
 import type {
@@ -15,6 +16,8 @@
 	readonly findRefusal: (serverId: string) => RelayRefusal | undefined;
 	/** Sends an attempt over this daemon's own links, and never over another daemon. */
 	readonly relay: (call: RelayCall, sink: RelaySink, signal: AbortSignal) => Promise<RelayEnd>;
+	/** Refuses further attempts; resolves when none is in progress. */
+	readonly drain: () => Promise<void>;
 };
 
 /** Dependencies of the helper. */
@@ -41,6 +44,8 @@
 	direct, links, findServer, log,
 }: RelayHelperDependencies): RelayHelper {
 	let relayed = 0;
+	let isDraining = false;
+	const inProgress = createTaskSet();
 
 	function findRefusal(serverId: string): RelayRefusal | undefined {
 		const server = findServer(serverId);
@@ -48,7 +53,7 @@
 			return 'cut';
 		}
 
-		return relayed >= MAXIMUM_RELAYED ? 'busy' : undefined;
+		return isDraining || relayed >= MAXIMUM_RELAYED ? 'busy' : undefined;
 	}
 
 	async function send(call: RelayCall, server: BackendServer, sink: RelaySink, signal: AbortSignal): Promise<Result<void, Failure>> {
@@ -98,27 +103,31 @@
 		});
 	}
 
+	async function relay(call: RelayCall, sink: RelaySink, signal: AbortSignal): Promise<RelayEnd> {
+		const server = findServer(call.server.id);
+		const isSame = server?.address === call.server.address && server.port === call.server.port;
+		relayed += 1;
+		const result = server !== undefined && isSame
+			? await send(call, server, sink, signal)
+			: err(createNotRun('rejected', {step: 'relay attempt', peer: call.server.id}, 'this daemon does not know the server, or knows that it is leaving'));
+		relayed -= 1;
+		if (result.isErr() && result.error.effect === 'notRun' && server !== undefined && links.isCut(server.pool)) {
+			return {kind: 'refused', reason: 'cut'};
+		}
+
+		log.debug('attempt relayed', {requestId: call.attempt.requestId, serverId: call.server.id, ...result.match(() => ({}), failure => ({reason: failure.message, effect: failure.effect}))});
+		return {kind: 'ended', result};
+	}
+
 	return {
 		findRefusal,
 		async relay(call, sink, signal) {
 			const refusal = findRefusal(call.server.id);
-			if (refusal !== undefined) {
-				return {kind: 'refused', reason: refusal};
-			}
-
-			const server = findServer(call.server.id);
-			const isSame = server?.address === call.server.address && server.port === call.server.port;
-			relayed += 1;
-			const result = server !== undefined && isSame
-				? await send(call, server, sink, signal)
-				: err(createNotRun('rejected', {step: 'relay attempt', peer: call.server.id}, 'this daemon does not know the server, or knows that it is leaving'));
-			relayed -= 1;
-			if (result.isErr() && result.error.effect === 'notRun' && server !== undefined && links.isCut(server.pool)) {
-				return {kind: 'refused', reason: 'cut'};
-			}
-
-			log.debug('attempt relayed', {requestId: call.attempt.requestId, serverId: call.server.id, ...result.match(() => ({}), failure => ({reason: failure.message, effect: failure.effect}))});
-			return {kind: 'ended', result};
+			return refusal === undefined ? inProgress.run(async () => relay(call, sink, signal)) : {kind: 'refused', reason: refusal};
+		},
+		async drain() {
+			isDraining = true;
+			await inProgress.whenIdle();
 		},
 	};
 }
