--- a/bench/slopes.bench.ts
+++ b/bench/slopes.bench.ts
@@ -9,6 +9,7 @@
 import {measureVmList} from './slopes/vm-list.js';
 import {measureServiceCalls} from './slopes/gateway-overhead.js';
 import {measurePermits} from './slopes/permits.js';
+import {measureRelays} from './slopes/relays.js';
 import {measureShares} from './slopes/shares.js';
 import {measureSwaps} from './slopes/swaps.js';
 import {measureAdmissionTick, measureLoadPoll} from './slopes/ticks.js';
@@ -136,6 +137,18 @@
 	});
 }
 
+async function describeRelays(): Promise<readonly Figure[]> {
+	const costs = await runSequentially(FLEET_SIZES, measureRelays);
+	return costs.flatMap(({callsPerRequest, busiest, servedShare}, index) => {
+		const size = `most of ${FLEET_SIZES[index]} daemons cut off from the servers`;
+		return [
+			{name: `calls to daemons for a request, ${size}`, value: callsPerRequest, unit: 'calls'},
+			{name: `attempts of the busiest helper as a multiple of the mean, ${size}`, value: busiest, unit: ''},
+			{name: `part of the requests that is served, ${size}`, value: servedShare, unit: ''},
+		];
+	});
+}
+
 const SWAPPED_ENGINE_COUNT = 110;
 
 async function describeSwaps(): Promise<readonly Figure[]> {
@@ -172,6 +185,7 @@
 	const owners = await describeOwners();
 	const vmLists = await describeVmLists();
 	const ticks = await describeTicks();
+	const relays = await describeRelays();
 	const shares = await describeShares();
 	const permits = await describePermits();
 	const swaps = await describeSwaps();
@@ -185,6 +199,7 @@
 		...owners,
 		...vmLists,
 		...ticks,
+		...relays,
 		...shares,
 		...permits,
 		...swaps,
