Blame only attempts that began before a crash, and clear servers whose entry comes back

Cause: what was known of a run was applied to attempts that began after it; the contradiction, an entry of the same run, was looked for at one moment only. Class of fault: evidence without its time. Change: an attempt is blamed for crashes after its beginning only, also where the entry shows a later start; a crash that only ports had shown is withdrawn as soon as the entry is back with the same start.

--- a/src/gateway/common/server-run.ts
+++ b/src/gateway/common/server-run.ts
@@ -9,6 +9,14 @@
 	readonly startedAt: number | undefined;
 };
 
+/** An attempt at a run of a server. */
+export type RunAttempt = ServerRun & {
+	/** Monotonic time at which the attempt began. */
+	readonly begunAt: number;
+	/** The same as Unix time in milliseconds. */
+	readonly begunAtWall: number;
+};
+
 /** What is known of a run whose connection broke. */
 export type RunEvidence = {
 	/** The last known entry of the server, also when it has been removed since. */
@@ -32,8 +40,9 @@
  * Whether the run has certainly crashed. A server that was leaving may have ended as planned, and a broken connection alone may be
  * a fault of the network. An entry also disappears when a server leaves without notice, and then the server still serves for a while.
  */
-export function hasRunCrashed(run: ServerRun, {last, wasListed, current, isAddressTaken, port}: RunEvidence): boolean {
-	const hasStartedAgain = [last, current].some(entry => entry?.startedAt !== undefined && run.startedAt !== undefined && entry.startedAt > run.startedAt);
+export function hasRunCrashed({startedAt, begunAtWall}: RunAttempt, {last, wasListed, current, isAddressTaken, port}: RunEvidence): boolean {
+	// An attempt that began after the later start ran on that one, although its entry was not known yet.
+	const hasStartedAgain = [last, current].some(entry => entry?.startedAt !== undefined && startedAt !== undefined && entry.startedAt > Math.max(startedAt, begunAtWall));
 	const wasLeaving = !wasListed || last === undefined || last.isLeaving;
 	const hasEnded = port === 'refused' || (port === 'silent' && current === undefined);
 	return hasStartedAgain || (!wasLeaving && (hasEnded || isAddressTaken));
--- a/src/gateway/node/crash-detector.ts
+++ b/src/gateway/node/crash-detector.ts
@@ -6,23 +6,25 @@
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {EntryHistory} from '../common/entry-history.js';
 import type {PortView} from '../common/port-view.js';
-import {hasRunCrashed, keyOfRun, type ServerRun} from '../common/server-run.js';
+import {
+	hasRunCrashed, keyOfRun, type RunAttempt, type ServerRun,
+} from '../common/server-run.js';
 import type {ServerView} from '../common/server-view.js';
 import type {PortInspection} from './port-inspection.js';
 
 /** Detects crashes of backend servers. */
 export type CrashDetector = Disposable & {
-	/** The run of a server that gets the requests sent now. */
-	readonly currentRun: (serverId: string) => ServerRun;
+	/** An attempt that is sent to a server now. */
+	readonly currentRun: (serverId: string) => RunAttempt;
 	/** Looks at the server at once. Each verdict resolves with whether the run has crashed. */
-	readonly inspect: (run: ServerRun, end: 'broken' | 'silent') => {
+	readonly inspect: (run: RunAttempt, end: 'broken' | 'silent') => {
 		/** Resolves within a bounded time, as far as it is known by then. */
 		readonly first: Promise<boolean>;
 		/** Resolves once entries show a crash, or with false when they have been up to date for `VERDICT_TIMEOUT_MS`. */
 		readonly final: Promise<boolean>;
 	};
 	/** Calls the listener once if entries show that the run has crashed while a request on it is open, until it is disposed. */
-	readonly watch: (run: ServerRun, onDidCrash: () => void) => Disposable;
+	readonly watch: (run: RunAttempt, onDidCrash: () => void) => Disposable;
 	/** Calls the listener with runs that still serve, although their ports had been refused as if they had crashed. */
 	readonly onDidWithdraw: (listener: (run: ServerRun) => void) => void;
 	/** Whether the run is known to have crashed. */
@@ -67,9 +69,19 @@
 	readonly probedAt: number;
 };
 
+/** A crash that was detected. */
+type RecordedCrash = {
+	readonly run: ServerRun;
+	readonly at: number;
+	/** Whether only ports show the crash, and no entry does. */
+	readonly isSeenByPort: boolean;
+	/** Whether the entry has been missing since. */
+	wasMissing: boolean;
+};
+
 /** A request whose server may have crashed, and the listener for the verdict that it has. */
 type Watch = {
-	readonly run: ServerRun;
+	readonly run: RunAttempt;
 	/** As in `RunEvidence`. */
 	readonly wasListed: boolean;
 	/** Whether the port was inspected after the entry had disappeared. */
@@ -82,70 +94,78 @@
 	view, history, ports, clock, loop, log, metrics,
 }: CrashDetectorDependencies): CrashDetector {
 	const inspections = new Map<string, Inspection>();
-	const crashedAtByRun = new Map<string, number>();
+	const crashes = new Map<string, RecordedCrash>();
 	const watches = new Set<Watch>();
 	let isOpen = true;
 	const withdrawalListeners: Array<(run: ServerRun) => void> = [];
 	/** Unix time of the last complete response, by server. */
 	const aliveAtByServer = new Map<string, number>();
 
-	/** Withdraws a crash that was seen by the port only, once entries show that the run goes on. */
-	function checkListed(run: ServerRun): void {
-		const crashedAt = clock.monotonic();
-		endWatch(crashedAt, crashedAt, () => {
-			const current = view.find(run.serverId);
-			if (!isOpen || current?.startedAt === undefined || current.startedAt !== run.startedAt || current.isLeaving || view.connectedSince() === undefined) {
+	/** Withdraws crashes that only ports had shown, once entries show that the run goes on: it is listed again, or still after `VERDICT_TIMEOUT_MS`. */
+	function checkListed(now: number): void {
+		const connectedSince = view.connectedSince();
+		[...crashes].filter(([, {isSeenByPort}]) => isSeenByPort).forEach(([key, crash]) => {
+			const current = view.find(crash.run.serverId);
+			if (current === undefined) {
+				crash.wasMissing = true;
 				return;
 			}
 
-			crashedAtByRun.delete(keyOfRun(run));
-			log.info('backend server has not crashed', {...run, evidence: 'entry'});
+			const isSameRun = current.startedAt !== undefined && current.startedAt === crash.run.startedAt && !current.isLeaving;
+			const isConfirmed = connectedSince !== undefined && now - Math.max(crash.at, connectedSince) >= VERDICT_TIMEOUT_MS;
+			if (!isOpen || !isSameRun || !(crash.wasMissing || isConfirmed)) {
+				return;
+			}
+
+			crashes.delete(key);
+			log.info('backend server has not crashed', {serverId: crash.run.serverId, startedAt: crash.run.startedAt, evidence: 'entry'});
 			metrics.count('server.crashes_withdrawn', 1);
 			withdrawalListeners.forEach(listener => {
-				listener(run);
+				listener(crash.run);
 			});
 		});
 	}
 
-	function recordCrash(run: ServerRun, evidence: string): void {
-		const key = keyOfRun(run);
-		if (crashedAtByRun.has(key)) {
-			return;
-		}
-
+	function recordCrash({serverId, startedAt}: ServerRun, isSeenByPort: boolean): void {
 		const now = clock.monotonic();
-		[...crashedAtByRun].filter(([, at]) => now - at > CRASH_RETENTION_MS).forEach(([old]) => {
-			crashedAtByRun.delete(old);
+		[...crashes].filter(([, {at}]) => now - at > CRASH_RETENTION_MS).forEach(([old]) => {
+			crashes.delete(old);
+		});
+		const run = {serverId, startedAt};
+		const evidence = isSeenByPort ? 'port' : 'entry';
+		crashes.set(keyOfRun(run), {
+			run, at: now, isSeenByPort, wasMissing: !history.isListed(serverId),
 		});
-		crashedAtByRun.set(key, now);
 		log.info('backend server crashed', {...run, evidence});
 		metrics.count('server.crashes', 1, {evidence});
+		if (isSeenByPort) {
+			endWatch(now, now, () => {
+				checkListed(clock.monotonic());
+			});
+		}
 	}
 
 	function judge({run, wasListed}: Pick<Watch, 'run' | 'wasListed'>, port: PortView): boolean {
-		const key = keyOfRun(run);
-		if (crashedAtByRun.has(key)) {
+		const known = crashes.get(keyOfRun(run));
+		if (known !== undefined && run.begunAt <= known.at) {
 			return true;
 		}
 
 		const last = history.find(run.serverId);
 		const current = view.find(run.serverId);
 		const isAddressTaken = last !== undefined && view.all().some(entry => entry.id !== last.id && entry.address === last.address && entry.port === last.port);
-		const hasCrashed = hasRunCrashed(run, {
+		const evidence = {
 			last, wasListed, current, isAddressTaken, port,
-		});
-		if (hasCrashed) {
-			const isSeenByPort = port === 'refused' || port === 'silent';
-			recordCrash(run, isSeenByPort ? 'port' : 'entry');
-			if (isSeenByPort) {
-				checkListed(run);
-			}
+		};
+		const hasCrashed = hasRunCrashed(run, evidence);
+		if (hasCrashed && known === undefined) {
+			recordCrash(run, !hasRunCrashed(run, {...evidence, port: 'unknown'}));
 		}
 
 		return hasCrashed;
 	}
 
-	async function inspectPort(run: ServerRun): Promise<PortView> {
+	async function inspectPort(run: RunAttempt): Promise<PortView> {
 		const key = keyOfRun(run);
 		const known = inspections.get(key);
 		const now = clock.monotonic();
@@ -185,7 +205,7 @@
 	}
 
 	/** Waits until entries show whether a run has crashed. */
-	async function awaitVerdict(run: ServerRun, wasListed: boolean): Promise<boolean> {
+	async function awaitVerdict(run: RunAttempt, wasListed: boolean): Promise<boolean> {
 		return new Promise(resolve => {
 			const watching = watch({
 				run, wasListed, isInspected: false, onDidCrash() {
@@ -194,11 +214,12 @@
 			});
 			endWatch(clock.monotonic(), clock.monotonic(), () => {
 				watching.dispose();
-				if (!crashedAtByRun.has(keyOfRun(run))) {
-					log.debug('no crash of the backend server is known', {...run, isListed: history.isListed(run.serverId)});
+				const hasCrashed = judge({run, wasListed}, 'unknown');
+				if (!hasCrashed) {
+					log.debug('no crash of the backend server is known', {serverId: run.serverId, startedAt: run.startedAt, isListed: history.isListed(run.serverId)});
 				}
 
-				resolve(crashedAtByRun.has(keyOfRun(run)));
+				resolve(hasCrashed);
 			});
 		});
 	}
@@ -214,6 +235,7 @@
 	}
 
 	view.onDidChange(() => {
+		checkListed(clock.monotonic());
 		watches.forEach(watched => {
 			if (!finish(watched, 'unknown') && watched.wasListed && !watched.isInspected && !history.isListed(watched.run.serverId)) {
 				watched.isInspected = true;
@@ -223,7 +245,9 @@
 	});
 
 	return {
-		currentRun: serverId => ({serverId, startedAt: view.find(serverId)?.startedAt}),
+		currentRun: serverId => ({
+			serverId, startedAt: view.find(serverId)?.startedAt, begunAt: clock.monotonic(), begunAtWall: clock.wall(),
+		}),
 		inspect(run, end) {
 			const wasListed = end === 'silent' || history.isListed(run.serverId);
 			return {
@@ -237,7 +261,7 @@
 		onDidWithdraw(listener) {
 			withdrawalListeners.push(listener);
 		},
-		hasCrashed: run => crashedAtByRun.has(keyOfRun(run)),
+		hasCrashed: run => crashes.has(keyOfRun(run)),
 		recordAlive({serverId}) {
 			// The newest entry is last, so that the oldest ones are dropped first.
 			aliveAtByServer.delete(serverId);
@@ -252,7 +276,7 @@
 			const nextStart = last?.startedAt !== undefined && run.startedAt !== undefined && last.startedAt > run.startedAt ? last.startedAt : Number.POSITIVE_INFINITY;
 			return aliveAt !== undefined && aliveAt > wallTime && aliveAt < nextStart;
 		},
-		listRecentCrashes: (run, now) => [...crashedAtByRun].filter(([key, at]) => key !== keyOfRun(run) && now - at < COMMON_CRASH_WINDOW_MS).map(([key]) => key),
+		listRecentCrashes: (run, now) => [...crashes].filter(([key, {at}]) => key !== keyOfRun(run) && now - at < COMMON_CRASH_WINDOW_MS).map(([key]) => key),
 		dispose() {
 			isOpen = false;
 			watches.clear();
--- a/src/gateway/node/request-guard.ts
+++ b/src/gateway/node/request-guard.ts
@@ -10,7 +10,7 @@
 import {
 	openAdmission, type Admission, type GuardedRequest, type RequestGuard,
 } from '../common/request-guard.js';
-import {keyOfRun, type ServerRun} from '../common/server-run.js';
+import {keyOfRun, type RunAttempt} from '../common/server-run.js';
 import type {CrashDetector} from './crash-detector.js';
 import type {SuspectExchange} from './suspect-exchange.js';
 
@@ -38,10 +38,10 @@
 export function createRequestGuard({
 	detector, table, ledger, trials, clock, loop, log, metrics,
 }: RequestGuardDependencies): RequestGuard {
-	function recordVerdict(requestId: string, fingerprint: string, run: ServerRun, verdict: {readonly end: SuspectEnd; readonly hasCrashed: boolean; readonly trialId: string | undefined}): void {
+	function recordVerdict(requestId: string, fingerprint: string, run: RunAttempt, verdict: {readonly end: SuspectEnd; readonly hasCrashed: boolean; readonly trialId: string | undefined}): void {
 		const {end, hasCrashed, trialId} = verdict;
 		log.info(hasCrashed ? 'request broke with its server' : (end === 'silent' ? 'request got no response' : 'request lost its connection'), {
-			requestId, fingerprint, ...run, end,
+			requestId, fingerprint, serverId: run.serverId, startedAt: run.startedAt, end,
 		});
 		metrics.count('request.broken', 1, {verdict: hasCrashed ? 'crash' : 'connection', end});
 		if (!hasCrashed) {
@@ -75,7 +75,7 @@
 		}
 	}
 
-	async function recordBroken(requestId: string, fingerprint: string, run: ServerRun, trialId: string | undefined): Promise<void> {
+	async function recordBroken(requestId: string, fingerprint: string, run: RunAttempt, trialId: string | undefined): Promise<void> {
 		const {first, final} = detector.inspect(run, 'broken');
 		if (await first) {
 			recordVerdict(requestId, fingerprint, run, {end: 'broken', hasCrashed: true, trialId});
@@ -88,7 +88,7 @@
 	}
 
 	/** Blames a request that got no response if its server has crashed, unless the server completed another response after the request had ended. */
-	async function recordSilent(requestId: string, fingerprint: string, run: ServerRun, trialId: string | undefined): Promise<void> {
+	async function recordSilent(requestId: string, fingerprint: string, run: RunAttempt, trialId: string | undefined): Promise<void> {
 		const endedAt = clock.wall();
 		const {first, final} = detector.inspect(run, 'silent');
 		const hasCrashed = await first || await final;
@@ -96,7 +96,7 @@
 	}
 
 	/** Blames a request that is still open when entries show that its server has crashed. */
-	function watchOpen({requestId, fingerprint}: GuardedRequest, run: ServerRun, {trialId}: Admission) {
+	function watchOpen({requestId, fingerprint}: GuardedRequest, run: RunAttempt, {trialId}: Admission) {
 		return fingerprint === undefined
 			? undefined
 			: detector.watch(run, () => {
--- a/test/crashing-requests.test.ts
+++ b/test/crashing-requests.test.ts
@@ -202,6 +202,31 @@
 	assert.ok((await answer)!.result.isOk());
 });
 
+// Found by soak seed 9101: a server that was taken for crashed while its entry was missing counted as crashed for a minute after its entry was back, and each request on it was blamed.
+test('a server whose entry is missing while nobody reaches it blames nobody once its entry is back', async () => {
+	const fleet = createCrashingFleet({
+		daemons: 5, servers: 2, seed: 20, attempts: 1,
+	});
+	await repeat(6, async index => {
+		void fleet.send('innocent', `d${index % 5}`, 'plain', 100);
+	});
+	await fleet.time.advance(30);
+	const [server] = fleet.servers;
+	fleet.hide(server!, 6500, 'refuses');
+	await fleet.time.advance(100);
+	fleet.unlist(server!, 7000);
+	await fleet.time.advance(8000);
+	assert.ok(fleet.names.every(name => fleet.daemons.get(name)!.table.list().every(crash => crash.acquitted)));
+	await repeat(40, async () => {
+		void fleet.send('innocent');
+		await fleet.time.advance(25);
+	});
+	fleet.unlist(fleet.servers[1]!, 100);
+	await fleet.time.advance(2000);
+	assert.is(fleet.answers.slice(-40).filter(({result}) => result.isErr()).length, 0);
+	assert.ok(fleet.names.every(name => fleet.daemons.get(name)!.table.list().every(crash => crash.acquitted)));
+});
+
 // Incident docs/incidents/unseen-crashes.md: a daemon cut off from the servers, and from the store, took a crash for a lost connection for good.
 test('a daemon that can reach neither the server nor the store learns of a crash once it reaches the store', async () => {
 	const fleet = createCrashingFleet({daemons: 5, servers: 16, seed: 16});
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -444,6 +444,15 @@
 				hidden.delete(server.id);
 			});
 		},
+		/** Removes the entry of a server that goes on running, and writes it again later. */
+		unlist(server: FleetServer, durationMs: number) {
+			server.isListed = false;
+			publishEntries();
+			loop.after(durationMs, () => {
+				server.isListed = true;
+				publishEntries();
+			});
+		},
 		/** Cuts daemons off from the store. */
 		cutFromStore(affected: readonly string[], durationMs: number) {
 			disturb(affected, objects.partitioned, durationMs);
