--- /dev/null
+++ b/src/adapters/test/http-exchange.test.ts
@@ -0,0 +1,82 @@
+import {Agent} from 'node:http';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {exchange, type Exchange, type HttpCall} from '../node/http-exchange.js';
+
+const test = suite('one call over one connection');
+
+type Observed = Exchange & {
+	/** How the connection ended at the server. */
+	readonly end: string;
+	readonly connected: readonly boolean[];
+};
+
+async function callOnce(onRequest: (socket: Socket) => void, call: Partial<HttpCall>): Promise<Observed> {
+	const ends: Array<Promise<string>> = [];
+	const server = createServer(socket => {
+		ends.push(new Promise(resolve => {
+			socket.on('error', (error: NodeJS.ErrnoException) => {
+				resolve(error.code ?? 'error');
+			});
+			socket.on('end', () => {
+				resolve('end');
+			});
+		}));
+		socket.on('data', () => {
+			onRequest(socket);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	// A listening TCP server has an address with a port.
+
+	const {port} = server.address() as AddressInfo;
+	const agent = new Agent({keepAlive: true});
+	const connected: boolean[] = [];
+	const ended = await exchange({
+		step: 'call', method: 'POST', path: '/', body: 'x', timeoutMs: 1000, onDidConnect(isConnected) {
+			connected.push(isConnected);
+		}, ...call,
+	}, {base: new URL(`http://127.0.0.1:${port}`), agent});
+	agent.destroy();
+	const end = await ends[0]!;
+	server.close();
+	return {...ended, end, connected};
+}
+
+// A request that was given up must not be delivered when a partition that holds it up ends.
+test('a call that is given up after it was sent resets its connection', async () => {
+	const timedOut = await callOnce(() => undefined, {timeoutMs: 50});
+	assert.is(timedOut.result._unsafeUnwrapErr().effect, 'outcomeUnknown');
+	assert.is(timedOut.end, 'ECONNRESET');
+	const abort = new AbortController();
+	const aborted = await callOnce(() => {
+		abort.abort();
+	}, {signal: abort.signal});
+	assert.is(aborted.result._unsafeUnwrapErr().code, 'aborted');
+	assert.is(aborted.end, 'ECONNRESET');
+});
+
+test('a call with a response closes its connection without a reset', async () => {
+	const answered = await callOnce(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+	}, {});
+	assert.ok(answered.result.isOk());
+	assert.is(answered.end, 'end');
+	assert.equal(answered.connected, [true]);
+});
+
+test('a connection that is refused is reported, and the call has not run', async () => {
+	const connected: boolean[] = [];
+	const {result} = await exchange({
+		step: 'call', method: 'POST', path: '/', timeoutMs: 1000, connectTimeoutMs: 500, onDidConnect(isConnected) {
+			connected.push(isConnected);
+		},
+	}, {base: new URL('http://127.0.0.1:1'), agent: new Agent()});
+	assert.is(result._unsafeUnwrapErr().effect, 'notRun');
+	assert.equal(connected, [false]);
+});
+
+test.run();
