--- a/src/gateway/node/crash-detector.ts
+++ b/src/gateway/node/crash-detector.ts
@@ -9,7 +9,7 @@
 import {
 	hasRunCrashed, keyOfRun, type RunAttempt, type ServerRun,
 } from '../common/server-run.js';
-import type {ServerView} from '../common/server-view.js';
+import type {ServerEntry, ServerView} from '../common/server-view.js';
 import type {PortInspection} from './port-inspection.js';
 
 /** Detects crashes of backend servers. */
@@ -89,6 +89,12 @@
 	readonly onDidCrash: () => void;
 };
 
+/** Whether another server uses the address of a server since a later time, and since the attempt began. The entry of an earlier server at the address stays for some seconds. */
+function isSuccessor(entry: ServerEntry, last: ServerEntry, {begunAtWall}: RunAttempt): boolean {
+	const isAtAddress = entry.id !== last.id && entry.address === last.address && entry.port === last.port;
+	return isAtAddress && entry.startedAt !== undefined && last.startedAt !== undefined && entry.startedAt > Math.max(last.startedAt, begunAtWall);
+}
+
 /** Creates the detector of a daemon. */
 export function createCrashDetector({
 	view, history, ports, clock, loop, log, metrics,
@@ -146,23 +152,19 @@
 	}
 
 	function judge({run, wasListed}: Pick<Watch, 'run' | 'wasListed'>, port: PortView): boolean {
-		const known = crashes.get(keyOfRun(run));
-		if (known !== undefined && run.begunAt <= known.at) {
-			return true;
-		}
-
 		const last = history.find(run.serverId);
 		const current = view.find(run.serverId);
-		const isAddressTaken = last !== undefined && view.all().some(entry => entry.id !== last.id && entry.address === last.address && entry.port === last.port);
+		const isAddressTaken = last !== undefined && view.all().some(entry => isSuccessor(entry, last, run));
 		const evidence = {
 			last, wasListed, current, isAddressTaken, port,
 		};
 		const hasCrashed = hasRunCrashed(run, evidence);
+		const known = crashes.get(keyOfRun(run));
 		if (hasCrashed && known === undefined) {
 			recordCrash(run, !hasRunCrashed(run, {...evidence, port: 'unknown'}));
 		}
 
-		return hasCrashed;
+		return hasCrashed || (known?.isSeenByPort === true && run.begunAt <= known.at);
 	}
 
 	async function inspectPort(run: RunAttempt): Promise<PortView> {
