--- a/src/gateway/common/port-view.ts
+++ b/src/gateway/common/port-view.ts
@@ -1,8 +1,11 @@
 /** What daemons see of a backend server's port. One daemon's view is no proof: a partition refuses connections, or lets them hang, like a server that has ended. */
 import type {PortState} from '../../limits/common/stopped-daemons.js';
 
-/** A server's port as one or several daemons see it. `silent` means that connections hang; `unknown` that the daemon's own links may be cut. */
-export type PortView = 'open' | 'refused' | 'silent' | 'unknown';
+/**
+ * A server's port as one or several daemons see it. `closed` means that it refuses connections, and `silent` that they hang, while other servers can be reached;
+ * `unknown` that the daemon's own links may be cut.
+ */
+export type PortView = 'open' | 'closed' | 'silent' | 'unknown';
 
 /** The views on one server. */
 export type PortViews = {
@@ -16,7 +19,7 @@
 };
 
 /** Order in which a view overrides others: whoever connects shows that the server's process runs. */
-const BY_PRECEDENCE = ['open', 'refused', 'silent'] as const;
+const BY_PRECEDENCE = ['open', 'closed', 'silent'] as const;
 
 /** One daemon's view. `witness` is the state of another server's port; only if that one is open do the daemon's links work. */
 export function describePort(port: PortState, witness: PortState): PortView {
@@ -24,7 +27,7 @@
 		return 'open';
 	}
 
-	return witness === 'open' ? (port === 'refused' ? 'refused' : 'silent') : 'unknown';
+	return witness === 'open' ? (port === 'refused' ? 'closed' : 'silent') : 'unknown';
 }
 
 /** The state of a port that counts as proven. The own view counts alone where there is no other daemon, and where none answered but the entry was removed. */
--- a/src/gateway/common/server-run.ts
+++ b/src/gateway/common/server-run.ts
@@ -44,6 +44,6 @@
 	// An attempt that began after the later start ran on that one, although its entry was not known yet.
 	const hasStartedAgain = [last, current].some(entry => entry?.startedAt !== undefined && startedAt !== undefined && entry.startedAt > Math.max(startedAt, begunAtWall));
 	const wasLeaving = !wasListed || last === undefined || last.isLeaving;
-	const hasEnded = port === 'refused' || (port === 'silent' && current === undefined);
+	const hasEnded = port === 'closed' || (port === 'silent' && current === undefined);
 	return hasStartedAgain || (!wasLeaving && (hasEnded || isAddressTaken));
 }
--- a/src/gateway/node/http-relay.ts
+++ b/src/gateway/node/http-relay.ts
@@ -10,6 +10,7 @@
 import {
 	createNotRun, createOutcomeUnknown, readFailureCode, type Failure,
 } from '../../base/common/failure.js';
+import {parseJson} from '../../base/common/json.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {PeerStreams} from '../../peers/node/peer-streams.js';
 import {readBody} from '../../requests/node/read-body.js';
@@ -52,15 +53,6 @@
 const failureSchema = z.object({code: z.string(), effect: z.enum(['notRun', 'outcomeUnknown']), message: z.string()});
 const refusalSchema = z.object({reason: z.enum(['busy', 'cut'])});
 
-function parseJson(text: string): unknown {
-	try {
-		const value: unknown = JSON.parse(text);
-		return value;
-	} catch {
-		return undefined;
-	}
-}
-
 function splitLine(bytes: Uint8Array): readonly [string, Uint8Array] | undefined {
 	const end = bytes.indexOf(LINE_FEED);
 	return end === -1 ? undefined : [Buffer.from(bytes.subarray(0, end)).toString('utf8'), bytes.subarray(end + 1)];
--- a/src/gateway/node/port-inspection.ts
+++ b/src/gateway/node/port-inspection.ts
@@ -34,7 +34,7 @@
 
 type PortCall = {readonly serverId: string};
 
-const VIEWS: ReadonlySet<unknown> = new Set<PortView>(['open', 'refused', 'silent', 'unknown']);
+const VIEWS: ReadonlySet<unknown> = new Set<PortView>(['open', 'closed', 'silent', 'unknown']);
 
 function isPortView(value: unknown): value is PortView {
 	return VIEWS.has(value);
--- a/src/gateway/test/port-view.test.ts
+++ b/src/gateway/test/port-view.test.ts
@@ -9,17 +9,17 @@
 test('a daemon that reaches no other server does not know what a refused connection means', () => {
 	assert.is(describePort('refused', 'refused'), 'unknown');
 	assert.is(describePort('refused', 'unknown'), 'unknown');
-	assert.is(describePort('refused', 'open'), 'refused');
+	assert.is(describePort('refused', 'open'), 'closed');
 	assert.is(describePort('unknown', 'open'), 'silent');
 	assert.is(describePort('open', 'unknown'), 'open');
 });
 
 const cases: ReadonlyArray<readonly [string, Partial<PortViews>, PortView]> = [
-	['what only one daemon sees is no proof', {own: 'refused', others: ['unknown', 'unknown']}, 'unknown'],
-	['a server that another daemon reaches runs', {own: 'refused', others: ['refused', 'open']}, 'open'],
-	['a server that is refused elsewhere too has ended', {own: 'unknown', others: ['unknown', 'refused']}, 'refused'],
-	['a daemon without others relies on itself', {own: 'refused', others: [], hasOthers: false}, 'refused'],
-	['others that do not answer prove nothing', {own: 'refused', others: []}, 'unknown'],
+	['what only one daemon sees is no proof', {own: 'closed', others: ['unknown', 'unknown']}, 'unknown'],
+	['a server that another daemon reaches runs', {own: 'closed', others: ['closed', 'open']}, 'open'],
+	['a server that is refused elsewhere too has ended', {own: 'unknown', others: ['unknown', 'closed']}, 'closed'],
+	['a daemon without others relies on itself', {own: 'closed', others: [], hasOthers: false}, 'closed'],
+	['others that do not answer prove nothing', {own: 'closed', others: []}, 'unknown'],
 	['others that do not answer are not needed when the entry was removed', {own: 'silent', others: [], isListed: false}, 'silent'],
 ];
 
--- a/src/gateway/test/server-run.test.ts
+++ b/src/gateway/test/server-run.test.ts
@@ -17,9 +17,9 @@
 const cases: ReadonlyArray<readonly [string, Partial<RunEvidence>, boolean]> = [
 	['a lost connection to a server that listens is no crash', {}, false],
 	['a server that can not be reached is no crash', {port: 'unknown'}, false],
-	['a server that refuses connections has crashed', {port: 'refused'}, true],
+	['a server that refuses connections has crashed', {port: 'closed'}, true],
 	['a server whose entry disappears, and that does not answer, has crashed', {current: undefined, port: 'silent'}, true],
-	['a server whose entry disappears, and that refuses connections, has crashed', {current: undefined, port: 'refused'}, true],
+	['a server whose entry disappears, and that refuses connections, has crashed', {current: undefined, port: 'closed'}, true],
 	['a server whose entry disappears leaves without notice while it listens', {current: undefined, port: 'open'}, false],
 	['a server whose entry disappears has not crashed as long as nobody reaches any server', {current: undefined, port: 'unknown'}, false],
 	['a listed server that does not answer may be slow', {port: 'silent'}, false],
@@ -27,9 +27,9 @@
 	['a server that started again under its id has crashed', {current: {...entry, startedAt: 2000}}, true],
 	['a server that had started again before the attempt began shows no crash of it', {current: {...entry, startedAt: 1200}}, false],
 	['a late entry of an earlier start shows no crash', {current: {...entry, startedAt: 500}}, false],
-	['a server that was leaving has ended as planned', {last: {...entry, isLeaving: true}, current: undefined, port: 'refused'}, false],
-	['a server that was removed before its connection broke has ended as planned', {wasListed: false, current: undefined, port: 'refused'}, false],
-	['a server that was never known shows no crash', {last: undefined, current: undefined, port: 'refused'}, false],
+	['a server that was leaving has ended as planned', {last: {...entry, isLeaving: true}, current: undefined, port: 'closed'}, false],
+	['a server that was removed before its connection broke has ended as planned', {wasListed: false, current: undefined, port: 'closed'}, false],
+	['a server that was never known shows no crash', {last: undefined, current: undefined, port: 'closed'}, false],
 ];
 
 cases.forEach(([name, evidence, hasCrashed]) => {
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -10,6 +10,7 @@
 import {createHttpBase} from '../../adapters/node/http-base.js';
 import {exchange} from '../../adapters/node/http-exchange.js';
 import type {Clock} from '../../base/common/clock.js';
+import {parseJson} from '../../base/common/json.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {
 	PeerDaemon, PeerHandler, PeerMesh, PeerReply,
@@ -54,15 +55,6 @@
 	response.end(body);
 }
 
-function parseJson(text: string): unknown {
-	try {
-		const value: unknown = JSON.parse(text);
-		return value;
-	} catch {
-		return undefined;
-	}
-}
-
 /** Creates the mesh of one daemon. */
 export function createPeerMesh(self: PeerDaemon, clock: Clock, log: Log): ListeningPeerMesh {
 	const handlers = new Map<string, PeerHandler>();
