Look up the entries at an address instead of searching all servers for each open request

The detector looks at each open request when entries change. With 1,100 servers and 50 open requests each change searched 55,000 entries; now the entries are grouped by address once a change.

--- a/src/gateway/node/crash-detector.ts
+++ b/src/gateway/node/crash-detector.ts
@@ -39,7 +39,7 @@
 
 /** Dependencies of a detector. */
 export type CrashDetectorDependencies = {
-	readonly view: Pick<ServerView, 'all' | 'connectedSince' | 'find' | 'onDidChange'>;
+	readonly view: Pick<ServerView, 'connectedSince' | 'find' | 'onDidChange'>;
 	/** The last entries of servers, which is kept up to date. */
 	readonly history: EntryHistory;
 	readonly ports: PortInspection;
@@ -89,10 +89,9 @@
 	readonly onDidCrash: () => void;
 };
 
-/** Whether another server uses the address of a server since a later time, and since the attempt began. The entry of an earlier server at the address stays for some seconds. */
+/** Whether an entry at a server's address is of another server that started later, and after the attempt began. The entry of an earlier server at the address stays for some seconds. */
 function isSuccessor(entry: ServerEntry, last: ServerEntry, {begunAtWall}: RunAttempt): boolean {
-	const isAtAddress = entry.id !== last.id && entry.address === last.address && entry.port === last.port;
-	return isAtAddress && entry.startedAt !== undefined && last.startedAt !== undefined && entry.startedAt > Math.max(last.startedAt, begunAtWall);
+	return entry.id !== last.id && entry.startedAt !== undefined && last.startedAt !== undefined && entry.startedAt > Math.max(last.startedAt, begunAtWall);
 }
 
 /** Creates the detector of a daemon. */
@@ -154,7 +153,7 @@
 	function judge({run, wasListed}: Pick<Watch, 'run' | 'wasListed'>, port: PortView): boolean {
 		const last = history.find(run.serverId);
 		const current = view.find(run.serverId);
-		const isAddressTaken = last !== undefined && view.all().some(entry => isSuccessor(entry, last, run));
+		const isAddressTaken = last !== undefined && history.listAt(last.address, last.port).some(entry => isSuccessor(entry, last, run));
 		const evidence = {
 			last, wasListed, current, isAddressTaken, port,
 		};
