Leave a feed source whose own configuration may be outdated

Ruled out: telling the age of the configuration, tried before: an age of one poll is normal, and its followers then polled the store by turns. Change: the source tells whether its configuration has not been confirmed for 5 s, the time after which it would itself not say that a route does not exist; its followers then look for another source.

--- a/src/gateway/node/feed.ts
+++ b/src/gateway/node/feed.ts
@@ -70,6 +70,8 @@
 	readonly leaving: readonly LeavingNotice[];
 	/** Changes of request limits since the follower's revision; undefined from daemons of versions without limits. */
 	readonly limits?: ReturnType<ServerLimits['since']>;
+	/** Whether the source's own configuration has not been confirmed for so long that a newer one may be in force; undefined from daemons of builds that do not tell. */
+	readonly isConfigurationOutdated?: boolean;
 };
 
 const CHECK_INTERVAL_MS = 100;
@@ -214,6 +216,7 @@
 			ageMs: clock.monotonic() - storeAnsweredAt,
 			leaving: view.listLeavingNotices(clock.monotonic()),
 			limits: limits.since(isKnown ? request.limitRevision ?? 0 : 0, clock.monotonic()),
+			isConfigurationOutdated: current !== undefined && deployment.mayBeOutdated(clock.monotonic()),
 		};
 		return {status: 200, body: response};
 	});
@@ -263,7 +266,10 @@
 
 		// Data that is not fresh does not show which servers have been removed since.
 		if (isFresh(confirmedAt, now, dependencies.drainMs)) {
-			deployment.confirm(confirmedAt);
+			if (response.isConfigurationOutdated !== true) {
+				deployment.confirm(confirmedAt);
+			}
+
 			view.recordConnectivity(true, now);
 			if (isComplete(from)) {
 				view.update([...entryById.values()], now);
@@ -294,8 +300,9 @@
 
 		// The body was written by the handler above.
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		applyResponse(from, replied.value.body as FeedResponse);
-		if (isComplete(from) && isFresh(confirmedAt, now, dependencies.drainMs)) {
+		const response = replied.value.body as FeedResponse;
+		applyResponse(from, response);
+		if (isComplete(from) && response.isConfigurationOutdated !== true && isFresh(confirmedAt, now, dependencies.drainMs)) {
 			failures.recordSuccess(from.name);
 			stopStoreFollower(from.name);
 		} else {
