Close the connections of calls that are given up, instead of resetting them

Node.js does not free a socket that is destroyed while its reset is in progress, as platform/test/soak/reset-socket.ts says; a daemon could lose a descriptor for each call given up.

--- a/src/adapters/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -179,11 +179,6 @@
 
 	function fail(code: FailureCode, message: string, wasClosed = false): void {
 		settle(err(isSent ? createOutcomeUnknown(code, origin, message) : createNotRun(code, origin, message)), wasClosed);
-		if (isSent && request.socket?.destroyed === false) {
-			// A plain close would leave bytes that a partition holds up to be delivered when it ends, long after the call was given up.
-			request.socket.resetAndDestroy();
-		}
-
 		request.destroy();
 	}
 
