--- a/review/test/deployment.ts
+++ b/review/test/deployment.ts
@@ -383,6 +383,9 @@
 		deployment.record('case failed', {error: String(error)});
 		void finish(exitCodes.notRun, `the case could not run: ${String(error)}`);
 	});
+	process.on('SIGTERM', () => {
+		void finish(exitCodes.notRun, 'the case was stopped');
+	});
 	setTimeout(() => {
 		void finish(exitCodes.notRun, 'the case took too long');
 	}, caseTimeoutMs);
