--- a/review/test/late-refusal.ts
+++ b/review/test/late-refusal.ts
@@ -22,7 +22,7 @@
 const delayRangeMs = 25;
 const clientCount = 24;
 /** Traffic ends sooner when the rule was broken. */
-const trafficMs = 75_000;
+const trafficMs = 95_000;
 /** Time that a refused client waits before its next request. */
 const returnAfterMs = 300;
 const heartbeatMs = 1200;
--- a/review/test/unknown-version.ts
+++ b/review/test/unknown-version.ts
@@ -16,7 +16,7 @@
 const clientCount = 24;
 /** Factor by which events take longer than 25 ms. */
 const slowness = 4;
-const trafficMs = 75_000;
+const trafficMs = 95_000;
 /** The worker goes down and up with a period of 1.4 s for 5.6 s. */
 const downMs = 700;
 const upMs = 700;
