--- a/review/test/deployment.ts
+++ b/review/test/deployment.ts
@@ -89,9 +89,9 @@
 	readonly close: () => Promise<void>;
 };
 
-/** Folder of the record, number of daemons that serve callers, and seed of the stand-ins. */
+/** File of the record, number of daemons that serve callers, and seed of the stand-ins. */
 export type DeploymentOptions = {
-	readonly folder: string;
+	readonly recordFile: string;
 	readonly daemonCount: number;
 	readonly seed: number;
 };
@@ -199,9 +199,8 @@
 }
 
 /** Starts the store and prepares the daemons. */
-export async function createDeployment({folder, daemonCount, seed}: DeploymentOptions): Promise<Deployment> {
+export async function createDeployment({recordFile, daemonCount, seed}: DeploymentOptions): Promise<Deployment> {
 	const startedAt = Date.now();
-	const recordFile = path.join(folder, 'record.txt');
 	writeFileSync(recordFile, '');
 	const scratch = mkdtempSync(path.join(tmpdir(), 'review-'));
 	const logs = path.join(scratch, 'logs');
@@ -366,9 +365,9 @@
 
 /** Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not run. `run` returns what broke the rule. */
 export async function runCase(daemonCount: number, run: (context: CaseContext) => Promise<readonly string[]>): Promise<void> {
-	const folder = path.resolve(process.argv[2] ?? '.');
+	const recordFile = path.resolve(process.argv[2] ?? 'record.txt');
 	const seed = Number(process.env.SEED ?? Date.now() % 1_000_000);
-	const deployment = await createDeployment({folder, daemonCount, seed});
+	const deployment = await createDeployment({recordFile, daemonCount, seed});
 	const hasTrouble = process.env.TROUBLE !== '0';
 	deployment.record('case', {seed, hasTrouble});
 
