--- a/review/test/deployment.ts
+++ b/review/test/deployment.ts
@@ -226,6 +226,7 @@
 	}
 
 	const children = new Set<ChildProcess>();
+	let isClosed = false;
 
 	function createDaemon(ip: string, index: number): Daemon {
 		const servesCallers = index < daemonCount;
@@ -241,6 +242,11 @@
 			logFile,
 			isRunning: () => child !== undefined,
 			start() {
+				// A case that is stopped may still be about to start one.
+				if (isClosed) {
+					return;
+				}
+
 				const settings = {
 					node_name: name,
 					role: servesCallers ? 'entry' : 'disk',
@@ -336,6 +342,7 @@
 		call,
 		awaitReady,
 		async close() {
+			isClosed = true;
 			const exits = [...children].map(async child => new Promise<void>(resolve => {
 				child.once('exit', () => {
 					resolve();
@@ -373,8 +380,8 @@
 
 	async function finish(code: number, text: string): Promise<void> {
 		process.exitCode = code;
-		process.stdout.write(`${text}\n`);
 		await deployment.close();
+		process.stdout.write(`${text}\n`);
 		process.exit();
 	}
 
