Refuse names, heads and paths that HTTP cannot carry instead of ending the daemon

Requests that had been passed on were closed without an answer.

Cause, from the daemons' logs: ERR_INVALID_CHAR, thrown by startCall within exchange, whose promise was rejected although it promises a result; the attempt is started with void, so the process ended. The same line is reached by a caller's header name that ends with a space, which Node.js takes and does not send. Ruled out: the entry's fields. With a name that can be sent, the daemons go on.

Change: exchange turns what Node.js throws into a failure 'invalid', not run.

Conclusion: why it works: no text from outside reaches Node's checks unchecked, and the one place where they throw gives a result.

--- a/src/adapters/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -3,7 +3,7 @@
 import {
 	request as startRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok, Result} from 'neverthrow';
 import {createByteBudget} from '../../base/common/byte-budget.js';
 import {
 	createNotRun, createOutcomeUnknown, type Failure, type FailureCode, type Origin,
@@ -150,17 +150,16 @@
 	});
 }
 
-function startCall(call: HttpCall, {base, agent}: Target): ClientRequest {
-	return startRequest({
-		agent,
-		host: base.hostname.replaceAll(/[[\]]/g, ''),
-		port: base.port,
-		method: call.method,
-		maxHeaderSize: MAXIMUM_HEAD_BYTES,
-		path: `${base.pathname.replace(/\/$/, '')}${call.path}`,
-		headers: {...call.headers, ...(call.body !== undefined && {'content-length': Buffer.byteLength(call.body)})},
-	});
-}
+/** Starts a call. Fails for a head that HTTP cannot carry, for which Node.js throws. */
+const startCall = Result.fromThrowable((call: HttpCall, {base, agent}: Target): ClientRequest => startRequest({
+	agent,
+	host: base.hostname.replaceAll(/[[\]]/g, ''),
+	port: base.port,
+	method: call.method,
+	maxHeaderSize: MAXIMUM_HEAD_BYTES,
+	path: `${base.pathname.replace(/\/$/, '')}${call.path}`,
+	headers: {...call.headers, ...(call.body !== undefined && {'content-length': Buffer.byteLength(call.body)})},
+}), String);
 
 function createCompletion(call: HttpCall, origin: Origin, request: ClientRequest, resolve: (exchange: Exchange) => void): CallCompletion {
 	let isSent = false;
@@ -258,15 +257,20 @@
 	});
 }
 
-/** Makes one attempt of a call. Failures contain the call's step and the peer's host and port. */
+/** Makes one attempt of a call; never rejects. Failures contain the call's step and the peer's host and port, and have the code `invalid` if the call cannot be sent. */
 export async function exchange(call: HttpCall, target: Target): Promise<Exchange> {
 	const origin = {step: call.step, peer: target.base.host};
 	if (call.signal?.aborted) {
 		return {result: err(createNotRun('aborted', origin, 'aborted before it was sent')), wasClosed: false};
 	}
 
+	const started = startCall(call, target);
+	if (started.isErr()) {
+		return {result: err(createNotRun('invalid', origin, `the call cannot be sent: ${started.error}`)), wasClosed: false};
+	}
+
+	const request = started.value;
 	return new Promise(resolve => {
-		const request = startCall(call, target);
 		const completion = createCompletion(call, origin, request, resolve);
 		let hasResponse = false;
 		watchSending(request, completion.markSent);
--- a/src/adapters/test/http-exchange.test.ts
+++ b/src/adapters/test/http-exchange.test.ts
@@ -55,6 +55,22 @@
 	assert.equal(answered.connected, [true]);
 });
 
+const unsendable: ReadonlyArray<Partial<HttpCall>> = [
+	{headers: {name: 'plain-\uFFFD'}}, {headers: {'odd name': 'x'}}, {headers: {name: 'a\nb'}}, {headers: {'': 'x'}}, {path: '/a b'}, {path: '/\uFFFD'}, {method: 'G T'},
+];
+
+// Issue 37, review/1: the call was rejected although it promises a result, which ended the process of a daemon.
+unsendable.forEach(call => {
+	test(`a call that can not be sent has not run: ${JSON.stringify(call)}`, async () => {
+		const agent = new Agent({keepAlive: true});
+		const {result} = await exchange({
+			step: 'call', method: 'GET', path: '/', timeoutMs: 1000, ...call,
+		}, {base: new URL('http://127.0.0.1:9'), agent});
+		agent.destroy();
+		assert.equal(result.match(() => 'ok', ({code, effect}) => [code, effect]), ['invalid', 'notRun']);
+	});
+});
+
 test('a connection that is refused is reported, and the call has not run', async () => {
 	const connected: boolean[] = [];
 	const {result} = await exchange({
--- a/src/gateway/node/feed.ts
+++ b/src/gateway/node/feed.ts
@@ -4,6 +4,7 @@
  * polls the store itself until it has found a working source again.
  */
 import {isIpAddress, isPort} from '../../base/common/address.js';
+import {isProcessName} from '../../base/common/process-name.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
 import type {Log} from '../../kernel/common/log.js';
@@ -246,10 +247,10 @@
 		const entryById = received?.name === from.name && received.incarnation === response.incarnation && !response.delta.isWhole ? received.entries : new Map<string, ServerEntry>();
 		response.delta.entries.forEach(entry => {
 			// A daemon of an earlier build may pass on entries that name no server.
-			if (isIpAddress(entry.address) && isPort(entry.port)) {
+			if (isProcessName(entry.id) && isIpAddress(entry.address) && isPort(entry.port)) {
 				entryById.set(entry.id, fromFeedEntry(entry));
 			} else {
-				log.warn('entry of a backend server can not be used', {name: entry.id, source: from.name, problem: 'the address is not an IP address with a port'});
+				log.warn('entry of a backend server can not be used', {name: entry.id, source: from.name, problem: 'the name or the address is not one of a backend server'});
 			}
 		});
 		response.delta.removed.forEach(id => {
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -66,17 +66,18 @@
 	const connectionOptions = new Set(named
 		.filter(({name}) => name.toLowerCase() === 'connection')
 		.flatMap(({value}) => value.split(',').map(token => token.trim().toLowerCase())));
-	const copied: Record<string, string | string[]> = {};
+	// A map, as a header may be named like a member that each object inherits.
+	const copied = new Map<string, string | string[]>();
 	named
 		.filter(({name}) => {
 			const lower = name.toLowerCase();
 			return !CONNECTION_HEADERS.has(lower) && !connectionOptions.has(lower) && !replaced.includes(lower);
 		})
 		.forEach(({name, value}) => {
-			const known = copied[name];
-			copied[name] = known === undefined ? value : [...(Array.isArray(known) ? known : [known]), value];
+			const known = copied.get(name);
+			copied.set(name, known === undefined ? value : [...(Array.isArray(known) ? known : [known]), value]);
 		});
-	return copied;
+	return Object.fromEntries(copied);
 }
 
 /** Creates a server caller. */
--- a/src/hosting/common/caller-protocol.ts
+++ b/src/hosting/common/caller-protocol.ts
@@ -6,7 +6,9 @@
 
 /** A decoded request of a caller. */
 export type CallerRequest
-	= | {readonly type: 'batchRead'; readonly batchId: string; readonly after: number; readonly waitMs: number}
+	/** A request whose path cannot be decoded. */
+	= | {readonly type: 'malformed'}
+		| {readonly type: 'batchRead'; readonly batchId: string; readonly after: number; readonly waitMs: number}
 		| {readonly type: 'batchBody'; readonly batchId: string; readonly itemId: string}
 		| {readonly type: 'batchEnd'; readonly batchId: string}
 		| {readonly type: 'forward'; readonly requestId: string; readonly deadlineMs: number | undefined; readonly host: string; readonly resumption?: Resumption};
--- a/src/hosting/node/caller-server.ts
+++ b/src/hosting/node/caller-server.ts
@@ -3,6 +3,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {findUnsendableHeader, isRequestTarget} from '../../adapters/common/http-fields.js';
 import type {Failure} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Batches} from '../../batches/common/batches.js';
@@ -224,7 +225,7 @@
 		});
 	}
 
-	async function handleBatchCall(response: ServerResponse, call: Exclude<CallerRequest, {type: 'forward'}>): Promise<void> {
+	async function handleBatchCall(response: ServerResponse, call: Exclude<CallerRequest, {type: 'forward' | 'malformed'}>): Promise<void> {
 		if (call.type === 'batchRead') {
 			const page = await batches.read(call.batchId, call.after, isDraining ? 0 : call.waitMs);
 			page.match(found => {
@@ -254,7 +255,17 @@
 	}
 
 	async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const call = protocol.readRequest(request.method ?? 'GET', request.url ?? '/', request.headers);
+		const target = request.url ?? '/';
+		// Node.js accepts some heads that it would not send.
+		const problem = findUnsendableHeader(request.rawHeaders) ?? (isRequestTarget(target) ? undefined : 'the path has characters that can\'t be sent');
+		const call = protocol.readRequest(request.method ?? 'GET', target, request.headers);
+		if (problem !== undefined || call.type === 'malformed') {
+			// The body is not read, so the connection can't be used for another request.
+			response.shouldKeepAlive = false;
+			refuse(response, '', STATUS.badRequest, problem ?? 'the path can\'t be decoded');
+			return;
+		}
+
 		if (call.type === 'forward') {
 			await forward(request, response, call);
 			return;
--- a/src/hosting/test/caller-server.test.ts
+++ b/src/hosting/test/caller-server.test.ts
@@ -1,4 +1,5 @@
 import {Agent, request as startRequest, type IncomingMessage} from 'node:http';
+import {connect} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {suite} from 'uvu';
@@ -25,6 +26,10 @@
 	override readonly requestIdHeader = 'Request-Id';
 
 	override readRequest(_method: string, url: string): CallerRequest {
+		if (url === '/undecodable') {
+			return {type: 'malformed'};
+		}
+
 		return url.startsWith('/batches/')
 			? {type: 'batchEnd', batchId: url.slice(9)}
 			: {
@@ -109,6 +114,42 @@
 	});
 }
 
+async function sendHead(port: number, head: string): Promise<string> {
+	return new Promise((resolve, reject) => {
+		const chunks: string[] = [];
+		const socket = connect(port, '127.0.0.1', () => {
+			socket.write(head, 'latin1');
+		});
+		socket.on('data', chunk => {
+			chunks.push(String(chunk));
+		});
+		socket.on('error', reject);
+		socket.on('close', () => {
+			resolve(chunks.join('').split('\r\n', 1)[0] ?? '');
+		});
+	});
+}
+
+const oddHeads: ReadonlyArray<readonly [string, string]> = [
+	['a space behind the name of a header', 'POST /a/x HTTP/1.1\r\nHost: h\r\nX-Client : v\r\nContent-Length: 0\r\n\r\n'],
+	['a path that is not well-formed', 'GET /undecodable HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n'],
+];
+
+// Issue 37, review/1: Node.js takes such a head from a caller and throws when it is sent to a server, which ended the daemon.
+oddHeads.forEach(([name, head]) => {
+	test(`a request with ${name} is refused as malformed, and not passed on`, async () => {
+		const passedOn: string[] = [];
+		const {server, callers} = await openServer(async request => {
+			passedOn.push(request.path);
+			return answered(200, {}, '');
+		});
+		const statusLine = await sendHead(callers, head);
+		server.close();
+		assert.match(statusLine, /^HTTP\/1.1 400 /);
+		assert.equal(passedOn, []);
+	});
+});
+
 test('a response is forwarded completely, without the headers of the connection to the server', async () => {
 	const {server, callers} = await openServer(async request => answered(201, {'x-sign': 'abc', connection: 'close', 'keep-alive': 'timeout=1'}, `got ${request.body?.length ?? 0}`));
 	const response = await call(callers, '/a/x?q=1', 'hello');
