Run a batch whenever its log names this daemon as the owner, also by a write that had no answer

Cause, from the daemons' logs: 'take over batch ... no response within 1000 ms', then 'batch has another owner already' with the daemon's own name: the record that its own write left behind was taken for another owner's, and nothing ran the batch. Submissions had it too: a second daemon accepted the batch and named the first as owner, which did not know. Ruled out: the relayed object API, which only makes it rarer.

Change: one place starts a batch, runIfOwned, after the store has confirmed the log, whichever call read it. Writes with unknown outcome are followed until their position is taken. A daemon serves a batch only while it runs it, knows its end or hands it over.

Conclusion: ownership is read from the log, not from an answer, so it does not matter how the record came there.

--- a/src/batches/node/batch-service.ts
+++ b/src/batches/node/batch-service.ts
@@ -15,10 +15,10 @@
 	createHeldBatches, createNotFoundFailure, type HeldBatch, type HeldBatchDependencies,
 } from './held-batches.js';
 import type {OwnWork} from './load-exchange.js';
-import {createOwnerCalls} from './owner-calls.js';
+import {createOwnerCalls, OWNER_REPLY_MS, READ_CALL} from './owner-calls.js';
 
 /** Dependencies of the service. */
-export type BatchServiceDependencies = HeldBatchDependencies & Pick<SubmissionDependencies, 'ownerChoice'> & {
+export type BatchServiceDependencies = Omit<HeldBatchDependencies, 'isLeaving'> & Pick<SubmissionDependencies, 'ownerChoice'> & {
 	readonly random: Random;
 	/** Called with the other daemons that may own open batches and with this daemon's work, which is reported to them. */
 	readonly onTick: (owners: readonly PeerDaemon[], work: OwnWork, now: number) => void;
@@ -36,8 +36,6 @@
 	readonly recordOpenBatches: (owner: string, open: number) => void;
 };
 
-/** Time limit for an owner's reply, in addition to the wait that the caller asks for. */
-const OWNER_REPLY_MS = 700;
 const ANNOUNCE_TIMEOUT_MS = 1000;
 /** Time between checks of the owned batches, for unwritten results and slow engines. */
 const TICK_MS = 50;
@@ -63,7 +61,7 @@
 	const opened = createEmitter<OpenedBatch>();
 	let leaving = false;
 	const isLeaving = (): boolean => leaving;
-	const batches = createHeldBatches(dependencies);
+	const batches = createHeldBatches({...dependencies, isLeaving});
 	const calls = createOwnerCalls({...dependencies, batches, isLeaving});
 	const submissions = createSubmissions({
 		...dependencies, batches, calls, isLeaving, onStored: announce,
@@ -178,11 +176,11 @@
 	function handleOwned(name: string, handler: (entry: HeldBatch, body: PeerBody) => Promise<PeerReply>): void {
 		handle(name, async body => {
 			const entry = batches.get(body.batchId);
-			return entry !== undefined && batches.isOwnedHere(entry) && body.incarnation === mesh.self.incarnation ? handler(entry, body) : {status: 410, body: null};
+			return entry !== undefined && batches.isServedHere(entry) && body.incarnation === mesh.self.incarnation ? handler(entry, body) : {status: 410, body: null};
 		});
 	}
 
-	handleOwned('batch-read', async (entry, body) => {
+	handleOwned(READ_CALL, async (entry, body) => {
 		const results = await readHere(entry, body.after, body.waitMs);
 		return {status: 200, body: results};
 	});
@@ -208,7 +206,7 @@
 	});
 	handle('batch-adopt', async body => {
 		const adopted = await calls.adopt(body.batchId, body.owner, `handed over by ${body.owner.name}`, body.partials);
-		return {status: adopted.isOk() && batches.isOwnedHere(adopted.value) ? 200 : 503, body: null};
+		return {status: adopted.isOk() && batches.isServedHere(adopted.value) ? 200 : 503, body: null};
 	});
 
 	function checkReply(reply: PeerReply, step: string, batchId: string): Result<PeerReply, Failure> {
@@ -224,7 +222,7 @@
 		async read(batchId, after, waitMs) {
 			return calls.withOwner<ResultPage>(
 				batchId,
-				async owner => calls.call(batchId, owner, 'batch-read', {after, waitMs}, waitMs + OWNER_REPLY_MS),
+				async owner => calls.call(batchId, owner, READ_CALL, {after, waitMs}, waitMs + OWNER_REPLY_MS),
 				// The body is the page that the handler above returned on the owner.
 				// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
 				reply => checkReply(reply, 'read batch', batchId).map(checked => checked.body as ResultPage),
--- a/src/batches/node/batch-submission.ts
+++ b/src/batches/node/batch-submission.ts
@@ -61,25 +61,21 @@
 		const stored: StoredBatch = {owner: mesh.self, acceptedAt: clock.wall(), batch};
 		const created = await api.create({kind: KIND_OF_BATCHES, name: batch.id}, stored);
 		if (created.isOk()) {
-			batches.startOwning(batches.hold(batch, mesh.self, [], startedAt), []);
+			batches.runIfOwned(batches.hold(batch, mesh.self, [], startedAt));
 			dependencies.onStored(batch);
 			batches.scheduleRemoval(batch.id);
 			return ok();
 		}
 
 		if (created.error.code === 'conflict') {
-			const known = await batches.findOwner(batch.id);
-			if (known.isOk() && isSameDaemon(known.value, mesh.self)) {
-				// An earlier write of this daemon took effect, but its response was lost.
-				void calls.adopt(batch.id, mesh.self, 'response to own write was lost').then(adopted => {
-					const entry = batches.get(batch.id);
-					if (adopted.isOk() && entry !== undefined && batches.isOwnedHere(entry) && entry.owner === undefined) {
-						batches.startOwning(entry, []);
-					}
-				});
-				dependencies.onStored(batch);
-			}
-
+			// An earlier write of this daemon or of another one took effect, and that daemon may not know.
+			void calls.ensureRunning(batch.id).then(owner => {
+				if (owner.isErr()) {
+					log.info('batch that is stored already may not run', {batchId: batch.id, reason: owner.error.message});
+				} else if (isSameDaemon(owner.value, mesh.self)) {
+					dependencies.onStored(batch);
+				}
+			});
 			return ok();
 		}
 
--- a/src/batches/node/held-batches.ts
+++ b/src/batches/node/held-batches.ts
@@ -21,6 +21,10 @@
 	readonly writer: LogWriter;
 	/** Runs the batch; undefined while another daemon owns it. */
 	owner: BatchOwner | undefined;
+	/** Whether this daemon has stopped to run the batch because it gives it to another one. */
+	isHandedOver: boolean;
+	/** Texts that the previous owner handed over. */
+	partials: readonly PartialText[];
 	readonly onDidChange: (listener: () => void) => () => void;
 };
 
@@ -30,6 +34,8 @@
 	readonly mesh: PeerMesh;
 	/** Age at which the stored objects of a batch are removed, in milliseconds. */
 	readonly retentionMs: number;
+	/** Whether this daemon is stopping, and runs no further batch. */
+	readonly isLeaving: () => boolean;
 };
 
 /** The batches of one daemon. */
@@ -40,10 +46,12 @@
 	readonly hold: (batch: Batch, firstOwner: PeerDaemon, records: readonly LogRecord[], createdAt?: number) => HeldBatch;
 	/** Reads a batch and its log from the store, and holds it. */
 	readonly load: (batchId: string) => Promise<Result<HeldBatch, Failure>>;
-	/** Starts to run a batch whose current owner is this daemon. */
-	readonly startOwning: (entry: HeldBatch, partials: readonly PartialText[]) => void;
+	/** Runs a batch whose log names this run of this daemon as its owner, unless it runs, has ended, or is being handed over. */
+	readonly runIfOwned: (entry: HeldBatch) => void;
 	/** Whether the log names this run of this daemon as the owner. */
 	readonly isOwnedHere: (entry: HeldBatch) => boolean;
+	/** Whether this daemon owns a batch and runs it, or knows what becomes of it: it has ended or is being handed over. */
+	readonly isServedHere: (entry: HeldBatch) => boolean;
 	/** The last known owner of a batch; it may be outdated. */
 	readonly cachedOwner: (batchId: string) => PeerDaemon | undefined;
 	readonly cacheOwner: (batchId: string, owner: PeerDaemon) => void;
@@ -92,6 +100,10 @@
 				known.owner.dispose();
 				known.owner = undefined;
 			}
+
+			if (known !== undefined) {
+				known.isHandedOver = false;
+			}
 		}
 
 		if (record.type === 'end') {
@@ -110,6 +122,7 @@
 		const writer = createLogWriter(batch.id, batchLog, {
 			api,
 			clock,
+			loop,
 			log,
 			incarnation: `${mesh.self.name}.${mesh.self.incarnation}`,
 			...(createdAt !== undefined && {createdAt}),
@@ -117,12 +130,17 @@
 				handleRecord(batch.id, record);
 				emitter.fire();
 			},
+			onDidConfirm() {
+				runIfOwned(entry);
+			},
 		});
 		const entry: HeldBatch = {
 			batch,
 			batchLog,
 			writer,
 			owner: undefined,
+			isHandedOver: false,
+			partials: [],
 			onDidChange(listener) {
 				const subscription = emitter.event(listener);
 				return () => {
@@ -134,7 +152,7 @@
 		return entry;
 	}
 
-	function startOwning(entry: HeldBatch, partials: readonly PartialText[]): void {
+	function startOwning(entry: HeldBatch): void {
 		const now = clock.monotonic();
 		entry.owner = createBatchOwner(entry.batch, {
 			...dependencies,
@@ -142,7 +160,7 @@
 			writer: entry.writer,
 			knownSince: now,
 			isTakenOver: entry.batchLog.length() > 0,
-			partials: chooseLongestTexts([...entry.batchLog.texts(), ...partials]),
+			partials: chooseLongestTexts([...entry.batchLog.texts(), ...entry.partials]),
 		});
 		log.info('own batch', {
 			batchId: entry.batch.id, items: entry.batch.items.length, listed: entry.batchLog.results().length, oldestVersion: entry.batch.oldestVersion,
@@ -154,6 +172,13 @@
 		return isSameDaemon(entry.batchLog.owner(), mesh.self);
 	}
 
+	/** The only place at which a batch starts to run, whichever way this daemon learns that it owns it: also by a write of its own that it took for failed. */
+	function runIfOwned(entry: HeldBatch): void {
+		if (isOwnedHere(entry) && entry.owner === undefined && !entry.isHandedOver && !entry.batchLog.isEnded() && !dependencies.isLeaving()) {
+			startOwning(entry);
+		}
+	}
+
 	async function readStored(batchId: string): Promise<Result<StoredBatch | undefined, Failure>> {
 		const found = await api.read({kind: KIND_OF_BATCHES, name: batchId});
 		// Only daemons write to this kind.
@@ -184,7 +209,9 @@
 		}
 
 		const records = listed.value.objects.toSorted((a, b) => (a.name < b.name ? -1 : 1)).flatMap(object => readRecord(object.spec) ?? []);
-		return ok(held.get(batchId) ?? hold(stored.value.batch, stored.value.owner, records));
+		const entry = held.get(batchId) ?? hold(stored.value.batch, stored.value.owner, records);
+		runIfOwned(entry);
+		return ok(entry);
 	}
 
 	async function findOwner(batchId: string): Promise<Result<PeerDaemon, Failure>> {
@@ -245,8 +272,9 @@
 		all: () => [...held.values()],
 		hold,
 		load,
-		startOwning,
+		runIfOwned,
 		isOwnedHere,
+		isServedHere: entry => isOwnedHere(entry) && (entry.owner !== undefined || entry.isHandedOver || entry.batchLog.isEnded()),
 		cachedOwner: batchId => ownerByBatch.get(batchId),
 		cacheOwner,
 		recordOpenBatches(name, open) {
--- a/src/batches/node/log-writer.ts
+++ b/src/batches/node/log-writer.ts
@@ -4,6 +4,7 @@
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
+import type {Loop} from '../../kernel/common/loop.js';
 import type {ObjectApi} from '../../adapters/common/object-api.js';
 import {nameOfRecord, type BatchLog} from '../common/batch-log.js';
 import type {LogRecord} from '../common/batch.js';
@@ -32,8 +33,18 @@
 	readonly createdAt?: number;
 	/** Called after a record was applied. */
 	readonly onDidApply: (record: LogRecord) => void;
+	/** Called when the store has confirmed that this daemon knows the complete log. */
+	readonly onDidConfirm: () => void;
+	readonly loop: Pick<Loop, 'after'>;
 };
 
+/**
+ * While the outcome of a write is unknown, the log is read at this interval, and so often at most: the store may do a write seconds later.
+ * The write cannot take effect any more once another record has its position.
+ */
+const SETTLE_PERIOD_MS = 1000;
+const MAXIMUM_SETTLE_READS = 10;
+
 /** Kind of the objects that hold a batch's log. */
 export function kindOfLog(batchId: string): string {
 	return `batch-log-${batchId}`;
@@ -52,7 +63,7 @@
 /** Creates a writer of a log. */
 export function createLogWriter(batchId: string, batchLog: BatchLog, dependencies: LogWriterDependencies): LogWriter {
 	const {
-		api, clock, log, incarnation, onDidApply,
+		api, clock, loop, log, incarnation, onDidApply, onDidConfirm,
 	} = dependencies;
 	const kind = kindOfLog(batchId);
 	const queue = new PQueue({concurrency: 1});
@@ -90,7 +101,25 @@
 			return err(next.error);
 		}
 
-		return next.value === undefined ? ok() : readAll();
+		if (next.value !== undefined) {
+			return readAll();
+		}
+
+		onDidConfirm();
+		return ok();
+	}
+
+	/** Reads the log until a record has the position of a write whose outcome is unknown. */
+	function settleLater(position: number, readsLeft: number): void {
+		loop.after(SETTLE_PERIOD_MS, () => {
+			if (batchLog.length() > position || readsLeft === 0) {
+				log.info('write to the batch log is settled', {batchId, position, outcome: batchLog.length() > position ? 'written' : 'not written'});
+				return;
+			}
+
+			settleLater(position, readsLeft - 1);
+			void queue.add(readAll);
+		});
 	}
 
 	async function appendNow(source: RecordSource, ownWrites: readonly string[]): Promise<Result<void, Failure>> {
@@ -106,10 +135,15 @@
 		if (created.isOk()) {
 			confirmedAt = startedAt;
 			applyRecord(record);
+			onDidConfirm();
 			return ok();
 		}
 
 		if (created.error.code !== 'conflict') {
+			if (created.error.effect === 'outcomeUnknown') {
+				settleLater(batchLog.length(), MAXIMUM_SETTLE_READS);
+			}
+
 			return err(created.error);
 		}
 
@@ -123,7 +157,7 @@
 		log.debug('position in the batch log already written', {
 			batchId, place: batchLog.length() - 1, isOwn, type: found.value?.type,
 		});
-		return isOwn ? ok() : appendNow(source, [...ownWrites, writeId]);
+		return isOwn ? readAll() : appendNow(source, [...ownWrites, writeId]);
 	}
 
 	return {
--- a/src/batches/node/owner-calls.ts
+++ b/src/batches/node/owner-calls.ts
@@ -31,6 +31,8 @@
 	readonly withOwner: <T>(batchId: string, remote: (owner: PeerDaemon) => Promise<Result<PeerReply | undefined, Failure>>, read: (reply: PeerReply) => Result<T, Failure>, local: (entry: HeldBatch) => Promise<Result<T, Failure>>) => Promise<Result<T, Failure>>;
 	/** Takes a batch over from an owner that is unreachable, or that hands it over with the texts `partials`. Does not take it over when the log already names another owner. */
 	readonly adopt: (batchId: string, from: PeerDaemon, reason: string, partials?: readonly PartialText[]) => Promise<Result<HeldBatch, Failure>>;
+	/** Asks the owner of a stored batch whether it runs it, and takes it over if it does not know that it is the owner. Resolves with the owner. */
+	readonly ensureRunning: (batchId: string) => Promise<Result<PeerDaemon, Failure>>;
 	/** Finds another daemon that reaches the engines of a batch. */
 	readonly findReaching: (batch: Batch) => Promise<PeerDaemon | undefined>;
 	/** Hands one batch over to a daemon that reaches its engines, and goes on with it here if there is none. Resolves with whether another daemon took it. */
@@ -46,6 +48,10 @@
 const REACH_TIMEOUT_MS = 300;
 const MAXIMUM_ASKED = 8;
 const REACH_CALL = 'batch-reach';
+/** Call that reads results at the owner of a batch. */
+export const READ_CALL = 'batch-read';
+/** Time limit for an owner's reply, in addition to the wait that the caller asks for. */
+export const OWNER_REPLY_MS = 700;
 
 /** Creates the calls. */
 export function createOwnerCalls(dependencies: OwnerCallDependencies): OwnerCalls {
@@ -62,8 +68,8 @@
 		}
 
 		const entry = loaded.value;
-		const isOwnedAlready = batches.isOwnedHere(entry) && entry.owner !== undefined;
-		if (entry.batchLog.isEnded() || isOwnedAlready || isLeaving()) {
+		if (entry.batchLog.isEnded() || batches.isOwnedHere(entry) || isLeaving()) {
+			batches.runIfOwned(entry);
 			return ok(entry);
 		}
 
@@ -73,6 +79,7 @@
 			return ok(entry);
 		}
 
+		entry.partials = partials;
 		const appended = await entry.writer.append(writeId => {
 			const hasNewOwner = !isSameDaemon(entry.batchLog.owner(), previousOwner);
 			return hasNewOwner || entry.batchLog.isEnded() ? undefined : {type: 'owner', writeId, owner: mesh.self};
@@ -85,10 +92,6 @@
 		}
 
 		silentSince.delete(batchId);
-		if (batches.isOwnedHere(entry) && entry.owner === undefined && !entry.batchLog.isEnded()) {
-			batches.startOwning(entry, partials);
-		}
-
 		return ok(entry);
 	}
 
@@ -120,7 +123,7 @@
 	/** Runs an operation at the owner with `remote`, or here with `local` when this daemon owns the batch or takes it over, the batch has ended, or the call failed. */
 	async function withOwner<T>(batchId: string, remote: (owner: PeerDaemon) => Promise<Result<PeerReply | undefined, Failure>>, read: (reply: PeerReply) => Result<T, Failure>, local: (entry: HeldBatch) => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
 		const here = batches.get(batchId);
-		if (here !== undefined && (batches.isOwnedHere(here) || here.batchLog.isEnded())) {
+		if (here !== undefined && (batches.isServedHere(here) || here.batchLog.isEnded())) {
 			return local(here);
 		}
 
@@ -148,9 +151,16 @@
 		return adopted.isErr() ? err(adopted.error) : local(adopted.value);
 	}
 
-	async function handOverOne(entry: HeldBatch): Promise<void> {
+	/** Stops the runs of a batch that another daemon shall go on with; returns their texts. */
+	function releaseRuns(entry: HeldBatch): readonly PartialText[] {
 		const partials = entry.owner?.release() ?? [];
 		entry.owner = undefined;
+		entry.isHandedOver = true;
+		return partials;
+	}
+
+	async function handOverOne(entry: HeldBatch): Promise<void> {
+		const partials = releaseRuns(entry);
 		const sameRegion = mesh.others().filter(peer => peer.region === mesh.self.region);
 		const reachable = sameRegion.length > 0 ? sameRegion : mesh.others();
 		const highCapacity = listHighCapacityDaemons(reachable);
@@ -204,8 +214,7 @@
 			return false;
 		}
 
-		const partials = entry.owner.release();
-		entry.owner = undefined;
+		const partials = releaseRuns(entry);
 		const reply = await mesh.call(peer, 'batch-adopt', {batchId: entry.batch.id, owner: mesh.self, partials}, HAND_OVER_TIMEOUT_MS);
 		const isTaken = reply.isOk() && reply.value.status === 200;
 		log.info('hand over batch', {
@@ -217,14 +226,26 @@
 
 		// The log says who owns the batch now; a call without a reply may have been carried out.
 		await entry.writer.catchUp();
-		if (!isTaken && batches.isOwnedHere(entry) && !entry.batchLog.isEnded()) {
-			batches.startOwning(entry, partials);
+		if (!isTaken) {
+			entry.isHandedOver = false;
+			entry.partials = partials;
+			batches.runIfOwned(entry);
 		}
 
 		return isTaken;
 	}
 
+	async function ensureRunning(batchId: string): Promise<Result<PeerDaemon, Failure>> {
+		return withOwner(
+			batchId,
+			async owner => callOwner(batchId, owner, READ_CALL, {after: 0, waitMs: 0}, OWNER_REPLY_MS),
+			() => ok(batches.cachedOwner(batchId) ?? mesh.self),
+			async entry => ok(entry.batchLog.owner()),
+		);
+	}
+
 	return {
+		ensureRunning,
 		findReaching,
 		handOverCutOff,
 		call: callOwner,
--- a/src/batches/test/batches.test.ts
+++ b/src/batches/test/batches.test.ts
@@ -116,6 +116,44 @@
 	checkComplete(await world.readAll('b', ['d2']), 'b', LENGTHS);
 });
 
+const lateWrites: ReadonlyArray<readonly [string, number]> = [['whose answer is lost', 0], ['that is done 600 ms later', 600], ['that is done 4 s later', 4000]];
+
+// Issue 37, review/3: a daemon took the owner record that it had written itself for another owner's, and nobody ran the batch again.
+lateWrites.forEach(([name, delayMs]) => {
+	test(`a batch goes on after it was taken over with a write ${name}`, async () => {
+		const world = createBatchSimulation({daemons: ['d1', 'd2'], engines: 2});
+		const lengths = [60, 70, 80, 90];
+		await world.finish(world.serviceOf('d1').submit(createBatch('b', lengths), 10_000));
+		await world.time.advance(300);
+		world.kill('d1');
+		world.store.delayNextWrite.set('d2', delayMs);
+		await world.finish(world.serviceOf('d2').read('b', 0, 0));
+		checkComplete(await world.readAll('b', ['d2'], 15_000), 'b', lengths);
+	});
+
+	test(`a batch goes on after it was taken over with a write ${name}, though nobody reads`, async () => {
+		const world = createBatchSimulation({daemons: ['d1', 'd2'], engines: 2});
+		await world.finish(world.serviceOf('d1').submit(createBatch('b', [60, 70, 80, 90]), 10_000));
+		await world.time.advance(300);
+		world.kill('d1');
+		world.store.delayNextWrite.set('d2', delayMs);
+		await world.finish(world.serviceOf('d2').read('b', 0, 0));
+		await world.time.advance(8000);
+		assert.is(world.startsOf('b-0').filter(start => start.daemon === 'd2').length, 1);
+	});
+
+	test(`a batch that another daemon accepts runs after it was submitted with a write ${name}`, async () => {
+		const world = createBatchSimulation({daemons: ['d1', 'd2'], engines: 2});
+		world.store.delayNextWrite.set('d1', delayMs);
+		const batch = createBatch('b', LENGTHS);
+		await world.finish(world.serviceOf('d1').submit(batch, world.time.clock.monotonic() + 1200));
+		await world.time.advance(delayMs);
+		assert.ok((await world.finish(world.serviceOf('d2').submit(batch, world.time.clock.monotonic() + 10_000))).isOk());
+		await world.time.advance(3000);
+		assert.is(world.startsOf('b-0').length, 1);
+	});
+});
+
 test('submitting a batch while the store is unreachable fails with an unknown outcome, within the deadline', async () => {
 	const world = createBatchSimulation({daemons: ['d1'], engines: 2});
 	world.store.partitioned.add('d1');
--- a/test/fakes/memory-objects.ts
+++ b/test/fakes/memory-objects.ts
@@ -14,6 +14,8 @@
 	readonly partitioned: Set<string>;
 	/** Daemons whose next write takes effect, but whose answer is lost. */
 	readonly loseNextWrite: Set<string>;
+	/** Daemons whose next write gets no answer and takes effect after this time, in milliseconds, if its condition still holds then. */
+	readonly delayNextWrite: Map<string, number>;
 	/** Number of calls by operation. */
 	readonly calls: Map<string, number>;
 	/** Drops the history before the current revision. */
@@ -38,6 +40,7 @@
 	const objects = new Map<string, ApiObject>();
 	const cut = new Set<string>();
 	const loseNextWrite = new Set<string>();
+	const delayNextWrite = new Map<string, number>();
 	const calls = new Map<string, number>();
 	let history: Change[] = [];
 	let oldestRevision = 0;
@@ -71,6 +74,16 @@
 			return err(createOutcomeUnknown('unavailable', origin, 'no answer'));
 		}
 
+		const delayMs = isWrite ? delayNextWrite.get(daemon) : undefined;
+		if (delayMs !== undefined) {
+			delayNextWrite.delete(daemon);
+			loop.after(delayMs, () => {
+				action();
+			});
+			await loop.sleep(NO_ANSWER_MS);
+			return err(createOutcomeUnknown('unavailable', origin, 'no answer'));
+		}
+
 		await loop.sleep(CALL_LATENCY_MS);
 		const outcome = action();
 		if (isWrite && loseNextWrite.delete(daemon)) {
@@ -191,6 +204,7 @@
 		open,
 		partitioned: cut,
 		loseNextWrite,
+		delayNextWrite,
 		calls,
 		compact() {
 			oldestRevision = revision;
