Take heads that can't be passed on for broken responses, and decode what daemons send each other

Cause: Node.js takes a header name with a space from a server, and writeHead throws for it in the listener of the response, where nothing catches (ERR_INVALID_HTTP_TOKEN in the daemons' output). Ruled out: plain routes, where the same error is thrown within a handled promise. Related: odd calls between daemons left values behind for which a timer threw each 50 ms; statuses below 100; names with half a character.

Change: exchange gives nobody a head that can't be passed on, and turns what its listeners throw into a failure of the call. Calls between daemons, stored batches and records of logs are decoded before anything is kept. Errors that nothing has handled are logged; they no longer end the process.

Conclusion: each way in is checked at one place, and a last resort keeps what is left from ending the process.

--- a/src/adapters/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -4,6 +4,7 @@
 	request as startRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
 import {err, ok, Result} from 'neverthrow';
+import {findUnsendableHeader} from '../common/http-fields.js';
 import {createByteBudget} from '../../base/common/byte-budget.js';
 import {
 	createNotRun, createOutcomeUnknown, type Failure, type FailureCode, type Origin,
@@ -75,6 +76,9 @@
 const MAXIMUM_ERROR_BODY_BYTES = 64 * 1024;
 /** Maximum size of the response headers. This is Node's default, set explicitly because callers depend on it. */
 const MAXIMUM_HEAD_BYTES = 16 * 1024;
+/** Lowest and highest status of a final response. */
+const MINIMUM_STATUS = 200;
+const MAXIMUM_STATUS = 599;
 /** Maximum number of interim (1xx) responses before the final one; servers send at most one. */
 const MAXIMUM_INTERIM_RESPONSES = 4;
 /** Maximum total body size of all calls in progress, so that the whole daemon stays below the 250 MB of the smallest VMs. */
@@ -87,9 +91,22 @@
 	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === 204 || statusCode === 304;
 }
 
+/** Runs a listener of the call; what it throws ends this call and nothing else. */
+function runListener<T>(listener: () => T, onBroken: (message: string) => void): T | undefined {
+	return Result.fromThrowable(listener, String)().match(value => value, error => {
+		onBroken(`the response can't be handled: ${error}`);
+		return undefined;
+	});
+}
+
+/** Describes a head that can't be passed on, although Node.js accepts it from a server; undefined for any other. */
+function findMalformedHead({statusCode = 0, rawHeaders}: IncomingMessage): string | undefined {
+	return statusCode < MINIMUM_STATUS || statusCode > MAXIMUM_STATUS ? `the status ${statusCode} is none` : findUnsendableHeader(rawHeaders);
+}
+
 function receiveResponse(response: IncomingMessage, call: HttpCall, onDone: (response: HttpResponse) => void, onBroken: (message: string) => void): void {
 	const status = response.statusCode ?? 0;
-	const refusal = call.onHead?.(status, response.headers);
+	const refusal = findMalformedHead(response) ?? call.onHead?.(status, response.headers);
 	if (refusal !== undefined) {
 		onBroken(refusal);
 		return;
@@ -122,7 +139,7 @@
 		}
 
 		if (call.onData && status === 200) {
-			const problem = call.onData(chunk);
+			const problem = runListener(() => call.onData?.(chunk), refuse);
 			if (problem !== undefined) {
 				refuse(problem);
 			}
@@ -289,9 +306,13 @@
 		});
 		request.on('response', response => {
 			hasResponse = true;
-			receiveResponse(response, call, completion.succeed, message => {
+			const onBroken = (message: string) => {
 				completion.fail('incomplete', message);
-			});
+			};
+
+			runListener(() => {
+				receiveResponse(response, call, completion.succeed, onBroken);
+			}, onBroken);
 		});
 		request.end(call.body);
 	});
--- a/src/batches/common/batch-log.ts
+++ b/src/batches/common/batch-log.ts
@@ -65,15 +65,28 @@
 		length: () => length,
 		apply(record) {
 			length += 1;
-			if (record.type === 'results') {
-				applyResults(record.results);
-				record.parts?.forEach(part => {
-					applyPart(part);
-				});
-			} else if (record.type === 'owner') {
-				owner = record.owner;
-			} else {
-				ended = true;
+			switch (record.type) {
+				case 'results': {
+					applyResults(record.results);
+					record.parts?.forEach(part => {
+						applyPart(part);
+					});
+					break;
+				}
+
+				case 'owner': {
+					owner = record.owner;
+					break;
+				}
+
+				case 'end': {
+					ended = true;
+					break;
+				}
+
+				case 'unknown': {
+					break;
+				}
 			}
 		},
 		results: () => results,
--- a/src/batches/common/batch.ts
+++ b/src/batches/common/batch.ts
@@ -91,4 +91,6 @@
 export type LogRecord
 	= | {readonly type: 'results'; readonly writeId: string; readonly results: readonly ItemResult[]; readonly parts?: readonly TextPart[]}
 		| {readonly type: 'owner'; readonly writeId: string; readonly owner: PeerDaemon}
-		| {readonly type: 'end'; readonly writeId: string};
+		| {readonly type: 'end'; readonly writeId: string}
+	/** A record that this build can't decode. It is read, never written. */
+		| {readonly type: 'unknown'; readonly writeId: string};
--- a/src/batches/node/batch-service.ts
+++ b/src/batches/node/batch-service.ts
@@ -7,8 +7,12 @@
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import {createEmitter} from '../../base/common/event.js';
 import type {Random} from '../../base/common/random.js';
+import {handleDecoded} from '../../peers/common/decode-call.js';
 import type {PeerDaemon, PeerReply} from '../../peers/common/peer-mesh.js';
-import type {Batch, PartialText, ResultPage} from '../common/batch.js';
+import type {Batch, ResultPage} from '../common/batch.js';
+import {
+	decodeAdoption, decodeAnnouncement, decodeOwnedCall, decodePage, decodeSubmission,
+} from '../common/batch-schemas.js';
 import type {Batches, OpenedBatch} from '../common/batches.js';
 import {createSubmissions, type SubmissionDependencies} from './batch-submission.js';
 import {
@@ -48,6 +52,8 @@
 	return createNotRun('unavailable', {step, peer}, reason, RETRY_AFTER_MS);
 }
 
+type OwnedCall = NonNullable<ReturnType<typeof decodeOwnedCall>>;
+
 /** How long a batch whose engines are out of reach has made no progress. */
 type Stall = {
 	readonly progress: number;
@@ -151,40 +157,18 @@
 		return entry.writer.append(writeId => (entry.batchLog.isEnded() ? undefined : {type: 'end', writeId}));
 	}
 
-	/* Handlers of calls from other daemons. The same module of those daemons creates the bodies. */
-	type PeerBody = {
-		readonly batchId: string;
-		readonly incarnation: string;
-		readonly after: number;
-		readonly waitMs: number;
-		readonly itemId: string;
-		readonly owner: PeerDaemon;
-		readonly needs: OpenedBatch;
-		readonly batch: Batch;
-		readonly partials: readonly PartialText[];
-	};
-
-	function handle(name: string, handler: (body: PeerBody) => Promise<PeerReply>): void {
-		mesh.handle(name, async body => {
-			// Only daemons with the same protocol version call this port.
-			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-			const call = body as PeerBody;
-			return handler(call);
-		});
-	}
-
-	function handleOwned(name: string, handler: (entry: HeldBatch, body: PeerBody) => Promise<PeerReply>): void {
-		handle(name, async body => {
-			const entry = batches.get(body.batchId);
-			return entry !== undefined && batches.isServedHere(entry) && body.incarnation === mesh.self.incarnation ? handler(entry, body) : {status: 410, body: null};
+	function handleOwned(name: string, handler: (entry: HeldBatch, call: OwnedCall) => Promise<PeerReply>): void {
+		handleDecoded(mesh, log, name, decodeOwnedCall, async call => {
+			const entry = batches.get(call.batchId);
+			return entry !== undefined && batches.isServedHere(entry) && call.incarnation === mesh.self.incarnation ? handler(entry, call) : {status: 410, body: null};
 		});
 	}
 
-	handleOwned(READ_CALL, async (entry, body) => {
-		const results = await readHere(entry, body.after, body.waitMs);
+	handleOwned(READ_CALL, async (entry, {after = 0, waitMs = 0}) => {
+		const results = await readHere(entry, after, waitMs);
 		return {status: 200, body: results};
 	});
-	handleOwned('batch-body', async (entry, body) => readBodyHere(entry, body.itemId).match(
+	handleOwned('batch-body', async (entry, {itemId = ''}) => readBodyHere(entry, itemId).match(
 		bytes => ({status: 200, body: Buffer.from(bytes).toString('base64')}),
 		() => ({status: 404, body: null}),
 	));
@@ -192,20 +176,20 @@
 		const ended = await endHere(entry);
 		return {status: ended.isOk() ? 200 : 503, body: null};
 	});
-	handle('batch-submit', async body => {
-		const stored = await submissions.storeForwarded(body.batch);
+	handleDecoded(mesh, log, 'batch-submit', decodeSubmission, async ({batch}) => {
+		const stored = await submissions.storeForwarded(batch);
 		return {status: stored.isOk() ? 200 : (stored.error.effect === 'notRun' ? 503 : 500), body: null};
 	});
-	handle('batch-announce', async body => {
-		if (batches.get(body.batchId) === undefined) {
-			batches.cacheOwner(body.batchId, body.owner);
+	handleDecoded(mesh, log, 'batch-announce', decodeAnnouncement, async ({batchId, owner, needs}) => {
+		if (batches.get(batchId) === undefined) {
+			batches.cacheOwner(batchId, owner);
 		}
 
-		opened.fire(body.needs);
+		opened.fire(needs);
 		return {status: 200, body: null};
 	});
-	handle('batch-adopt', async body => {
-		const adopted = await calls.adopt(body.batchId, body.owner, `handed over by ${body.owner.name}`, body.partials);
+	handleDecoded(mesh, log, 'batch-adopt', decodeAdoption, async ({batchId, owner, partials}) => {
+		const adopted = await calls.adopt(batchId, owner, `handed over by ${owner.name}`, partials);
 		return {status: adopted.isOk() && batches.isServedHere(adopted.value) ? 200 : 503, body: null};
 	});
 
@@ -223,9 +207,10 @@
 			return calls.withOwner<ResultPage>(
 				batchId,
 				async owner => calls.call(batchId, owner, READ_CALL, {after, waitMs}, waitMs + OWNER_REPLY_MS),
-				// The body is the page that the handler above returned on the owner.
-				// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-				reply => checkReply(reply, 'read batch', batchId).map(checked => checked.body as ResultPage),
+				reply => checkReply(reply, 'read batch', batchId).andThen<ResultPage, Failure>(checked => {
+					const read = decodePage(checked.body);
+					return read === undefined ? err(unavailable('read batch', batchId, 'the page of the owner can not be decoded')) : ok(read);
+				}),
 				async entry => ok(await readHere(entry, after, batches.isOwnedHere(entry) ? waitMs : 0)),
 			);
 		},
--- a/src/batches/node/held-batches.ts
+++ b/src/batches/node/held-batches.ts
@@ -8,6 +8,7 @@
 	Batch, LogRecord, PartialText, StoredBatch,
 } from '../common/batch.js';
 import {createBatchLog, type BatchLog} from '../common/batch-log.js';
+import {decodeStoredBatch} from '../common/batch-schemas.js';
 import {chooseLongestTexts} from '../common/text-parts.js';
 import {createBatchOwner, type BatchOwner, type OwnerDependencies} from './batch-owner.js';
 import {
@@ -181,9 +182,12 @@
 
 	async function readStored(batchId: string): Promise<Result<StoredBatch | undefined, Failure>> {
 		const found = await api.read({kind: KIND_OF_BATCHES, name: batchId});
-		// Only daemons write to this kind.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		return found.map(object => object?.spec as StoredBatch | undefined);
+		return found.andThen<StoredBatch | undefined, Failure>(object => {
+			const stored = decodeStoredBatch(object?.spec);
+			return object !== undefined && stored === undefined
+				? err(createNotRun('invalid', {step: 'read batch', peer: batchId}, 'the stored batch can not be decoded'))
+				: ok(stored);
+		});
 	}
 
 	/** Reads a batch and its log from the store; reads only new records when the batch is already held. */
@@ -208,7 +212,7 @@
 			return err(listed.error);
 		}
 
-		const records = listed.value.objects.toSorted((a, b) => (a.name < b.name ? -1 : 1)).flatMap(object => readRecord(object.spec) ?? []);
+		const records = listed.value.objects.toSorted((a, b) => (a.name < b.name ? -1 : 1)).map(object => readRecord(object, log));
 		const entry = held.get(batchId) ?? hold(stored.value.batch, stored.value.owner, records);
 		runIfOwned(entry);
 		return ok(entry);
--- a/src/batches/node/load-exchange.ts
+++ b/src/batches/node/load-exchange.ts
@@ -1,9 +1,11 @@
 /** Reports this daemon's load on engines and its waiting items to other owners of batches: after each change, and repeatedly while it has work. */
+import {z} from 'zod';
 import type {Clock} from '../../base/common/clock.js';
 import type {ServerView} from '../../gateway/common/server-view.js';
 import type {Log} from '../../kernel/common/log.js';
+import {createDecoder, handleDecoded} from '../../peers/common/decode-call.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
-import type {LeavingNotice} from '../../gateway/common/leaving-notices.js';
+import {leavingNoticeSchema, type LeavingNotice} from '../../gateway/common/leaving-notices.js';
 import type {EngineCounts, SharedLoads} from '../../gateway/common/shared-loads.js';
 import type {Demand, StartPriorities} from '../common/start-priorities.js';
 
@@ -48,6 +50,16 @@
 	readonly open: number;
 };
 
+const decodeReport = createDecoder<LoadReport>(z.object({
+	owner: z.string(),
+	counts: z.record(z.string(), z.number()),
+	leaving: z.array(leavingNoticeSchema),
+	demands: z.array(z.object({
+		batchId: z.string(), model: z.string(), oldestVersion: z.number(), slacksMs: z.array(z.number().nullable()), hopeless: z.number(),
+	})),
+	open: z.number(),
+}));
+
 /** An unchanged report is sent again after this time while there is work. */
 const REPEAT_INTERVAL_MS = 500;
 const CALL_TIMEOUT_MS = 400;
@@ -80,10 +92,8 @@
 		});
 	}
 
-	mesh.handle('engine-loads', async body => {
-		// The body is the report that `sendReport` of another daemon sent.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		applyReport(body as LoadReport);
+	handleDecoded(mesh, log, 'engine-loads', decodeReport, async report => {
+		applyReport(report);
 		return {status: 200, body: describe(countOwn())};
 	});
 
@@ -91,9 +101,13 @@
 	async function sendReport(owner: PeerDaemon, counts: EngineCounts): Promise<void> {
 		const reply = await mesh.call(owner, 'engine-loads', describe(counts), CALL_TIMEOUT_MS);
 		reply.match(({body}) => {
-			// The body is the report that the handler above returned on the other daemon.
-			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-			applyReport(body as LoadReport);
+			const report = decodeReport(body);
+			if (report === undefined) {
+				log.warn('load report can not be decoded', {from: owner.name});
+				return;
+			}
+
+			applyReport(report);
 		}, failure => {
 			log.debug('load report not delivered', {to: owner.name, reason: failure.message});
 		});
--- a/src/batches/node/log-writer.ts
+++ b/src/batches/node/log-writer.ts
@@ -1,13 +1,14 @@
 /** Appends to the log of one batch. When another daemon has already written the next position, the writer applies that record and appends at the one after it. */
 import PQueue from 'p-queue';
 import {err, ok, type Result} from 'neverthrow';
-import {createNotRun, type Failure} from '../../base/common/failure.js';
+import type {Failure} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
-import type {ObjectApi} from '../../adapters/common/object-api.js';
+import type {ApiObject, ObjectApi} from '../../adapters/common/object-api.js';
 import {nameOfRecord, type BatchLog} from '../common/batch-log.js';
 import type {LogRecord} from '../common/batch.js';
+import {decodeLogRecord} from '../common/batch-schemas.js';
 
 /** Builds the next record from the current state of the log; undefined when there is nothing to write. */
 export type RecordSource = (writeId: string) => LogRecord | undefined;
@@ -50,14 +51,14 @@
 	return `batch-log-${batchId}`;
 }
 
-/** Reads a record; undefined when it is of an unknown type, as another version may write. */
-export function readRecord(spec: unknown): LogRecord | undefined {
-	// Only daemons write to this kind.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-	const record = spec as Partial<LogRecord> | undefined;
-	const isRecord = record !== null && typeof record === 'object' && (record.type === 'results' || record.type === 'owner' || record.type === 'end');
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-	return isRecord ? record as LogRecord : undefined;
+/** Reads a record. One of a type that a later build may write has its position in the log, and no effect. */
+export function readRecord({name, spec}: ApiObject, log: Log): LogRecord {
+	const record = decodeLogRecord(spec);
+	if (record === undefined) {
+		log.warn('record of a batch log can not be decoded', {position: name});
+	}
+
+	return record ?? {type: 'unknown', writeId: ''};
 }
 
 /** Creates a writer of a log. */
@@ -85,11 +86,7 @@
 				return ok(undefined);
 			}
 
-			const record = readRecord(object.spec);
-			if (record === undefined) {
-				return err(createNotRun('invalid', {step: 'read batch log', peer: `${kind}/${object.name}`}, 'the record has an unknown type'));
-			}
-
+			const record = readRecord(object, log);
 			applyRecord(record);
 			return ok(record);
 		});
--- a/src/batches/node/owner-calls.ts
+++ b/src/batches/node/owner-calls.ts
@@ -4,10 +4,12 @@
 import type {Clock} from '../../base/common/clock.js';
 import type {Random} from '../../base/common/random.js';
 import type {Log} from '../../kernel/common/log.js';
+import {handleDecoded} from '../../peers/common/decode-call.js';
 import type {PeerDaemon, PeerMesh, PeerReply} from '../../peers/common/peer-mesh.js';
 import {isRefusedConnection} from '../../peers/common/process-end.js';
 import {listHighCapacityDaemons} from '../../peers/common/high-capacity-daemons.js';
 import type {Batch, PartialText} from '../common/batch.js';
+import {decodeReachCall} from '../common/batch-schemas.js';
 import {isSameDaemon, type HeldBatch, type HeldBatches} from './held-batches.js';
 
 /** Dependencies of the calls. */
@@ -187,12 +189,7 @@
 		}, Promise.resolve(false));
 	}
 
-	mesh.handle(REACH_CALL, async body => {
-		// The body is the one that `findReaching` of another daemon sent.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const batch = body as Pick<Batch, 'host' | 'path'>;
-		return {status: !isLeaving() && dependencies.reachesEngines(batch) ? 200 : 503, body: null};
-	});
+	handleDecoded(mesh, log, REACH_CALL, decodeReachCall, async batch => ({status: !isLeaving() && dependencies.reachesEngines(batch) ? 200 : 503, body: null}));
 
 	/** Finds a daemon that reaches the engines of a batch, those with few open batches first. A daemon of an earlier build does not say whether it does. */
 	async function findReaching({host, path}: Batch): Promise<PeerDaemon | undefined> {
--- a/src/batches/test/batches.test.ts
+++ b/src/batches/test/batches.test.ts
@@ -154,6 +154,38 @@
 	});
 });
 
+const oddValues: readonly unknown[] = [null, 7, 'x', [], {}, {batchId: 'b'}, {batchId: 'b', owner: null, needs: {}}, {
+	batchId: 'b', owner: {name: 'd1'}, needs: null, partials: 7,
+}, {batchId: {}, owner: [], batch: {items: [null]}}];
+const peerCalls = ['batch-announce', 'batch-adopt', 'batch-submit', 'batch-read', 'batch-body', 'batch-end', 'batch-reach', 'engine-loads'] as const;
+
+// Issue 37, review/2: what an odd call of another daemon had left behind made each later check of the batches throw.
+test('odd calls of other daemons are refused, and leave nothing behind', async () => {
+	const world = createBatchSimulation({daemons: ['d1', 'd2'], engines: 2});
+	const stranger = world.network.join('stranger');
+	const [d1] = stranger.others();
+	const calls = Promise.all(peerCalls.flatMap(name => oddValues.map(async body => stranger.call(d1!, name, body, 1000))));
+	const replies = await world.finish(calls);
+	const statuses = replies.map(reply => reply._unsafeUnwrap().status);
+	assert.equal([...new Set(statuses)], [400]);
+	await world.time.advance(1000);
+	assert.ok((await world.finish(world.serviceOf('d1').submit(createBatch('b', LENGTHS), 10_000))).isOk());
+	checkComplete(await world.readAll('b', ['d2']), 'b', LENGTHS);
+});
+
+test('records and batches that can not be decoded are skipped or refused', async () => {
+	const world = createBatchSimulation({daemons: ['d1', 'd2'], engines: 2});
+	const lengths = [60, 70, 80, 90];
+	await world.finish(world.serviceOf('d1').submit(createBatch('b', lengths), 10_000));
+	world.store.put('batch-log-b', '000000', {type: 'of a later build', writeId: 'w'});
+	await world.time.advance(200);
+	world.kill('d1');
+	checkComplete(await world.readAll('b', ['d2'], 15_000), 'b', lengths);
+	world.store.put('batches', 'odd', {owner: null, batch: {items: 7}});
+	const read = await world.finish(world.serviceOf('d2').read('odd', 0, 0));
+	assert.is(read._unsafeUnwrapErr().code, 'invalid');
+});
+
 test('submitting a batch while the store is unreachable fails with an unknown outcome, within the deadline', async () => {
 	const world = createBatchSimulation({daemons: ['d1'], engines: 2});
 	world.store.partitioned.add('d1');
--- a/src/code/node/commands/serve.ts
+++ b/src/code/node/commands/serve.ts
@@ -1,6 +1,8 @@
 /** The command `serve`: runs one daemon until a signal or the drain route stops it. */
 import process from 'node:process';
 import type {CommandModule} from 'yargs';
+import {createJsonLog} from '../../../kernel/node/json-log.js';
+import {logUncaughtErrors} from '../../../kernel/node/uncaught-errors.js';
 import {readSettings} from '../../../settings/node/json-file.js';
 import {exitCodes, type ExitCode} from '../../common/exit-code.js';
 import {listFeatures} from '../contributions.js';
@@ -35,6 +37,7 @@
 
 	// Listens before the start, so that a signal that arrives during the start stops the daemon once it has started.
 	const signal = waitForSignal();
+	logUncaughtErrors(createJsonLog({level: settings.value.log.level, fields: {daemon: settings.value.daemon.id, pid: process.pid}}));
 	const daemon = await startDaemon({settings: settings.value, contributions: listFeatures()});
 	return daemon.isErr() ? reportFailure(daemon.error) : runUntilStopped(daemon.value, signal);
 }
--- a/src/gateway/common/feed-log.ts
+++ b/src/gateway/common/feed-log.ts
@@ -1,4 +1,5 @@
 /** Log of changes to server entries. A daemon that polls the store keeps it to send its followers the changes since a given position. */
+import {z} from 'zod';
 import type {ServerEntry} from './server-view.js';
 
 /** A server entry in the form that daemons send to each other as JSON. */
@@ -6,6 +7,11 @@
 	readonly versions: Readonly<Record<string, number>>;
 };
 
+/** Schema of an entry that another daemon has sent. */
+export const feedEntrySchema = z.object({
+	id: z.string(), pool: z.string(), address: z.string(), port: z.number(), availabilityZone: z.string(), slots: z.number(), isLeaving: z.boolean(), versions: z.record(z.string(), z.number()), sequence: z.number().optional(), startedAt: z.number().optional(), softwareVersion: z.string().optional(),
+});
+
 /** Changes since a position in the log. */
 export type FeedDelta = {
 	/** Position to request changes from next time. */
--- a/src/gateway/common/leaving-notices.ts
+++ b/src/gateway/common/leaving-notices.ts
@@ -2,6 +2,7 @@
  * Backend servers that announced in a response that they are leaving. The store may list such a server as ready for a long time
  * afterwards, so a notice outlives the server's entry and ends only when the server starts again.
  */
+import {z} from 'zod';
 
 /** Says that one run of a server is leaving. */
 export type LeavingNotice = {
@@ -10,6 +11,9 @@
 	readonly startedAt: number | undefined;
 };
 
+/** Schema of a notice that another daemon has sent. */
+export const leavingNoticeSchema = z.object({serverId: z.string(), startedAt: z.number().optional()});
+
 /** The leaving notices that one daemon knows. */
 export type LeavingNotices = {
 	/** Records a notice and returns whether it is new. */
--- a/src/gateway/node/feed.ts
+++ b/src/gateway/node/feed.ts
@@ -3,22 +3,24 @@
  * long poll after each answer from the store, so that a failure of either is noticed by the missing response. This daemon then
  * polls the store itself until it has found a working source again.
  */
+import {z} from 'zod';
 import {isIpAddress, isPort} from '../../base/common/address.js';
 import {isProcessName} from '../../base/common/process-name.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Disposable} from '../../base/common/disposable.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
-import type {ServerLimitNotice, ServerLimits} from '../../limits/common/server-limits.js';
+import {limitNoticeSchema, type ServerLimitNotice, type ServerLimits} from '../../limits/common/server-limits.js';
+import {createDecoder, handleDecoded} from '../../peers/common/decode-call.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
 import type {DeploymentHolder} from '../common/deployment.js';
 import {
 	chooseSource, createSourceFailureTable, isFresh, listSourcesOfOtherGroups,
 } from '../common/feed-choice.js';
 import {
-	createFeedLog, fromFeedEntry, type FeedDelta,
+	createFeedLog, feedEntrySchema, fromFeedEntry, type FeedDelta,
 } from '../common/feed-log.js';
-import type {LeavingNotice} from '../common/leaving-notices.js';
+import {leavingNoticeSchema, type LeavingNotice} from '../common/leaving-notices.js';
 import type {ServerEntry, ServerView} from '../common/server-view.js';
 import {createDeploymentCompressor, decompressDeployment} from './compressed-deployment.js';
 
@@ -75,6 +77,24 @@
 	readonly isConfigurationOutdated?: boolean;
 };
 
+const decodeLimits = createDecoder<Pick<FeedRequest, 'limits'>>(z.object({limits: z.array(limitNoticeSchema).optional()}));
+const decodeLeaving = createDecoder<Pick<FeedRequest, 'leaving'>>(z.object({leaving: z.array(leavingNoticeSchema)}));
+const decodeRequest = createDecoder<FeedRequest>(z.object({
+	place: z.number(), incarnation: z.string(), configuration: z.number(), word: z.number(), leaving: z.array(leavingNoticeSchema), limitRevision: z.number().optional(), limits: z.array(limitNoticeSchema).optional(),
+}));
+const decodeResponse = createDecoder<FeedResponse>(z.object({
+	incarnation: z.string(),
+	delta: z.object({
+		place: z.number(), isWhole: z.boolean(), entries: z.array(feedEntrySchema), removed: z.array(z.string()),
+	}),
+	deployment: z.string().optional(),
+	word: z.number(),
+	ageMs: z.number(),
+	leaving: z.array(leavingNoticeSchema),
+	limits: z.object({revision: z.number(), notices: z.array(limitNoticeSchema)}).optional(),
+	isConfigurationOutdated: z.boolean().optional(),
+}));
+
 const CHECK_INTERVAL_MS = 100;
 /** Maximum time for which the source holds a request. It responds sooner when the store answers or a server announces that it is leaving. */
 const LONG_POLL_MS = 1500;
@@ -182,24 +202,17 @@
 		});
 	});
 
-	mesh.handle('server-limits', async body => {
-		// The body was sent by the feed of another daemon, in the listener above.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		recordLimits((body as Pick<FeedRequest, 'limits'>).limits);
+	handleDecoded(mesh, log, 'server-limits', decodeLimits, async notices => {
+		recordLimits(notices.limits);
 		return {status: 200, body: null};
 	});
 
-	mesh.handle('leaving-servers', async body => {
-		// The body was sent by the feed of another daemon, in the listener above.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		recordLeaving((body as Pick<FeedRequest, 'leaving'>).leaving);
+	handleDecoded(mesh, log, 'leaving-servers', decodeLeaving, async notices => {
+		recordLeaving(notices.leaving);
 		return {status: 200, body: null};
 	});
 
-	mesh.handle('feed', async body => {
-		// The body was sent by `requestFeed` of another daemon.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const request = body as FeedRequest;
+	handleDecoded(mesh, log, 'feed', decodeRequest, async request => {
 		const isKnown = request.incarnation === mesh.self.incarnation;
 		recordLeaving(request.leaving);
 		recordLimits(request.limits);
@@ -299,9 +312,13 @@
 			return;
 		}
 
-		// The body was written by the handler above.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const response = replied.value.body as FeedResponse;
+		const response = decodeResponse(replied.value.body);
+		if (response === undefined) {
+			log.warn('response of a feed source can not be decoded', {source: from.name});
+			failures.recordFailure(from.name, now);
+			return;
+		}
+
 		applyResponse(from, response);
 		if (isComplete(from) && response.isConfigurationOutdated !== true && isFresh(confirmedAt, now, dependencies.drainMs)) {
 			failures.recordSuccess(from.name);
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -3,7 +3,7 @@
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Loop} from '../../kernel/common/loop.js';
-import type {Log} from '../../kernel/common/log.js';
+import {describeError, type Log} from '../../kernel/common/log.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {Random} from '../../base/common/random.js';
 import {createTaskSet} from '../../base/common/task-set.js';
@@ -253,7 +253,7 @@
 			if (decision === 'deliver') {
 				finish(result);
 			} else if (decision === 'tryAgain') {
-				void startAttempt(true);
+				startAttemptSafely(true);
 			} else if (progress.openAttempts === 0) {
 				finishUndelivered(decision);
 			}
@@ -305,6 +305,14 @@
 			handleAttemptEnd(await attemptServer(chosen.value, request, progress, abortController.signal), server.id);
 		}
 
+		/** Starts an attempt. An error that nothing expects ends this request, which may have run, and nothing else. */
+		function startAttemptSafely(canWait: boolean): void {
+			startAttempt(canWait).catch((error: unknown) => {
+				log.error('attempt failed unexpectedly', {requestId: request.requestId, error: describeError(error)});
+				finishWithFailure('fail');
+			});
+		}
+
 		/** Handles an attempt for which no server was found, or whose request ended meanwhile. */
 		function handleUnsent(chosen: Result<AdmittedDispatch, Failure>): void {
 			chosen.match(({dispatch, admission}) => {
@@ -331,10 +339,10 @@
 			const isSent = progress.triedServers.length > 0;
 			if (request.route.repeatability === 'idempotent' && isSent && !progress.isTrial && progress.openAttempts === 1 && hasAttempts && hedgeBudget.spend()) {
 				log.debug('hedging a slow attempt', {requestId: request.requestId, slow: progress.triedServers.at(-1)});
-				void startAttempt(false);
+				startAttemptSafely(false);
 			}
 		});
-		void startAttempt(true);
+		startAttemptSafely(true);
 		return promise;
 	}
 
--- a/src/gateway/node/port-inspection.ts
+++ b/src/gateway/node/port-inspection.ts
@@ -1,7 +1,9 @@
 /** Inspects the port of a backend server from this daemon and from a few others. */
+import {z} from 'zod';
 import type {Random} from '../../base/common/random.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {PortState} from '../../limits/common/stopped-daemons.js';
+import {createDecoder, handleDecoded} from '../../peers/common/decode-call.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
 import type {PeerAddress} from '../../peers/common/peers.js';
 import {combinePortViews, describePort, type PortView} from '../common/port-view.js';
@@ -34,6 +36,8 @@
 
 type PortCall = {readonly serverId: string};
 
+const decodePortCall = createDecoder<PortCall>(z.object({serverId: z.string()}));
+
 const VIEWS: ReadonlySet<unknown> = new Set<PortView>(['open', 'closed', 'silent', 'unknown']);
 
 function isPortView(value: unknown): value is PortView {
@@ -81,10 +85,7 @@
 		});
 	}
 
-	mesh.handle(PORT_CALL, async body => {
-		// The body is the one that `ask` of another daemon sent.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const {serverId} = body as PortCall;
+	handleDecoded(mesh, log, PORT_CALL, decodePortCall, async ({serverId}) => {
 		// Connects only to servers that this daemon knows itself.
 		const entry = history.find(serverId);
 		return {status: 200, body: entry === undefined ? 'unknown' : await viewOwn(entry)};
--- a/src/kernel/common/log.ts
+++ b/src/kernel/common/log.ts
@@ -13,6 +13,11 @@
 	readonly child: (fields: LogFields) => Log;
 };
 
+/** Describes a thrown value for a log line, with its stack. */
+export function describeError(error: unknown): string {
+	return error instanceof Error ? error.stack ?? error.message : String(error);
+}
+
 const ignore = () => undefined;
 
 /** A log that discards every line, for tests and embedding. */
--- a/src/kernel/node/timer-loop.ts
+++ b/src/kernel/node/timer-loop.ts
@@ -3,14 +3,18 @@
 import type {Clock} from '../../base/common/clock.js';
 import {createDisposable, type Disposable} from '../../base/common/disposable.js';
 import {jitter, type Random} from '../../base/common/random.js';
-import type {Log} from '../common/log.js';
+import {describeError, type Log} from '../common/log.js';
 import type {Loop, Task} from '../common/loop.js';
 
-/** Creates a loop that uses Node's timers. When a task throws, the error is logged and the task runs again after its period. */
+/** Creates a loop that uses Node's timers. When a timer or a task throws, the error is logged, and the task runs again after its period. */
 export function createTimerLoop(clock: Clock, random: Random, log: Log): Loop {
 	function after(delayMs: number, action: (now: number) => void): Disposable {
 		const timer = setTimeout(() => {
-			action(clock.monotonic());
+			try {
+				action(clock.monotonic());
+			} catch (error) {
+				log.error('timer failed', {error: describeError(error)});
+			}
 		}, Math.max(0, delayMs));
 		return createDisposable(() => {
 			clearTimeout(timer);
@@ -21,7 +25,7 @@
 		try {
 			await task.run(now);
 		} catch (error) {
-			log.error('periodic task failed', {task: task.name, error: String(error)});
+			log.error('periodic task failed', {task: task.name, error: describeError(error)});
 		}
 	}
 
--- a/src/limits/common/server-limits.ts
+++ b/src/limits/common/server-limits.ts
@@ -2,6 +2,7 @@
  * Request limits that backend servers state in their responses. A limit holds for all daemons together and for as long as the
  * server states it. Daemons tell each other about changes, so each daemon keeps the newest statement that it knows of.
  */
+import {z} from 'zod';
 
 /** What one run of a server last stated about the requests that it takes. */
 export type ServerLimit = {
@@ -23,6 +24,11 @@
 	readonly ageMs: number;
 };
 
+/** Schema of a notice that another daemon has sent. */
+export const limitNoticeSchema = z.object({
+	serverId: z.string(), startedAt: z.number().optional(), perSecond: z.number().optional(), ageMs: z.number(),
+});
+
 /** A response of a server, as far as it concerns the limit. */
 export type LimitStatement = {
 	readonly serverId: string;
--- a/src/limits/node/server-permits.ts
+++ b/src/limits/node/server-permits.ts
@@ -1,9 +1,11 @@
 /** Obtains permits for servers with a limit from their keepers, and grants permits to other daemons where this daemon is the keeper. */
+import {z} from 'zod';
 import type {Clock} from '../../base/common/clock.js';
 import {createDisposable, type Disposable} from '../../base/common/disposable.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
+import {createDecoder, handleDecoded, peerDaemonSchema} from '../../peers/common/decode-call.js';
 import type {PeerDaemon, PeerMesh, PeerReply} from '../../peers/common/peer-mesh.js';
 import {isRefusedConnection} from '../../peers/common/process-end.js';
 import {createPermitForecast} from '../common/permit-forecast.js';
@@ -13,7 +15,7 @@
 import {
 	createPermitLedger, type PermitDecision, type PermitLedger, type PermitWait,
 } from '../common/permit-ledger.js';
-import type {ServerLimitNotice, ServerLimits} from '../common/server-limits.js';
+import {limitNoticeSchema, type ServerLimitNotice, type ServerLimits} from '../common/server-limits.js';
 import type {ServerPermits} from '../common/server-permits.js';
 
 /** What a daemon knows about a server that may have a limit. */
@@ -62,6 +64,12 @@
 	takenOver: Promise<void>;
 };
 
+const decodePermitCall = createDecoder<PermitCall>(z.object({
+	notice: limitNoticeSchema, region: z.string().optional(), hops: z.number(), urgency: z.enum(['caller', 'background']), waitedMs: z.number(), patienceMs: z.number(),
+}));
+const decodeHandoverCall = createDecoder<HandoverCall>(z.object({serverId: z.string(), keeper: peerDaemonSchema}));
+const decodePermitReply = createDecoder<PermitReply>(z.object({isGranted: z.boolean(), waitMs: z.number(), notice: limitNoticeSchema.optional()}));
+
 const PERMIT_CALL = 'server-permit';
 const HANDOVER_CALL = 'server-permit-handover';
 /** Time for a reply of the keeper, in addition to the time for which it holds the call. */
@@ -219,9 +227,12 @@
 		}
 
 		reachability.recordReply(daemon.name, clock.monotonic());
-		// The body was written by the handler below.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		return reply.value.body as PermitReply;
+		const decision = decodePermitReply(reply.value.body);
+		if (decision === undefined) {
+			log.warn('reply of a keeper can not be decoded', {keeper: daemon.name});
+		}
+
+		return decision;
 	}
 
 	/** Gets a decision from the keeper, or makes it where this daemon is the keeper. */
@@ -251,10 +262,7 @@
 		return reply;
 	}
 
-	mesh.handle(PERMIT_CALL, async (body): Promise<PeerReply> => {
-		// The body was written by `callKeeper` of another daemon.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const call = body as PermitCall;
+	handleDecoded(mesh, log, PERMIT_CALL, decodePermitCall, async (call): Promise<PeerReply> => {
 		const {serverId} = call.notice;
 		const now = clock.monotonic();
 		limits.recordNotice(call.notice, now);
@@ -267,10 +275,7 @@
 		return {status: STATUS_OK, body: reply};
 	});
 
-	mesh.handle(HANDOVER_CALL, async body => {
-		// The body was written by `takeOver` of another daemon.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const {serverId, keeper} = body as HandoverCall;
+	handleDecoded(mesh, log, HANDOVER_CALL, decodeHandoverCall, async ({serverId, keeper}) => {
 		const now = clock.monotonic();
 		announced.set(keeper.name, {daemon: keeper, until: now + (2 * DIRECTORY_DELAY_MS)});
 		reachability.recordReply(keeper.name, now);
--- a/src/objects/node/relayed-api.ts
+++ b/src/objects/node/relayed-api.ts
@@ -4,6 +4,7 @@
  * outcome by reading the object.
  */
 import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
 import {jitter, type Random} from '../../base/common/random.js';
 import type {Log} from '../../kernel/common/log.js';
@@ -12,6 +13,7 @@
 import {
 	ObjectApi, type ApiObject, type ApiObjectId, type ObjectChanges, type ObjectListing,
 } from '../../adapters/common/object-api.js';
+import {createDecoder, handleDecoded} from '../../peers/common/decode-call.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
 
 /** An object call as daemons send it to each other. */
@@ -24,6 +26,10 @@
 	readonly ifRevision?: number;
 };
 
+const decodeCall = createDecoder<RelayedCall>(z.object({
+	operation: z.enum(['read', 'list', 'changes', 'create', 'replace', 'replaceStatus', 'remove']), id: z.object({kind: z.string(), name: z.string()}), since: z.number().optional(), waitMs: z.number().optional(), ifRevision: z.number().optional(),
+}));
+
 type OperationResult = Result<unknown, Failure>;
 
 /** Id of the object that is read to check whether the store responds. The object need not exist. */
@@ -206,10 +212,7 @@
 		return outcome.isErr() && isRetryableThroughPeer(outcome.error) ? runThroughPeers(call, outcome.error) : outcome;
 	}
 
-	mesh.handle('objects', async body => {
-		// Only daemons call this port, and they use this version's own protocol.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const call = body as RelayedCall;
+	handleDecoded(mesh, log, 'objects', decodeCall, async call => {
 		if (!isStoreReachable) {
 			return {status: 409, body: createNotRun('unavailable', {step: 'relay object call', peer: mesh.self.name}, 'the relaying daemon has no connection to the store either')};
 		}
--- a/src/orders/node/order-service.ts
+++ b/src/orders/node/order-service.ts
@@ -2,6 +2,7 @@
 import {Agent} from 'node:http';
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import {createDisposable} from '../../base/common/disposable.js';
 import type {Clock} from '../../base/common/clock.js';
@@ -17,6 +18,7 @@
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {ServerPermits} from '../../limits/common/server-permits.js';
+import {createDecoder, handleDecoded} from '../../peers/common/decode-call.js';
 import type {PeerMesh} from '../../peers/common/peer-mesh.js';
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
 import {
@@ -24,6 +26,9 @@
 } from '../common/load-plan.js';
 import type {OrderLease} from './order-lease.js';
 
+/** Decodes the weight versions of one engine, by model, as another daemon has read them. */
+const decodeVersions = createDecoder<{readonly serverId: string; readonly versions: Readonly<Record<string, number>>}>(z.object({serverId: z.string(), versions: z.record(z.string(), z.number())}));
+
 /** Dependencies of the service. */
 export type OrderServiceDependencies = {
 	readonly protocol: ServerProtocol;
@@ -137,10 +142,7 @@
 		});
 	}
 
-	mesh.handle('engine-versions', async body => {
-		// The body is the one that `publish` of another daemon sent.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const {serverId, versions} = body as {serverId: string; versions: Readonly<Record<string, number>>};
+	handleDecoded(mesh, log, 'engine-versions', decodeVersions, async ({serverId, versions}) => {
 		Object.entries(versions).forEach(([model, version]) => {
 			view.recordVersion(serverId, model, version);
 		});
