Continue a stream only at the version that the store confirms, not by an own view that may be old

It can happen here. Cause: findOrigin took the daemon's own view for whole once it had seen one version for a minute, and did not read the record. Ruled out: a daemon that stood still itself; it reads the store before it continues a stream that it did not begin.

Change: each take-up reads the record and the base version, within 0.9 s, or is refused with 503.

Conclusion: what an outdated view cannot tell is no longer concluded from it.

--- a/src/gateway/node/stream-records.ts
+++ b/src/gateway/node/stream-records.ts
@@ -51,6 +51,8 @@
 const RETRY_AFTER_MS = 300;
 /** Time for which a stream waits to be recorded; the store answers in a few milliseconds. */
 const RECORD_TIMEOUT_MS = 250;
+/** Time for which a stream that is taken up waits for its record: longer than a store that was just lost takes over another daemon. */
+const READ_TIMEOUT_MS = 900;
 const CHECK_PERIOD_MS = 250;
 /** After a stream could not be recorded, new streams begin at the base version for this long. */
 const UNRECORDED_MS = 10_000;
@@ -99,12 +101,12 @@
 		}
 	}
 
-	/** Reads the base version of a pool, and writes it if there is none or if it is gone. */
-	async function settleBase(pool: string): Promise<void> {
+	/** Reads the base version of a pool, and writes it if there is none or if it is gone. Resolves with whether the store has confirmed it. */
+	async function settleBase(pool: string): Promise<boolean> {
 		const id = {kind: BASE_KIND, name: pool};
 		const found = await api.read(id);
 		if (found.isErr()) {
-			return;
+			return false;
 		}
 
 		const stored = readText(found.value?.spec, 'base');
@@ -114,13 +116,15 @@
 				setBase(pool, stored);
 			}
 
-			return;
+			return true;
 		}
 
 		const written = found.value === undefined ? await api.create(id, {base: next}) : await api.replace(id, {base: next}, found.value.revision);
 		if (written.isOk()) {
 			setBase(pool, next);
 		}
+
+		return written.isOk();
 	}
 
 	async function settleBaseOnce(pool: string): Promise<void> {
@@ -254,25 +258,27 @@
 		},
 		recordComplete: remove,
 		async findOrigin({firstRequestId}, pools) {
-			const now = clock.monotonic();
 			const known = firstRequestId === undefined ? undefined : recordByRequest.get(firstRequestId);
 			if (known !== undefined) {
 				return ok({kind: 'version', ...known});
 			}
 
-			if (pools.every(pool => baseByPool.has(pool) && versions.soleVersion(pool, now) === baseByPool.get(pool))) {
-				return ok({kind: 'base'});
-			}
-
 			const origin = {step: 'find software version of stream', peer: firstRequestId ?? 'request without an id'};
 			if (firstRequestId === undefined) {
-				return err(createNotRun('unavailable', origin, 'the caller does not state which request began the stream, and several software versions have served', RETRY_AFTER_MS));
+				return err(createNotRun('unavailable', origin, 'the caller does not state which request began the stream'));
+			}
+
+			// The view of this daemon may be old: it may have stood still, or its feed source may. Only the store tells which versions began streams meanwhile.
+			const [found, ...areConfirmed] = await Promise.all([
+				Promise.race([readOrigin(firstRequestId), loop.sleep(READ_TIMEOUT_MS).then(() => undefined)]),
+				...pools.map(async pool => Promise.race([settleBase(pool), loop.sleep(READ_TIMEOUT_MS).then(() => false)])),
+			]);
+			if (found === undefined) {
+				return err(createNotRun('unavailable', origin, 'the software version of the stream is not known: the store does not respond in time', RETRY_AFTER_MS));
 			}
 
-			const found = await readOrigin(firstRequestId);
-			await Promise.all(pools.filter(pool => !baseByPool.has(pool)).map(async pool => settleBaseOnce(pool)));
-			return found.andThen<StreamOrigin, Failure>(streamOrigin => (streamOrigin.kind === 'base' && !pools.some(pool => baseByPool.has(pool))
-				? err(createNotRun('unavailable', origin, 'the base version of the pool is not known', RETRY_AFTER_MS))
+			return found.andThen<StreamOrigin, Failure>(streamOrigin => (streamOrigin.kind === 'base' && (areConfirmed.includes(false) || !pools.some(pool => baseByPool.has(pool)))
+				? err(createNotRun('unavailable', origin, 'the base version of the pool is not known, or not confirmed by the store', RETRY_AFTER_MS))
 				: ok(streamOrigin)));
 		},
 		dispose: tasks.dispose,
--- a/test/fakes/mesh-network.ts
+++ b/test/fakes/mesh-network.ts
@@ -55,11 +55,13 @@
 						return err(createNotRun('unavailable', origin, 'connect ECONNREFUSED'));
 					}
 
-					const reply = await handler(structuredClone(body));
+					const sentBody = JSON.stringify(body ?? null);
+					const reply = await handler(JSON.parse(sentBody) as unknown);
+					const sentReply = JSON.stringify(reply.body ?? null);
 					calls += 1;
-					bytes += JSON.stringify(body).length + JSON.stringify(reply.body ?? null).length;
+					bytes += sentBody.length + sentReply.length;
 					await loop.sleep(ONE_WAY_LATENCY_MS);
-					return ok(structuredClone(reply));
+					return ok({status: reply.status, body: JSON.parse(sentReply) as unknown});
 				},
 				others,
 				othersByReachability: others,
--- a/test/fakes/versioned-fleet.ts
+++ b/test/fakes/versioned-fleet.ts
@@ -94,9 +94,14 @@
 		};
 	}
 
+	/** Daemons whose view of the servers stays as it is. */
+	const outOfStep = new Set<string>();
+
 	function publishEntries(): void {
-		daemons.forEach(({update}) => {
-			update();
+		daemons.forEach(({update}, name) => {
+			if (!outOfStep.has(name)) {
+				update();
+			}
 		});
 	}
 
@@ -346,7 +351,7 @@
 	});
 	names.forEach(start);
 	return {
-		time, objects, names, servers, streams, attempts, random, addServer, crash, leave,
+		time, objects, names, servers, streams, attempts, random, outOfStep, addServer, crash, leave,
 		/** Begins streams for a time. */
 		async play(durationMs: number, perSecond: number) {
 			const task = loop.every({
--- a/test/software-versions.test.ts
+++ b/test/software-versions.test.ts
@@ -142,6 +142,40 @@
 	assert.ok(listMixedStreams(fleet.streams).length <= 2, `${listMixedStreams(fleet.streams).length} mixed streams`);
 });
 
+// Issue 37, first further report: a daemon with an old view of the servers took streams of a new version for streams of the only one that it knew.
+test('streams of a new software version do not go on at the one before at a daemon that is out of step', async () => {
+	const fleet = createVersionedFleet({daemons: 3, servers: 4, seed: 9});
+	await fleet.play(70_000, 2);
+	fleet.outOfStep.add('d0');
+	addServers(fleet, 4, 'v2');
+	await fleet.time.advance(500);
+	await fleet.play(1500, 40);
+	fleet.restart(['d1', 'd2'], 2000);
+	await fleet.play(3000, 10);
+	fleet.outOfStep.clear();
+	fleet.addServer('v2');
+	await fleet.time.advance(15_000);
+	assert.ok(fleet.attempts.filter(attempt => attempt.resumes === 'v2' && attempt.daemon === 'd0').length > 5);
+	assert.equal(listMixedStreams(fleet.streams), []);
+});
+
+test('a daemon that can not read the record of a stream refuses to continue it, also when it knows one version only', async () => {
+	const fleet = createVersionedFleet({daemons: 2, servers: 4, seed: 10});
+	await fleet.play(70_000, 2);
+	fleet.outOfStep.add('d0');
+	fleet.cutFromStore(['d0'], 6000);
+	addServers(fleet, 4, 'v2');
+	await fleet.time.advance(500);
+	await fleet.play(1500, 40);
+	fleet.restart(['d1'], 2000);
+	await fleet.play(3000, 10);
+	await fleet.time.advance(15_000);
+	const refused = fleet.attempts.filter(attempt => attempt.resumes === 'v2' && attempt.daemon === 'd0' && !attempt.hasEvents);
+	assert.ok(refused.length > 5);
+	assert.ok(refused.every(attempt => attempt.tookMs <= 1000), 'the refusal comes soon');
+	assert.equal(listMixedStreams(fleet.streams), []);
+});
+
 /** Plays releases of software, crashes, kills and outages of the store at random. */
 async function playFaults(seed: number, isVersioned = true): Promise<VersionedFleet> {
 	const fleet = createVersionedFleet({
