Refuse requests that may not end before a stopping daemon does, and answer all others before

Cause: a stopping daemon closes connections that are idle or whose response ends; one that has carried no request is neither, and what came over it was passed on whatever its deadline. Ruled out: connections that had carried a request, and the listen backlog.

Batches are stored only until then. Relays are refused from the signal on.

Conclusion: what is passed on ends before the process, or is answered before it.

--- a/src/hosting/common/caller-protocol.ts
+++ b/src/hosting/common/caller-protocol.ts
@@ -24,6 +24,9 @@
 	/** Name of the header that carries the request's id. */
 	abstract readonly requestIdHeader: string;
 
+	/** The id of a request; empty when it has none that can be sent back. */
+	abstract readRequestId(headers: IncomingHttpHeaders): string;
+
 	/** Decodes a request from its method, URL and headers. */
 	abstract readRequest(method: string, url: string, headers: IncomingHttpHeaders): CallerRequest;
 
--- a/src/hosting/hosting.contribution.ts
+++ b/src/hosting/hosting.contribution.ts
@@ -6,7 +6,7 @@
 import type {Activation, Context} from '../kernel/common/contribution.js';
 import {registerContribution} from '../kernel/common/registry.js';
 import {followKind} from '../objects/common/kind-follower.js';
-import {hostKey, type HostAddress} from '../settings/common/host.js';
+import {computeStopLimitMs, hostKey, type HostAddress} from '../settings/common/host.js';
 import {callerProtocolKey} from './common/caller-protocol.js';
 import {createCallerServer} from './node/caller-server.js';
 
@@ -36,8 +36,12 @@
 	return {
 		async drain() {
 			isLeaving = true;
+			server.startStopping(context.clock.monotonic() + computeStopLimitMs(host.bounds));
+			// Other daemons send their attempts elsewhere from now on.
+			void gateway.relayHelper.drain();
 			await context.loop.sleep(NOT_READY_MS);
 			await Promise.race([server.drain(), context.loop.sleep(REQUEST_DRAIN_MS)]);
+			server.refuseFurther();
 		},
 		dispose: server.close,
 	};
--- a/src/hosting/node/caller-server.ts
+++ b/src/hosting/node/caller-server.ts
@@ -13,6 +13,7 @@
 import {readBody} from '../../requests/node/read-body.js';
 import type {HostAddress} from '../../settings/common/host.js';
 import type {CallerProtocol, CallerRequest} from '../common/caller-protocol.js';
+import {endsBeforeExit, EXIT_MARGIN_MS} from '../common/exit-time.js';
 import type {CallerLimits, DeploymentHolder, Route} from '../../gateway/common/deployment.js';
 import {computeFingerprint} from '../../gateway/common/request-fingerprint.js';
 import type {Forwarder} from '../../gateway/node/forwarder.js';
@@ -22,7 +23,11 @@
 /** The server for callers of one daemon. */
 export type CallerServer = {
 	readonly listen: () => Promise<void>;
-	/** Stops accepting connections and closes each one when its request ends; resolves when no request is open. */
+	/** Announces that the process ends at `exitAt`, a monotonic time. What is open then is answered shortly before. */
+	readonly startStopping: (exitAt: number) => void;
+	/** Refuses all further requests. */
+	readonly refuseFurther: () => void;
+	/** Stops accepting connections, refuses requests that may not end before the process does, and closes each one when its request ends; resolves when no request is open. */
 	readonly drain: () => Promise<void>;
 	readonly close: () => void;
 };
@@ -57,15 +62,38 @@
 /** Used for a deadline that the caller does not state and for a timeout that the route does not set, in milliseconds. */
 const DEFAULT_DEADLINE_MS = 10_000;
 
+/** Retry-after time for a caller that is refused because the daemon stops, in milliseconds: its next connection leads to another daemon. */
+const RETRY_ELSEWHERE_MS = 100;
+/** Minimum time for storing a batch, in milliseconds. */
+const MINIMUM_SUBMISSION_MS = 1000;
+/** Time before the end of the process at which all that is open is answered, in milliseconds. */
+const EXIT_ANSWER_MS = 200;
+
+/** A request whose response has not been sent completely. */
+type OpenCall = {
+	readonly requestId: string;
+	/** Whether a backend server or the store may have got it. */
+	isPassedOn: boolean;
+};
+
 /** Creates the server. */
 export function createCallerServer(dependencies: CallerServerDependencies): CallerServer {
 	const {
 		protocol, deployment, forwarder, streams, batches, clock, log, metrics,
 	} = dependencies;
 	let isDraining = false;
-	let openRequests = 0;
+	let isRefusing = false;
+	let exitAt = Number.POSITIVE_INFINITY;
+	const openCalls = new Map<ServerResponse, OpenCall>();
 	const idleListeners: Array<() => void> = [];
 
+	function markPassedOn(response: ServerResponse): void {
+		const openCall = openCalls.get(response);
+		if (openCall !== undefined) {
+			openCall.isPassedOn = true;
+		}
+	}
+
 	function limits(): CallerLimits {
 		return deployment.current()?.limits ?? INITIAL_LIMITS;
 	}
@@ -103,6 +131,27 @@
 		}
 	}
 
+	/** Whether a request is refused because the daemon stops and may not have answered it by then. Before the drain, the load balancer may not know yet. */
+	function mayBeCut(deadlineAt: number): boolean {
+		return isRefusing || (isDraining && !endsBeforeExit(deadlineAt, exitAt));
+	}
+
+	function refuseWhileStopping(response: ServerResponse, requestId: string): void {
+		refuse(response, requestId, STATUS.unavailable, 'the daemon is stopping', RETRY_ELSEWHERE_MS);
+	}
+
+	/** Answers all that is open, as the process ends next. */
+	function answerOpenCalls(): void {
+		isRefusing = true;
+		openCalls.forEach(({requestId, isPassedOn}, response) => {
+			if (isPassedOn) {
+				refuse(response, requestId, STATUS.timeout, 'the daemon stops before a backend server has responded');
+			} else {
+				refuseWhileStopping(response, requestId);
+			}
+		});
+	}
+
 	/** Refuses a request without a known route. Says that the route does not exist only if the configuration is up to date, because a newer one may contain it. */
 	function refuseWithoutRoute(response: ServerResponse, requestId: string): void {
 		if (deployment.current() === undefined) {
@@ -121,7 +170,15 @@
 			return;
 		}
 
-		const accepted = await batches.submit(batch, clock.monotonic() + (call.deadlineMs ?? DEFAULT_DEADLINE_MS));
+		const now = clock.monotonic();
+		const deadlineAt = Math.min(now + (call.deadlineMs ?? DEFAULT_DEADLINE_MS), exitAt - EXIT_MARGIN_MS);
+		if (isRefusing || deadlineAt - now < MINIMUM_SUBMISSION_MS) {
+			refuseWhileStopping(response, call.requestId);
+			return;
+		}
+
+		markPassedOn(response);
+		const accepted = await batches.submit(batch, deadlineAt);
 		accepted.match(() => {
 			reply(response, STATUS.accepted, {[protocol.requestIdHeader]: call.requestId}, '');
 		}, failure => {
@@ -151,6 +208,10 @@
 		}
 
 		const body = read.value;
+		if (isRefusing) {
+			refuseWhileStopping(response, call.requestId);
+			return;
+		}
 
 		const route = deployment.findRoute(call.host, request.url ?? '/');
 		if (route === undefined) {
@@ -202,6 +263,12 @@
 			permitUrgency: 'caller' as const,
 			...(call.resumption !== undefined && {resumption: call.resumption}),
 		};
+		if (mayBeCut(plainRequest.deadlineAt)) {
+			refuseWhileStopping(response, call.requestId);
+			return;
+		}
+
+		markPassedOn(response);
 		if (route.repeatability === 'stream') {
 			const failure = await streams.forward(plainRequest, response, isDraining);
 			if (failure !== undefined) {
@@ -246,6 +313,7 @@
 			return;
 		}
 
+		markPassedOn(response);
 		const ended = await batches.end(call.batchId);
 		ended.match(() => {
 			reply(response, STATUS.ok, {}, '');
@@ -280,7 +348,7 @@
 			maxHeaderSize: MAXIMUM_HEADER_BYTES, keepAliveTimeout: INITIAL_LIMITS.idleTimeoutMs, requestTimeout: 0, noDelay: true,
 		}, (request, response) => {
 			server.keepAliveTimeout = limits().idleTimeoutMs;
-			openRequests += 1;
+			openCalls.set(response, {requestId: protocol.readRequestId(request.headers), isPassedOn: false});
 			response.on('finish', () => {
 				// A response whose head was sent before the drain does not tell the caller to close, so the caller could send another request that would be cut.
 				if (isDraining) {
@@ -288,8 +356,8 @@
 				}
 			});
 			response.on('close', () => {
-				openRequests -= 1;
-				if (openRequests === 0) {
+				openCalls.delete(response);
+				if (openCalls.size === 0) {
 					idleListeners.splice(0).forEach(listener => {
 						listener();
 					});
@@ -324,11 +392,18 @@
 				await openListener(readinessServer, dependencies.readiness);
 			}
 		},
+		startStopping(at) {
+			exitAt = at;
+			dependencies.loop.after(at - EXIT_ANSWER_MS - clock.monotonic(), answerOpenCalls);
+		},
+		refuseFurther() {
+			isRefusing = true;
+		},
 		async drain() {
 			isDraining = true;
 			// Stops accepting connections and closes idle ones. Connections in use are closed after their next response.
 			server.close();
-			if (openRequests > 0) {
+			if (openCalls.size > 0) {
 				await new Promise<void>(resolve => {
 					idleListeners.push(resolve);
 				});
--- a/src/hosting/test/caller-server.test.ts
+++ b/src/hosting/test/caller-server.test.ts
@@ -1,5 +1,5 @@
 import {Agent, request as startRequest, type IncomingMessage} from 'node:http';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {suite} from 'uvu';
@@ -25,6 +25,10 @@
 	override readonly retryAfterHeader = 'Retry-After';
 	override readonly requestIdHeader = 'Request-Id';
 
+	override readRequestId(): string {
+		return 'r1';
+	}
+
 	override readRequest(_method: string, url: string): CallerRequest {
 		if (url === '/undecodable') {
 			return {type: 'malformed'};
@@ -218,6 +222,86 @@
 	server.close();
 });
 
+/** Opens a connection that carries no request yet. */
+async function openConnection(port: number): Promise<Socket> {
+	return new Promise((resolve, reject) => {
+		const socket = connect(port, '127.0.0.1', () => {
+			resolve(socket);
+		});
+		socket.once('error', reject);
+	});
+}
+
+/** Sends a request over an open connection; resolves with all that comes back until the connection ends. */
+async function sendOver(socket: Socket, text: string): Promise<string> {
+	return new Promise(resolve => {
+		const chunks: string[] = [];
+		socket.on('data', chunk => {
+			chunks.push(String(chunk));
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			resolve(chunks.join(''));
+		});
+		socket.write(text);
+	});
+}
+
+const REQUEST = 'POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody';
+
+// Issue 37, second further report: requests that came late in a planned stop were passed on, and cut when the process ended.
+test('a stopping server refuses at once what may not end before the process does, and passes on what will', async () => {
+	let passedOn = 0;
+	const {server, callers} = await openServer(async () => {
+		passedOn += 1;
+		return answered(200, {}, 'done');
+	});
+	const [early, late] = [await openConnection(callers), await openConnection(callers)];
+	server.startStopping(performance.now() + 1600);
+	void server.drain();
+	// The route allows a request 1000 ms.
+	assert.match(await sendOver(early, REQUEST), /^HTTP\/1.1 200 /);
+	assert.is(passedOn, 1);
+	await delay(500);
+	const sentAt = performance.now();
+	assert.match(await sendOver(late, REQUEST), /^http\/1.1 503 [^]*connection: close/i);
+	assert.ok(performance.now() - sentAt < 200);
+	assert.is(passedOn, 1, 'a refused request has not run');
+	server.close();
+});
+
+test('a request whose body ends late in a stop is refused, and one that is still open at the end is answered', async () => {
+	let passedOn = 0;
+	const {server, callers} = await openServer(async () => {
+		passedOn += 1;
+		await delay(3000);
+		return answered(200, {}, 'done');
+	});
+	const [slow, silent, lateBody] = [await openConnection(callers), await openConnection(callers), await openConnection(callers)];
+	const slowAnswer = sendOver(slow, REQUEST);
+	const silentAnswer = sendOver(silent, REQUEST.replace('body', ''));
+	const lateAnswer = sendOver(lateBody, REQUEST.replace('body', ''));
+	await delay(50);
+	server.startStopping(performance.now() + 900);
+	void server.drain();
+	await delay(300);
+	lateBody.write('body');
+	assert.match(await lateAnswer, /^HTTP\/1.1 503 /);
+	assert.match(await slowAnswer, /^HTTP\/1.1 504 /, 'it may have run');
+	assert.match(await silentAnswer, /^HTTP\/1.1 503 /, 'it has not run');
+	assert.is(passedOn, 1);
+	server.close();
+});
+
+test('a server that refuses all further requests answers them', async () => {
+	const {server, callers} = await openServer(async () => answered(200, {}, ''));
+	const connection = await openConnection(callers);
+	await server.drain();
+	server.refuseFurther();
+	assert.match(await sendOver(connection, REQUEST), /^HTTP\/1.1 503 /);
+	server.close();
+});
+
 test('a body over the limit is refused', async () => {
 	const {server, callers} = await openServer(async () => answered(200, {}, ''));
 	const response = await call(callers, '/a/x', 'x'.repeat(2000));
--- a/src/settings/common/host.ts
+++ b/src/settings/common/host.ts
@@ -48,3 +48,11 @@
 
 /** The daemon's host. */
 export const hostKey = createServiceKey<Host>('host');
+
+/** Part of the grace period that is reserved for the last steps of a stop, before the platform kills the process, in milliseconds. */
+const STOP_MARGIN_MS = 500;
+
+/** Time from the signal to stop until the process ends, whatever is still in progress, in milliseconds. */
+export function computeStopLimitMs({graceMs}: Pick<Host['bounds'], 'graceMs'>): number {
+	return Math.max(0, graceMs - STOP_MARGIN_MS);
+}
