Send a request that must not run twice over a connection of its own where it was refused before

Cause: a late second copy of a server's refusal came on the connection of the next attempt there, which has the same id, and was taken for its answer. Ruled out: other servers' answers, which come on other connections. Change: such an attempt uses a connection of its own, also over another daemon (a new field of the call, which earlier builds ignore). Conclusion: an answer of an earlier attempt can't arrive where the next one waits.

--- a/src/gateway/common/relay.ts
+++ b/src/gateway/common/relay.ts
@@ -15,6 +15,8 @@
 	readonly attempt: ServerAttempt;
 	/** Time limit of the attempt, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Whether the attempt needs a connection of its own; undefined from daemons of builds that do not tell. */
+	readonly usesNewConnection?: boolean;
 };
 
 /** Status line and headers of a server's response. */
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -151,9 +151,13 @@
 	async function attemptServer({dispatch, admission}: AdmittedDispatch, request: PlainRequest, progress: Progress, signal: AbortSignal): Promise<Result<BackendResponse, Failure>> {
 		const remainingMs = request.deadlineAt - clock.monotonic() - RESPONSE_MARGIN_MS;
 		const endAttempt = guard.begin(request, dispatch.server.id, admission);
+		// A late copy of the server's first answer has the request's id too, and would be taken for the answer to this attempt.
+		const usesNewConnection = request.route.repeatability !== 'idempotent' && progress.triedServers.filter(id => id === dispatch.server.id).length > 1;
 		const result = await caller.attempt(dispatch.server, request, {
 			requestId: request.requestId, remainingMs, serverId: dispatch.server.id, ...(request.urgency !== undefined && {urgency: request.urgency}),
-		}, {timeoutMs: Math.max(1, remainingMs), signal, onCut: () => request.route.repeatability === 'idempotent' ? 'restart' : 'wait'});
+		}, {
+			timeoutMs: Math.max(1, remainingMs), signal, usesNewConnection, onCut: () => request.route.repeatability === 'idempotent' ? 'restart' : 'wait',
+		});
 		const now = clock.monotonic();
 		progress.verdict = endAttempt(classifyOutcome(toAttemptEnd(result), {hasTimedOut: now >= request.deadlineAt - RESPONSE_MARGIN_MS, hasCallerLeft: request.signal.aborted}));
 		result.match(response => {
--- a/src/gateway/node/http-relay.ts
+++ b/src/gateway/node/http-relay.ts
@@ -48,6 +48,7 @@
 		requestId: z.string(), remainingMs: z.number(), serverId: z.string(), urgency: z.number().optional(), resumeAfter: z.string().optional(),
 	}),
 	timeoutMs: z.number(),
+	usesNewConnection: z.boolean().optional(),
 });
 const headSchema = z.object({status: z.number(), headers: headersSchema});
 const failureSchema = z.object({code: z.string(), effect: z.enum(['notRun', 'outcomeUnknown']), message: z.string()});
@@ -69,9 +70,11 @@
 		return undefined;
 	}
 
-	const {hasBody, attempt: {urgency, resumeAfter, ...attempt}, ...call} = parsed.data;
+	const {
+		hasBody, attempt: {urgency, resumeAfter, ...attempt}, usesNewConnection = false, ...call
+	} = parsed.data;
 	return {
-		...call, attempt: {...attempt, ...(urgency !== undefined && {urgency}), ...(resumeAfter !== undefined && {resumeAfter})}, body: hasBody ? body : undefined,
+		...call, usesNewConnection, attempt: {...attempt, ...(urgency !== undefined && {urgency}), ...(resumeAfter !== undefined && {resumeAfter})}, body: hasBody ? body : undefined,
 	};
 }
 
--- a/src/gateway/node/relay-helper.ts
+++ b/src/gateway/node/relay-helper.ts
@@ -74,6 +74,7 @@
 
 		const answered = await direct.attempt(server, call, call.attempt, {
 			timeoutMs: call.timeoutMs,
+			usesNewConnection: call.usesNewConnection === true,
 			connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, call.timeoutMs),
 			signal: abort.signal,
 			onHead(head, headers) {
--- a/src/gateway/node/relaying-caller.ts
+++ b/src/gateway/node/relaying-caller.ts
@@ -118,7 +118,7 @@
 			}
 
 			const relayCall: RelayCall = {
-				server: {id: server.id, address: server.address, port: server.port}, method: request.method, path: request.path, headers: request.headers, body: request.body, attempt: left.attempt, timeoutMs: left.options.timeoutMs,
+				server: {id: server.id, address: server.address, port: server.port}, method: request.method, path: request.path, headers: request.headers, body: request.body, attempt: left.attempt, timeoutMs: left.options.timeoutMs, usesNewConnection: options.usesNewConnection === true,
 			};
 			const collector = createCollector(call);
 			const endOpen = choice.begin(peer.name);
--- /dev/null
+++ b/src/gateway/test/forwarder.test.ts
@@ -0,0 +1,96 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {ok} from 'neverthrow';
+import {createSeededRandom, createVirtualTime} from '../../../test/fakes/virtual-loop.js';
+import {silentLog} from '../../kernel/common/log.js';
+import {silentMetrics} from '../../kernel/common/metrics.js';
+import {unlimitedPermits} from '../../limits/common/server-permits.js';
+import {createDispatcher} from '../../routing/common/dispatcher.js';
+import {createLoadEstimate} from '../../routing/common/load-estimate.js';
+import {createPrefixIndex} from '../../routing/common/prefix-index.js';
+import type {Repeatability} from '../common/deployment.js';
+import {permissiveRequestGuard} from '../common/request-guard.js';
+import {createServerView} from '../common/server-view.js';
+import {createForwarder} from '../node/forwarder.js';
+import {createServerAcquisition} from '../node/server-acquisition.js';
+import type {ServerCaller} from '../node/server-caller.js';
+
+const test = suite('forwarder');
+const POOL = 'p';
+
+/** Forwards one request to servers that all refuse it; returns the server of each attempt, and whether it used a connection of its own. */
+async function listRefusedAttempts(repeatability: Repeatability): Promise<ReadonlyArray<{readonly serverId: string; readonly isNew: boolean}>> {
+	const random = createSeededRandom(1);
+	const time = createVirtualTime(random);
+	const {clock, loop} = time;
+	const view = createServerView(() => 'r');
+	view.update(['s1', 's2'].map(id => ({
+		id, pool: POOL, address: id, port: 1, availabilityZone: 'z', slots: 8, isLeaving: false, versions: new Map(), sequence: 1, startedAt: 1, softwareVersion: 'v1',
+	})), 0);
+	const attempts: Array<{readonly serverId: string; readonly isNew: boolean}> = [];
+	const caller: ServerCaller = {
+		async attempt(server, _request, {requestId}, options) {
+			attempts.push({serverId: server.id, isNew: options.usesNewConnection === true});
+			await loop.sleep(1);
+			return ok({
+				status: 503, headers: {}, body: new Uint8Array(), head: {
+					status: 503, requestId, isNotRun: true, isOtherServer: false, isLeaving: false, limitPerSecond: undefined, load: undefined, signature: undefined, version: undefined,
+				},
+			});
+		},
+		close: () => undefined,
+	};
+	const loads = createLoadEstimate(() => 8);
+	const forwarder = createForwarder({
+		clock,
+		loop,
+		random,
+		caller,
+		loads,
+		log: silentLog,
+		metrics: silentMetrics,
+		guard: permissiveRequestGuard,
+		configurationVersion: () => 1,
+		serverIdsOf: pool => view.list(pool).map(entry => entry.id),
+		acquisition: createServerAcquisition({
+			permits: unlimitedPermits, isUsable: view.table.isUsable, clock, random,
+		}),
+		dispatcher: createDispatcher({
+			table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, isReservedElsewhere: () => false,
+		}),
+	});
+	const forwarded = forwarder.forward({
+		requestId: 'q',
+		route: {
+			name: 'r', host: 'h', pathPrefix: '/', repeatability, timeoutMs: 2000, goalMs: 1000, priority: 1, attempts: 4, pools: [{pool: POOL, weight: 1}], canResume: false, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
+		},
+		method: 'POST',
+		path: '/',
+		headers: {},
+		body: undefined,
+		deadlineAt: 2000,
+		signal: new AbortController().signal,
+		urgency: undefined,
+		permitUrgency: 'caller',
+		fingerprint: undefined,
+	});
+	await time.advance(2000);
+	await forwarded;
+	return attempts;
+}
+
+// Issue 37, review/4: a late second copy of a server's refusal was taken for the answer to the next attempt there, which ran.
+test('a request that must not run twice gets a connection of its own at a server that has refused it', async () => {
+	const attempts = await listRefusedAttempts('nonIdempotent');
+	assert.is(attempts.length, 4);
+	attempts.forEach(({serverId, isNew}, index) => {
+		assert.is(isNew, attempts.slice(0, index).some(earlier => earlier.serverId === serverId), `attempt ${index + 1} at ${serverId}`);
+	});
+});
+
+test('a request that may run twice uses the connections that are open', async () => {
+	const attempts = await listRefusedAttempts('idempotent');
+	assert.ok(attempts.length > 2 && attempts.every(({isNew}) => !isNew));
+});
+
+test.run();
