--- a/review/7/test/case.ts
+++ b/review/7/test/case.ts
@@ -37,7 +37,7 @@
 	kit.announceWorker({id: 'i-faulty', address: {ip, port}, born: Date.now()}, {service: 'streams', zone: 'zone-a', slots: 8});
 }
 
-await runCase('review/7', {daemons: [{name: 'edge-1', zone: 'zone-a'}, {name: 'edge-2', zone: 'zone-b'}], routes, services}, async kit => {
+await runCase({daemons: [{name: 'edge-1', zone: 'zone-a'}, {name: 'edge-2', zone: 'zone-b'}], routes, services}, async kit => {
 	await kit.addWorker({
 		id: 'i-app', service: 'app', zone: 'zone-a', slots: 8, handle(request, body, response) {
 			const id = String(request.headers['attempt-id']);
--- a/review/8/test/case.ts
+++ b/review/8/test/case.ts
@@ -8,10 +8,10 @@
 const ITEMS = 4;
 const EVENTS = 10;
 const EVENT_PERIOD_MS = 25;
-const FREEZE_MS = 4600;
+const FREEZE_MS = 4000;
 /** Time before the end of the freeze at which the third daemon is read. */
 const READ_BEFORE_THAW_MS = 300;
-const READ_PERIOD_MS = 500;
+const READ_PERIOD_MS = 400;
 const ROUNDS = 3;
 const BATCHES = 4;
 
@@ -45,7 +45,7 @@
 	});
 }
 
-await runCase('review/8', {daemons: [{name: 'edge-1', zone: 'zone-a'}, {name: 'edge-2', zone: 'zone-b'}, {name: 'edge-3', zone: 'zone-b'}], routes, services}, async kit => {
+await runCase({daemons: [{name: 'edge-1', zone: 'zone-a'}, {name: 'edge-2', zone: 'zone-b'}, {name: 'edge-3', zone: 'zone-b'}], routes, services}, async kit => {
 	for (const [id, zone] of [['i-1', 'zone-a'], ['i-2', 'zone-b']] as const) {
 		await kit.addWorker({
 			id, service: 'models', zone, slots: 8, models: ['m0'], handle: generate,
--- a/review/9/test/case.ts
+++ b/review/9/test/case.ts
@@ -31,12 +31,13 @@
 
 type Result = {readonly id: string; readonly state: string; readonly text: string};
 
-await runCase('review/9', {daemons: [{name: 'edge-1', zone: 'zone-a'}, {name: 'edge-2', zone: 'zone-b'}], routes, services}, async kit => {
+await runCase({daemons: [{name: 'edge-1', zone: 'zone-a'}, {name: 'edge-2', zone: 'zone-b'}], routes, services}, async kit => {
 	let failingItem: string | undefined;
 	let awaitsFailing = false;
 	let runs = 0;
 	let failures = 0;
 	let answers = 0;
+	let faultyAnswers = 0;
 	let copies = 0;
 	/** The copy of the last failing answer, by connection. */
 	const lateCopies = new Map<Socket, string>();
@@ -65,6 +66,7 @@
 					setTimeout(() => {
 						failures += 1;
 						answers += 1;
+						faultyAnswers += isFaulty ? 1 : 0;
 						const stamp = `stamp-${id}-${failures}`;
 						kit.record(`${name}: answers ${id} with 500 (${stamp}), for the ${failures}. time`);
 						response.writeHead(500, {'Attempt-Id': id, 'Server-Stamp': stamp, 'content-length': 0}).end();
@@ -85,6 +87,7 @@
 				if (event > EVENTS) {
 					clearInterval(timer);
 					answers += 1;
+					faultyAnswers += isFaulty ? 1 : 0;
 					response.end();
 					return;
 				}
@@ -159,7 +162,7 @@
 			return runUntilFailure(step + 1);
 		}
 
-		kit.record(`result of ${result.id}: ${result.state}, "${result.text.replaceAll('\n', ' ')}"; workers gave ${answers} answers, ${failures} of them with status 500, and ${copies} second copies`);
+		kit.record(`result of ${result.id}: ${result.state}, "${result.text.replaceAll('\n', ' ')}"; workers gave ${answers} answers (the faulty one ${faultyAnswers}), ${failures} of them with status 500, and ${copies} second copies`);
 		return result.state === 'dead' && failures < ATTEMPTS
 			? `item ${result.id} is listed as dead, though workers answered it with 500 only ${failures} times, and its route has ${ATTEMPTS} attempts`
 			: undefined;
--- a/review/kit-2/test/kit.ts
+++ b/review/kit-2/test/kit.ts
@@ -26,6 +26,9 @@
 const PORTS = {
 	front: 18_149, ready: 18_141, control: 18_144, peers: 17_380, lastPeer: 17_395,
 } as const;
+/** Port of the metrics in the template of the settings. */
+const METRICS_PORT = 9464;
+const MAXIMUM_DAEMONS = 4;
 const ZONES = {'zone-a': 'south', 'zone-b': 'south', 'zone-c': 'north'} as const;
 /** Bounds of `demands/olps-admit-grown`. */
 export const BOUNDS = {
@@ -166,8 +169,9 @@
 /** Finds a network of loopback addresses whose ports are free. */
 async function findNetwork(tries = 20): Promise<string> {
 	const network = `127.${64 + Math.floor(Math.random() * 60)}.${1 + Math.floor(Math.random() * 250)}`;
-	const free = await Promise.all(Array.from({length: 9}, async (_, index) => isFree(`${network}.${index + 1}`, PORTS.front)));
-	if (free.every(Boolean)) {
+	const ports = [PORTS.front, PORTS.ready, PORTS.control, PORTS.peers, METRICS_PORT];
+	const free = await Promise.all(Array.from({length: MAXIMUM_DAEMONS}, async (_, index) => Promise.all(ports.map(async port => isFree(`${network}.${index + 1}`, port)))));
+	if (free.flat().every(Boolean)) {
 		return network;
 	}
 
@@ -184,10 +188,10 @@
 	return (/^run = "([^"]+)"/m.exec(role)?.[1] ?? '').split(' ');
 }
 
-/** Runs a case; the process exits with 1 if `run` returns a description of how the rule was broken, 0 if it returns undefined, and 2 if the case could not run. */
-export async function runCase(folder: string, options: KitOptions, run: (kit: Kit) => Promise<string | undefined>): Promise<void> {
+/** Runs a case, and writes what happens to the file that the first argument of the script names, `record.txt` in the folder of the case. The process exits with 1 if `run` returns a description of how the rule was broken, 0 if it returns undefined, and 2 if the case could not run. */
+export async function runCase(options: KitOptions, run: (kit: Kit) => Promise<string | undefined>): Promise<void> {
 	const startedAt = Date.now();
-	const recordFile = path.resolve(folder, 'record.txt');
+	const recordFile = path.resolve(process.argv[2] ?? 'record.txt');
 	const temporary = mkdtempSync(path.join(tmpdir(), 'review-'));
 	writeFileSync(recordFile, '');
 	const record = (line: string): void => {
@@ -225,6 +229,11 @@
 	setTimeout(() => {
 		end(EXIT.notRun, 'the case took too long');
 	}, CASE_TIMEOUT_MS);
+	(['SIGHUP', 'SIGINT', 'SIGTERM'] as const).forEach(signal => {
+		process.on(signal, () => {
+			end(EXIT.notRun, `the case was ended by ${signal}`);
+		});
+	});
 	try {
 		const network = await findNetwork();
 		const runWords = readRunWords();
