Read a batch's log again before it is served after a pause

Cause: an owner that had stood still answered from its own copy of the log as it went on, though another daemon had taken the batch over. Nothing asked whether the store had confirmed that copy since.

Ruled out: the daemon that passes the read on. It may take a former owner for the owner at any time, and the owner must know.

Change: `readHere` of the batch service reads the log from the store when this daemon has paused since it was last confirmed, by the monotonic or the wall clock. Concurrent reads share the call; while the store does not respond, they get 503.

--- a/src/batches/node/batch-service.ts
+++ b/src/batches/node/batch-service.ts
@@ -5,7 +5,9 @@
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
+import {readClocks} from '../../base/common/clock.js';
 import {createEmitter} from '../../base/common/event.js';
+import {createPauseRecord} from '../../base/common/pause-record.js';
 import type {Random} from '../../base/common/random.js';
 import {handleDecoded} from '../../peers/common/decode-call.js';
 import type {PeerDaemon, PeerReply} from '../../peers/common/peer-mesh.js';
@@ -75,8 +77,9 @@
 /** Creates the batches of one daemon. */
 export function createBatchService(dependencies: BatchServiceDependencies): BatchService {
 	const {
-		mesh, loop, log, metrics,
+		mesh, clock, loop, log, metrics,
 	} = dependencies;
+	const pauses = createPauseRecord(readClocks(clock));
 	const opened = createEmitter<OpenedBatch>();
 	let leaving = false;
 	const isLeaving = (): boolean => leaving;
@@ -142,9 +145,26 @@
 		return entry.batchLog.page(after, entry.batch.items.length);
 	}
 
-	async function readHere(entry: HeldBatch, after: number, waitMs: number): Promise<ResultPage> {
+	/** Reads the log from the store if this daemon has paused since the store last confirmed it: another daemon may have taken the batch over meanwhile. */
+	async function confirmLog({batch, batchLog, writer}: HeldBatch): Promise<Result<void, Failure>> {
+		const resumedAt = pauses.resumedAt(readClocks(clock));
+		if (batchLog.isEnded() || writer.confirmedAt() >= resumedAt) {
+			return ok();
+		}
+
+		const confirmed = await writer.confirmSince(resumedAt);
+		metrics.count('batch.confirmed_after_pause', 1, {outcome: confirmed.isOk() ? 'confirmed' : 'failed'});
+		log.info('batch log is read before it is served, as this daemon has paused', {
+			batchId: batch.id, owner: batchLog.owner().name, outcome: confirmed.isOk() ? 'confirmed' : confirmed.error.message,
+		});
+		return confirmed;
+	}
+
+	/** Waits for results, and returns those of a log that is not older than this daemon's last pause. The wait itself may span a pause. */
+	async function readHere(entry: HeldBatch, after: number, waitMs: number): Promise<Result<ResultPage, Failure>> {
 		await waitForResults(entry, after, waitMs);
-		return page(entry, after);
+		const confirmed = await confirmLog(entry);
+		return confirmed.map(() => page(entry, after));
 	}
 
 	function announce(batch: Batch): void {
@@ -215,7 +235,7 @@
 
 	handleOwned(READ_CALL, async (entry, {after = 0, waitMs = 0}) => {
 		const results = await readHere(entry, after, waitMs);
-		return {status: 200, body: results};
+		return results.match(body => ({status: 200, body}), () => ({status: 503, body: null}));
 	});
 	handleOwned('batch-body', async (entry, {itemId = ''}) => readBodyHere(entry, itemId).match(
 		bytes => ({status: 200, body: Buffer.from(bytes).toString('base64')}),
@@ -266,7 +286,7 @@
 					const read = decodePage(checked.body);
 					return read === undefined ? err(unavailable('read batch', batchId, 'the page of the owner can not be decoded')) : ok(read);
 				}),
-				async entry => ok(await readHere(entry, after, batches.isOwnedHere(entry) ? waitMs : 0)),
+				async entry => readHere(entry, after, batches.isOwnedHere(entry) ? waitMs : 0),
 			);
 		},
 		async readBody(batchId, itemId, reader) {
@@ -309,6 +329,7 @@
 			return {name: chosen.name, isKnown: false};
 		},
 		tick(now) {
+			pauses.resumedAt(readClocks(clock));
 			const active = batches.all().flatMap(entry => (entry.owner?.isActive() === true ? [entry.owner] : []));
 			const demands = active.map(owner => owner.demand(now)).filter(demand => demand.slacksMs.length + demand.hopeless > 0);
 			dependencies.startPriorities.applyReport(mesh.self.name, demands, now);
--- a/src/batches/node/log-writer.ts
+++ b/src/batches/node/log-writer.ts
@@ -19,6 +19,8 @@
 	readonly append: (source: RecordSource) => Promise<Result<void, Failure>>;
 	/** Reads and applies the records that other daemons have appended. */
 	readonly catchUp: () => Promise<Result<void, Failure>>;
+	/** Reads the log unless the store has confirmed it since a monotonic time. Calls at the same time share one read. */
+	readonly confirmSince: (since: number) => Promise<Result<void, Failure>>;
 	/** Monotonic time at which the store last confirmed that this daemon knows the complete log. */
 	readonly confirmedAt: () => number;
 };
@@ -160,6 +162,10 @@
 	return {
 		append: async source => queue.add(async () => appendNow(source, [])),
 		catchUp: async () => queue.add(async () => readAll()),
+		async confirmSince(since) {
+			const isConfirmed = (): boolean => confirmedAt >= since;
+			return isConfirmed() ? ok() : queue.add(async () => (isConfirmed() ? ok() : readAll()));
+		},
 		confirmedAt: () => confirmedAt,
 	};
 }
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -290,15 +290,21 @@
 		};
 
 		updateView();
-		const tasks = [
+		const startTasks = () => [
 			loop.every({name: 'look', periodMs: 500, run: updateView}),
 			loop.every({name: 'tick', periodMs: 50, run: service.tick}),
 		];
+		let tasks = startTasks();
+		const end = () => {
+			tasks.forEach(task => {
+				task.dispose();
+			});
+		};
+
 		return {
-			service, view, end() {
-				tasks.forEach(task => {
-					task.dispose();
-				});
+			service, view, end, startTasks() {
+				end();
+				tasks = startTasks();
 			},
 		};
 	}
@@ -359,6 +365,20 @@
 			daemons.get(name)!.end();
 			store.partitioned.add(name);
 		},
+		/** Stops a daemon's periodic work and its calls, as SIGSTOP does, while runs at engines are not affected: use it while none is open. */
+		pause(name: string) {
+			network.unresponsive.add(name);
+			daemons.get(name)!.end();
+		},
+		/** Lets other daemons call a paused one again, before its first timer. */
+		reconnect(name: string) {
+			network.unresponsive.delete(name);
+		},
+		/** Starts the periodic work of a paused daemon again. */
+		resume(name: string) {
+			network.unresponsive.delete(name);
+			daemons.get(name)!.startTasks();
+		},
 		restart(name: string) {
 			store.partitioned.delete(name);
 			daemons.set(name, startDaemon(name, '2'));
