Send a request again only over connections that have not carried it

Cause: an engine's late second copy of its answer came ahead of the answer to the item's next run on the same connection, had the right id, and was counted as another failure.

Ruled out: a new connection for each run of an item, as connections are priced and most items run once.

Change: the connections to backend servers remember the requests they have carried, and the one for an attempt is chosen by it, whatever sends it. A copy that arrives for another request is told from an answer of a server in trouble: it neither makes the server avoided nor counts as a broken run.

--- a/src/adapters/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -3,6 +3,7 @@
 import {
 	request as startRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {err, ok, Result} from 'neverthrow';
 import {findUnsendableHeader} from '../common/http-fields.js';
@@ -33,6 +34,8 @@
 	readonly connectTimeoutMs?: number;
 	/** Called when a new connection was established, or could not be. */
 	readonly onDidConnect?: (isConnected: boolean) => void;
+	/** Called with the connection of the call, new or kept, before a byte is sent over it. */
+	readonly onSocket?: (socket: Socket) => void;
 	/** Called before the first byte can have been sent. */
 	readonly onSent?: () => void;
 	/** Receives the chunks of a 200 response as they arrive, instead of the response's `body`. A returned text aborts the call and is the reason. */
@@ -298,6 +301,9 @@
 	return new Promise(resolve => {
 		const completion = createCompletion(call, origin, request, resolve);
 		let hasResponse = false;
+		request.on('socket', socket => {
+			call.onSocket?.(socket);
+		});
 		watchSending(request, completion.markSent);
 		watchConnecting(request, call, () => {
 			completion.fail('unavailable', `no connection within ${call.connectTimeoutMs} ms`);
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -8,6 +8,7 @@
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {DeploymentHolder, Route} from '../../gateway/common/deployment.js';
+import {isLateCopy} from '../../gateway/common/attempt-policy.js';
 import type {ResponseHead, ServerProtocol} from '../../gateway/common/server-protocol.js';
 import type {ServerEntry} from '../../gateway/common/server-view.js';
 import type {BackendResponse, ServerCaller} from '../../gateway/node/server-caller.js';
@@ -273,12 +274,17 @@
 		return called;
 	}
 
+	/** Whether the engine ended a run without a complete response. */
+	function hasBrokenOff(run: RunState, failure: Failure): boolean {
+		return run.brokenBy === undefined && !stopped && !isLateCopy(failure);
+	}
+
 	function endDispatch(run: RunState, result: Result<BackendResponse, Failure>): void {
 		const now = clock.monotonic();
 		const serverId = run.dispatch!.server.id;
 		const outcome = result.match(
 			response => (response.head.isOtherServer ? 'refused' as const : (response.head.isNotRun ? 'cancelled' as const : 'done' as const)),
-			() => (run.brokenBy === undefined && !stopped ? 'died' as const : 'cancelled' as const),
+			failure => (hasBrokenOff(run, failure) ? 'died' as const : 'cancelled' as const),
 		);
 		run.dispatch!.end(now, outcome);
 		metrics.timing('run.duration', now - run.startedAt, {outcome});
@@ -286,7 +292,7 @@
 			refusals.record(serverId, batch.model, now);
 		} else if (outcome === 'done') {
 			refusals.forget(serverId, batch.model);
-		} else {
+		} else if (result.isOk() || !isLateCopy(result.error)) {
 			engines.avoid(serverId, now);
 		}
 
@@ -378,7 +384,7 @@
 		stopWatching();
 		state = undefined;
 		endedAt = clock.monotonic();
-		const hasBroken = result.isErr() && result.error.effect === 'outcomeUnknown' && run.brokenBy === undefined && !stopped;
+		const hasBroken = result.isErr() && result.error.effect === 'outcomeUnknown' && hasBrokenOff(run, result.error);
 		delayMs = backoff.recordEnd({serverId: chosen.value.server.id, hasAdded: progress.lastEventId() > run.after, hasBroken});
 		dropTextOfUnknownVersion(run);
 		endDispatch(run, result);
--- a/src/gateway/common/attempt-policy.ts
+++ b/src/gateway/common/attempt-policy.ts
@@ -1,5 +1,5 @@
 /** Decides how to proceed after one attempt of a plain (unary) request at a backend server has ended. */
-import type {Failure} from '../../base/common/failure.js';
+import type {Failure, FailureCode} from '../../base/common/failure.js';
 import type {ResponseHead} from './server-protocol.js';
 import type {Repeatability} from './deployment.js';
 import type {AttemptOutcome} from './request-guard.js';
@@ -20,6 +20,14 @@
 	readonly minimumAttemptMs: number;
 };
 
+/** Code of the failure of an attempt for which a late copy of the answer to an earlier request arrived. */
+export const LATE_COPY_CODE = 'stale' satisfies FailureCode;
+
+/** Whether an attempt failed because of a late copy of an earlier answer, which says nothing about the request, nor that the server is in trouble. */
+export function isLateCopy(failure: Failure): boolean {
+	return failure.code === LATE_COPY_CODE;
+}
+
 /** How to proceed. */
 export type AttemptDecision
 	/** Return the response to the caller. */
@@ -76,5 +84,5 @@
 		return 'silent';
 	}
 
-	return end.failure.code === 'aborted' ? 'unclear' : 'broken';
+	return end.failure.code === 'aborted' || isLateCopy(end.failure) ? 'unclear' : 'broken';
 }
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -19,7 +19,7 @@
 import type {HedgePolicy} from '../common/hedge-policy.js';
 import type {PoolServers} from '../common/pool-servers.js';
 import {
-	classifyOutcome, decideAfterAttempt, isNotRun, type AttemptEnd,
+	classifyOutcome, decideAfterAttempt, isLateCopy, isNotRun, type AttemptEnd,
 } from '../common/attempt-policy.js';
 import {openAdmission, type Admission, type RequestGuard} from '../common/request-guard.js';
 import type {RunTracker} from '../common/run-tracker.js';
@@ -209,7 +209,7 @@
 				failureRates.recordOutcome(dispatch.server.id, true, now);
 			}
 
-			dispatch.end(now, failure.code === 'aborted' || now >= request.deadlineAt - RESPONSE_MARGIN_MS ? 'cancelled' : 'died');
+			dispatch.end(now, failure.code === 'aborted' || isLateCopy(failure) || now >= request.deadlineAt - RESPONSE_MARGIN_MS ? 'cancelled' : 'died');
 		});
 		return result;
 	}
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -1,5 +1,5 @@
 /** Makes one attempt of a request at one backend server, over keep-alive connections, and checks that the response is complete and belongs to the request. */
-import {Agent, type IncomingHttpHeaders} from 'node:http';
+import type {IncomingHttpHeaders} from 'node:http';
 import {err, type Result} from 'neverthrow';
 import type {Clock} from '../../base/common/clock.js';
 import type {Failure} from '../../base/common/failure.js';
@@ -7,8 +7,10 @@
 import {exchange, type HttpResponse} from '../../adapters/node/http-exchange.js';
 import type {BackendServer} from '../../routing/common/router.js';
 import type {ServerLinks} from '../common/server-links.js';
+import {LATE_COPY_CODE} from '../common/attempt-policy.js';
 import type {ResponseHead, ServerAttempt, ServerProtocol} from '../common/server-protocol.js';
 import type {ServerStatements} from '../common/server-statements.js';
+import {createServerConnections} from './server-connections.js';
 
 /** A request to a server, without the headers that an attempt adds. */
 export type ServerRequest = {
@@ -37,7 +39,7 @@
 	readonly onCut?: () => 'restart' | 'wait';
 	/** Called when a new connection was established, or could not be. */
 	readonly onDidConnect?: (isConnected: boolean) => void;
-	/** Opens a new connection that is used only for this attempt. */
+	/** Opens a new connection that is used only for this attempt, also at a daemon that relays it and may not know what its connections have carried. */
 	readonly usesNewConnection?: boolean;
 };
 
@@ -55,8 +57,6 @@
 	readonly clock: Clock;
 };
 
-/** Idle connections are closed after this time, unless the server states a shorter one. */
-const IDLE_CONNECTION_TIMEOUT_MS = 8000;
 /** Hop-by-hop headers, and `content-length`, which is set again for the forwarded request. */
 const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-connection', 'proxy-authorization', 'expect', 'content-length']);
 
@@ -84,8 +84,7 @@
 export function createServerCaller({
 	protocol, statements, links, clock,
 }: ServerCallerDependencies): ServerCaller {
-	const agent = new Agent({keepAlive: true, timeout: IDLE_CONNECTION_TIMEOUT_MS, scheduling: 'lifo'});
-	const singleUseAgent = new Agent({keepAlive: false});
+	const connections = createServerConnections();
 
 	return {
 		async attempt(server, request, attempt, options) {
@@ -95,6 +94,9 @@
 			}
 
 			const heads: ResponseHead[] = [];
+			const agent = options.usesNewConnection === true ? connections.singleUse : connections.chooseAgent(base.value, attempt.requestId);
+			let carried: {readonly has: (requestId: string) => boolean} | undefined;
+			let isLateCopy = false;
 			const recordHead = statements.begin(server.id, clock.monotonic());
 			const {result} = await exchange({
 				step: 'call backend server',
@@ -108,6 +110,9 @@
 				acceptsConnectionEnd: false,
 				...(options.onData && {onData: options.onData}),
 				...(options.connectTimeoutMs !== undefined && {connectTimeoutMs: options.connectTimeoutMs}),
+				onSocket(socket) {
+					carried = connections.record(socket, attempt.requestId, clock.monotonic());
+				},
 				onDidConnect(isConnected) {
 					options.onDidConnect?.(isConnected);
 					if (isConnected) {
@@ -119,6 +124,7 @@
 				onHead(status, headers) {
 					const head = protocol.readHead(status, headers);
 					if (head.requestId !== attempt.requestId && !(head.requestId === undefined && (head.isNotRun || head.isOtherServer))) {
+						isLateCopy = head.requestId !== undefined && carried?.has(head.requestId) === true;
 						return `the response belongs to request ${head.requestId ?? 'without an id'}`;
 					}
 
@@ -128,12 +134,11 @@
 				},
 				// A late second copy of a refusal without an id could not be told from an answer to the next request on this connection.
 				closesConnection: () => heads[0]?.requestId === undefined,
-			}, {base: base.value, agent: options.usesNewConnection === true ? singleUseAgent : agent});
-			return result.map(response => ({...response, head: heads[0]!}));
+			}, {base: base.value, agent});
+			return result.map(response => ({...response, head: heads[0]!})).mapErr(failure => (isLateCopy ? {...failure, code: LATE_COPY_CODE} : failure));
 		},
 		close() {
-			agent.destroy();
-			singleUseAgent.destroy();
+			connections.dispose();
 		},
 	};
 }
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -14,7 +14,9 @@
 import {computePatience} from '../../limits/common/permit-plan.js';
 import type {Dispatcher} from '../../routing/common/dispatcher.js';
 import type {Dispatch} from '../../routing/common/router.js';
-import {classifyOutcome, isNotRun, type AttemptEnd} from '../common/attempt-policy.js';
+import {
+	classifyOutcome, isLateCopy, isNotRun, type AttemptEnd,
+} from '../common/attempt-policy.js';
 import {choosePool} from '../common/deployment.js';
 import type {Admission, RequestGuard} from '../common/request-guard.js';
 import type {RunTracker} from '../common/run-tracker.js';
@@ -284,7 +286,7 @@
 
 			return 'stop';
 		}, failure => {
-			chosen.end(clock.monotonic(), failure.code === 'aborted' ? 'cancelled' : 'died');
+			chosen.end(clock.monotonic(), failure.code === 'aborted' || isLateCopy(failure) ? 'cancelled' : 'died');
 			log.info('stream broke', {
 				requestId: request.requestId, serverId: chosen.server.id, softwareVersion, lastEventId: state.lastEventId, reason: failure.message, effect: failure.effect,
 			});
