Bound the work that a peer's bytes cause, per byte and per turn

Cause: the forwarder of streams copied and searched all bytes since the last complete event for each chunk, so the work grew with the square of the event; and Node.js handles some thousand chunks in one turn of the event loop.

Ruled out: a smaller limit of an event. The work per byte would still grow with it, and the turns would not be bounded.

Change: each byte of a stream is searched and copied once. A message that brings 256 chunks or more in one read is suspended after it, until the suspended ones before it have had a turn; this holds for bodies of callers and daemons and for all responses. The same growth is gone from header lines, slashes of a path, heads of relayed responses, and bodies of calls between daemons.

--- a/src/adapters/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -8,6 +8,7 @@
 import {err, ok, Result} from 'neverthrow';
 import {findUnsendableHeader} from '../common/http-fields.js';
 import {createCompactBytes} from '../../base/common/compact-bytes.js';
+import {createMessagePace} from '../../base/node/message-pace.js';
 import {responseBudget} from '../../base/common/message-budgets.js';
 import {
 	createNotRun, createOutcomeUnknown, type Failure, type FailureCode, type Origin,
@@ -117,6 +118,7 @@
 	const limit = call.maximumBytes ?? (call.onData === undefined ? MAXIMUM_RESPONSE_BYTES : MAXIMUM_ERROR_BODY_BYTES);
 	const heldBytes = responseBudget.open(refuse, performance.now());
 	const announced = Number(response.headers['content-length'] ?? 0);
+	const pace = createMessagePace(response);
 	const body = createCompactBytes({bytes: announced <= limit ? announced : 0, allocationShare: 0});
 	let length = 0;
 	let isRefused = false;
@@ -138,6 +140,7 @@
 	}
 
 	response.on('data', (chunk: Uint8Array) => {
+		pace.countChunk();
 		if (isRefused) {
 			return;
 		}
@@ -157,6 +160,7 @@
 		onBroken(error.message);
 	});
 	response.on('close', () => {
+		pace.dispose();
 		heldBytes.release();
 		if (isRefused) {
 			return;
--- a/src/gateway/common/deployment.ts
+++ b/src/gateway/common/deployment.ts
@@ -116,17 +116,21 @@
 /** A confirmation counts for this long: a successful poll for configurations ends within 3.5 s, and its result may be relayed by another daemon. */
 const CONFIRMATION_TTL_MS = 5000;
 
-type RoutesByPrefix = ReadonlyMap<string, Route>;
+/** The routes of one host. */
+type HostRoutes = {
+	readonly byPrefix: ReadonlyMap<string, Route>;
+	/** Length of the longest prefix. */
+	readonly longestPrefix: number;
+};
 
-function indexByHost(deployment: Deployment): ReadonlyMap<string, RoutesByPrefix> {
-	const byHost = new Map<string, Map<string, Route>>();
-	deployment.routes.forEach(route => {
-		const routes = byHost.get(route.host) ?? new Map<string, Route>();
+function indexByHost({routes}: Deployment): ReadonlyMap<string, HostRoutes> {
+	const hosts = [...new Set(routes.map(({host}) => host))];
+	return new Map(hosts.map(host => {
+		const ofHost = routes.filter(route => route.host === host);
 		// If two routes have the same prefix, the first one wins.
-		routes.set(route.pathPrefix, routes.get(route.pathPrefix) ?? route);
-		byHost.set(route.host, routes);
-	});
-	return byHost;
+		const byPrefix = new Map(ofHost.toReversed().map(route => [route.pathPrefix, route] as const));
+		return [host, {byPrefix, longestPrefix: Math.max(...ofHost.map(({pathPrefix}) => pathPrefix.length))}];
+	}));
 }
 
 /** If two organisations have the same key, it belongs to the first. */
@@ -140,10 +144,16 @@
 	return [...path].flatMap((character, index) => (character === '/' ? [path.slice(0, index + 1)] : [])).toReversed();
 }
 
+/** Finds the route with the longest prefix of a path. The path is looked at as far as the longest prefix reaches, so a long one costs no more. */
+function findByPath(path: string, {byPrefix, longestPrefix}: HostRoutes): Route | undefined {
+	const prefix = listPrefixes(path.slice(0, longestPrefix)).find(candidate => byPrefix.has(candidate));
+	return prefix === undefined ? undefined : byPrefix.get(prefix);
+}
+
 /** Creates a holder that has no configuration yet. `resumedAt` returns the monotonic time at which the VM was last resumed: earlier confirmations may be older than they seem. */
 export function createDeploymentHolder(resumedAt: () => number = () => Number.NEGATIVE_INFINITY): DeploymentHolder {
 	let current: Deployment | undefined;
-	let byHost: ReadonlyMap<string, RoutesByPrefix> = new Map();
+	let byHost: ReadonlyMap<string, HostRoutes> = new Map();
 	let byKey: ReadonlyMap<string, Organisation> = new Map();
 	let confirmedAt = Number.NEGATIVE_INFINITY;
 
@@ -165,10 +175,8 @@
 			return true;
 		},
 		findRoute(host, path) {
-			const pathWithoutQuery = path.split('?', 1)[0] ?? path;
 			const routes = byHost.get(host);
-			const prefix = routes === undefined ? undefined : listPrefixes(pathWithoutQuery).find(candidate => routes.has(candidate));
-			return prefix === undefined ? undefined : routes?.get(prefix);
+			return routes === undefined ? undefined : findByPath(path.split('?', 1)[0] ?? path, routes);
 		},
 		findOrganisation: key => byKey.get(key),
 	};
--- a/src/gateway/node/http-relay.ts
+++ b/src/gateway/node/http-relay.ts
@@ -11,6 +11,7 @@
 import {
 	createNotRun, createOutcomeUnknown, readFailureCode, type Failure,
 } from '../../base/common/failure.js';
+import {createCompactBytes} from '../../base/common/compact-bytes.js';
 import {openUnreadBytes} from '../../base/node/unread-bytes.js';
 import {parseJson} from '../../base/common/json.js';
 import type {Loop} from '../../kernel/common/loop.js';
@@ -156,22 +157,23 @@
 		async send(peer, call, sink, signal) {
 			const origin = {step: 'relay attempt', peer: peer.name};
 			let head: RelayedHead | undefined;
-			let beginning: Uint8Array = new Uint8Array(0);
+			const beginning = createCompactBytes();
+			let beginningBytes = 0;
 
 			function readHead(chunk: Uint8Array): string | undefined {
-				beginning = Buffer.concat([beginning, chunk]);
-				const [line, rest] = splitLine(beginning) ?? [];
-				if (line === undefined || rest === undefined) {
-					return beginning.length > MAXIMUM_HEAD_BYTES ? `the head is larger than ${MAXIMUM_HEAD_BYTES} bytes` : undefined;
+				beginning.add(chunk);
+				beginningBytes += chunk.length;
+				if (!chunk.includes(LINE_FEED)) {
+					return beginningBytes > MAXIMUM_HEAD_BYTES ? `the head is larger than ${MAXIMUM_HEAD_BYTES} bytes` : undefined;
 				}
 
+				const [line = '', rest = new Uint8Array(0)] = splitLine(beginning.take()) ?? [];
 				const parsed = headSchema.safeParse(parseJson(line));
 				if (!parsed.success) {
 					return 'the head can not be read';
 				}
 
 				head = parsed.data;
-				beginning = new Uint8Array(0);
 				return sink.onHead(head) ?? (rest.length > 0 ? sink.onData(rest) : undefined);
 			}
 
--- a/src/gateway/node/relaying-caller.ts
+++ b/src/gateway/node/relaying-caller.ts
@@ -1,6 +1,6 @@
 /** Calls backend servers over the daemon's own links, and over another daemon where these are cut. Over another daemon means one hop: that daemon uses only its own links. */
-import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
+import {createCompactBytes} from '../../base/common/compact-bytes.js';
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
@@ -75,7 +75,7 @@
 
 	function createCollector({server, request, attempt, options}: Call): Collector {
 		const heads: Array<{readonly head: ResponseHead; readonly relayed: RelayedHead}> = [];
-		const chunks: Uint8Array[] = [];
+		const body = createCompactBytes();
 		let length = 0;
 		const recordHead = statements.observe(server.id, clock.monotonic());
 		return {
@@ -91,7 +91,7 @@
 					return options.onData(chunk);
 				}
 
-				chunks.push(chunk);
+				body.add(chunk);
 				length += chunk.length;
 				return length > MAXIMUM_BODY_BYTES ? `the response body is larger than ${MAXIMUM_BODY_BYTES} bytes` : undefined;
 			},
@@ -99,7 +99,7 @@
 				const [received] = heads;
 				return received === undefined
 					? err(createOutcomeUnknown('incomplete', {step: 'relay attempt', peer: server.id}, `no response to ${request.method} of request ${attempt.requestId}`))
-					: createResponse(received.relayed, received.head, Buffer.concat(chunks));
+					: createResponse(received.relayed, received.head, body.take());
 			},
 		};
 	}
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -67,17 +67,17 @@
 		.filter(({name}) => name.toLowerCase() === 'connection')
 		.flatMap(({value}) => value.split(',').map(token => token.trim().toLowerCase())));
 	// A map, as a header may be named like a member that each object inherits.
-	const copied = new Map<string, string | string[]>();
+	const copied = new Map<string, string[]>();
 	named
 		.filter(({name}) => {
 			const lower = name.toLowerCase();
 			return !CONNECTION_HEADERS.has(lower) && !connectionOptions.has(lower) && !replaced.includes(lower);
 		})
 		.forEach(({name, value}) => {
-			const known = copied.get(name);
-			copied.set(name, known === undefined ? value : [...(Array.isArray(known) ? known : [known]), value]);
+			copied.set(name, copied.get(name) ?? []);
+			copied.get(name)!.push(value);
 		});
-	return Object.fromEntries(copied);
+	return Object.fromEntries([...copied].map(([name, values]) => [name, values.length === 1 ? values[0]! : values]));
 }
 
 /** Creates a server caller. */
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -7,8 +7,7 @@
 import type {Clock} from '../../base/common/clock.js';
 import {openUnreadBytes} from '../../base/node/unread-bytes.js';
 import {createTaskSet} from '../../base/common/task-set.js';
-import {createEventTail, isEventStream} from '../../adapters/common/event-stream.js';
-import {MAXIMUM_EVENT_BYTES} from '../../adapters/common/event-bound.js';
+import {isEventStream} from '../../adapters/common/event-stream.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Random} from '../../base/common/random.js';
 import {computePatience} from '../../limits/common/permit-plan.js';
@@ -25,6 +24,7 @@
 import {
 	allowsServer, UNKNOWN_VERSION, type Resumption, type StreamOrigin,
 } from '../common/stream-origin.js';
+import {createEventForwarder} from './event-forwarder.js';
 import type {PlainRequest} from './forwarder.js';
 import type {ServerAcquisition} from './server-acquisition.js';
 import type {ServerCaller} from './server-caller.js';
@@ -357,52 +357,3 @@
 		whenIdle: inProgress.whenIdle,
 	};
 }
-
-type EventForwarder = {
-	/** Forwards a chunk; returns a description of the error if the stream is malformed. */
-	readonly forward: (chunk: Uint8Array) => string | undefined;
-	/** Whether bytes of an event were received whose end was not. */
-	readonly endsWithinEvent: () => boolean;
-};
-
-/**
- * Forwards bytes. With `completeEventsOnly`, for streams that can be resumed, it forwards only complete events, so that another
- * server can continue after the last one and the caller never receives part of an event twice.
- */
-function createEventForwarder(protocol: ServerProtocol, write: (chunk: Uint8Array) => void, onEvent: (id: number) => void, completeEventsOnly: () => boolean): EventForwarder {
-	const reader = protocol.createEventReader(event => {
-		onEvent(event.id);
-	});
-	let incompleteEvent: Uint8Array = new Uint8Array(0);
-	/** The last bytes that were forwarded as they arrived. */
-	const tail = createEventTail();
-	return {
-		endsWithinEvent: () => incompleteEvent.length > 0 || tail.endsWithinEvent(),
-		forward(chunk) {
-			if (!completeEventsOnly()) {
-				tail.addChunk(chunk);
-				write(chunk);
-				return undefined;
-			}
-
-			const buffered = new Uint8Array(incompleteEvent.length + chunk.length);
-			buffered.set(incompleteEvent);
-			buffered.set(chunk, incompleteEvent.length);
-			const end = findLastEventEnd(buffered);
-			if (end > 0) {
-				write(buffered.subarray(0, end));
-				reader.feed(buffered.subarray(0, end));
-			}
-
-			incompleteEvent = buffered.slice(end);
-			return incompleteEvent.length > MAXIMUM_EVENT_BYTES ? `an event is larger than ${MAXIMUM_EVENT_BYTES} bytes` : undefined;
-		},
-	};
-}
-
-const LINE_FEED = 10;
-/** Returns the index after the last blank line, 0 if there is none. */
-function findLastEventEnd(bytes: Uint8Array): number {
-	const index = bytes.findLastIndex((byte, position) => byte === LINE_FEED && position > 0 && bytes[position - 1] === LINE_FEED);
-	return index + 1;
-}
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -12,6 +12,8 @@
 import {LIMITED_SERVER_OPTIONS, limitConnections, refuseOverload} from '../../base/node/connection-limits.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {ConnectionTable} from '../../base/common/connection-table.js';
+import {createMessagePace} from '../../base/node/message-pace.js';
+import {createCompactBytes} from '../../base/common/compact-bytes.js';
 import {parseJson} from '../../base/common/json.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {
@@ -38,18 +40,22 @@
 
 async function readBody(request: IncomingMessage): Promise<string> {
 	return new Promise((resolve, reject) => {
-		const chunks: Uint8Array[] = [];
+		const body = createCompactBytes();
+		const pace = createMessagePace(request);
 		let length = 0;
 		request.on('data', (chunk: Uint8Array) => {
+			pace.countChunk();
 			length += chunk.length;
-			chunks.push(chunk);
+			body.add(chunk);
 			if (length > MAXIMUM_BODY_BYTES) {
 				request.destroy(new Error(`the body of the call exceeds ${MAXIMUM_BODY_BYTES} bytes`));
 			}
 		});
 		request.on('error', reject);
+		request.on('close', pace.dispose);
 		request.on('end', () => {
-			resolve(Buffer.concat(chunks).toString('utf8'));
+			pace.dispose();
+			resolve(Buffer.from(body.take()).toString('utf8'));
 		});
 	});
 }
--- a/src/requests/node/read-body.ts
+++ b/src/requests/node/read-body.ts
@@ -4,6 +4,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import {createCompactBytes} from '../../base/common/compact-bytes.js';
+import {createMessagePace} from '../../base/node/message-pace.js';
 import {requestBudget} from '../../base/common/message-budgets.js';
 import type {Loop} from '../../kernel/common/loop.js';
 
@@ -40,6 +41,7 @@
 		}, performance.now());
 		let length = 0;
 		let isSettled = false;
+		const pace = createMessagePace(message);
 
 		function settle(result: Result<Uint8Array, Failure>): void {
 			if (isSettled) {
@@ -48,6 +50,7 @@
 
 			isSettled = true;
 			timer.dispose();
+			pace.dispose();
 			message.off('data', onData);
 			if (result.isErr()) {
 				heldBytes.release();
@@ -59,6 +62,7 @@
 		}
 
 		function onData(chunk: Uint8Array): void {
+			pace.countChunk();
 			length += chunk.length;
 			if (length > bounds.maximumBytes) {
 				settle(tooLarge);
