Accept the status of a relayed response under the same bounds as a server's

Cause: over another daemon the status is a field of that daemon's message, and any number was accepted. From servers such a status is taken for a broken response already.

--- a/src/adapters/common/http-fields.ts
+++ b/src/adapters/common/http-fields.ts
@@ -4,6 +4,10 @@
 const UNSENDABLE_IN_VALUE = /[^\t\u0020-\u007E\u0080-\u00FF]/;
 const REQUEST_TARGET = /^[\u0021-\u00FF]+$/;
 
+/** Lowest and highest status of a final response. */
+export const MINIMUM_STATUS = 200;
+export const MAXIMUM_STATUS = 599;
+
 /** Whether a text can be the name of a header. */
 export function isFieldName(text: string): boolean {
 	return FIELD_NAME.test(text);
--- a/src/adapters/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -6,7 +6,7 @@
 import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {err, ok, Result} from 'neverthrow';
-import {findUnsendableHeader} from '../common/http-fields.js';
+import {findUnsendableHeader, MAXIMUM_STATUS, MINIMUM_STATUS} from '../common/http-fields.js';
 import {createCompactBytes} from '../../base/common/compact-bytes.js';
 import {createMessagePace} from '../../base/node/message-pace.js';
 import {responseBudget} from '../../base/common/message-budgets.js';
@@ -84,9 +84,6 @@
 const MAXIMUM_ERROR_BODY_BYTES = 64 * 1024;
 /** Maximum size of the response headers. This is Node's default, set explicitly because callers depend on it. */
 const MAXIMUM_HEAD_BYTES = 16 * 1024;
-/** Lowest and highest status of a final response. */
-const MINIMUM_STATUS = 200;
-const MAXIMUM_STATUS = 599;
 /** Maximum number of interim (1xx) responses before the final one; servers send at most one. */
 const MAXIMUM_INTERIM_RESPONSES = 4;
 function isDelimited(response: IncomingMessage): boolean {
--- a/src/adapters/test/odd-heads.test.ts
+++ b/src/adapters/test/odd-heads.test.ts
@@ -32,6 +32,8 @@
 const oddHeads: ReadonlyArray<readonly [string, string]> = [
 	['a space in the name of a header', HEAD.replace('X-Load', 'X Load')],
 	['a space behind the name of a header', HEAD.replace('Load:', 'Load :')],
+	['the status 000', HEAD.replace('200', '000')],
+	['the status 000 and no reason', HEAD.replace('200 OK', '000')],
 	['a status below 100', HEAD.replace('200', '099')],
 	['a status above 599', HEAD.replace('200', '999')],
 ];
--- a/src/gateway/node/http-relay.ts
+++ b/src/gateway/node/http-relay.ts
@@ -12,6 +12,7 @@
 	createNotRun, createOutcomeUnknown, readFailureCode, type Failure,
 } from '../../base/common/failure.js';
 import {createCompactBytes} from '../../base/common/compact-bytes.js';
+import {MAXIMUM_STATUS, MINIMUM_STATUS} from '../../adapters/common/http-fields.js';
 import {openUnreadBytes} from '../../base/node/unread-bytes.js';
 import {parseJson} from '../../base/common/json.js';
 import type {Loop} from '../../kernel/common/loop.js';
@@ -53,7 +54,9 @@
 	timeoutMs: z.number(),
 	usesNewConnection: z.boolean().optional(),
 });
-const headSchema = z.object({status: z.number(), headers: headersSchema});
+/** The status of a final response, as `exchange` accepts it from a server. */
+const statusSchema = z.number().int().min(MINIMUM_STATUS).max(MAXIMUM_STATUS);
+const headSchema = z.object({status: statusSchema, headers: headersSchema});
 const failureSchema = z.object({code: z.string(), effect: z.enum(['notRun', 'outcomeUnknown']), message: z.string()});
 const refusalSchema = z.object({reason: z.enum(['busy', 'cut'])});
 
--- a/src/gateway/test/http-relay.test.ts
+++ b/src/gateway/test/http-relay.test.ts
@@ -3,6 +3,8 @@
 import type {AddressInfo} from 'node:net';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
+import {err, ok} from 'neverthrow';
+import {createOutcomeUnknown} from '../../base/common/failure.js';
 import {findFreePorts} from '../../base/node/free-ports.js';
 import {createSystemClock} from '../../base/node/system-clock.js';
 import {createTimerLoop} from '../../kernel/node/timer-loop.js';
@@ -114,6 +116,33 @@
 	assert.is(body, 'POST /x?y=1 c q the body');
 });
 
+// Issue 46, report of other operators: a status that no server may send came over another daemon.
+[0, 99, 199, 600, 200.5].forEach(status => {
+	test(`a relayed head with status ${status} is no answer`, async () => {
+		const heads: RelayedHead[] = [];
+		const transport = createHttpRelayTransport({
+			handleStream: () => undefined,
+			async callStream(_peer, _name, {onData}) {
+				const problem = onData?.(Buffer.from(`${JSON.stringify({status, headers: {}})}\nbody`));
+				return problem === undefined ? ok({status: 200, headers: {}, body: new Uint8Array()}) : err(createOutcomeUnknown('incomplete', {step: 'relay', peer: 'd'}, problem));
+			},
+		});
+		const end = await transport.send({
+			name: 'd', incarnation: '1', ip: '127.0.0.1', port: 1, region: 'r', availabilityZone: 'z',
+		}, {
+			server: {id: 's', address: '127.0.0.1', port: 1}, method: 'POST', path: '/', headers: {}, body: undefined, attempt: {requestId: 'q', remainingMs: 1000, serverId: 's'}, timeoutMs: 1000,
+		}, {
+			onHead(head) {
+				heads.push(head);
+				return undefined;
+			},
+			onData: () => undefined,
+		}, new AbortController().signal);
+		assert.equal(heads, []);
+		assert.is(end.kind === 'ended' && end.result.isErr() && end.result.error.effect, 'outcomeUnknown');
+	});
+});
+
 test('an error response is passed on with its status and body', async () => {
 	const {end, heads, body} = await relayOnce((_, response) => {
 		response.writeHead(500, {'request-id': 'q'});
