Bound the memory of texts, events and bodies that do not end

Cause: the events of an item were kept without a bound while they came in the right order; incomplete events of streams, and bodies of relayed responses and of calls between daemons, had a bound each and none in total.

Ruled out, by tests that exist: heads, interim heads, trailers, plain and error bodies of single calls, and 50 plain bodies at once.

Change: a text that no record of the batch's log could hold is dropped. Large texts, incomplete events and these bodies share the budgets of messages, so the one that holds the most for the longest time is given up.

Not played: a process of 350 MB beside a crowd of such calls.

--- a/src/batches/common/generation-progress.ts
+++ b/src/batches/common/generation-progress.ts
@@ -1,5 +1,6 @@
 /** The text of one item as its runs generate it: events in sequence, and the weight versions that generated them. */
 import type {PartialText} from './batch.js';
+import {MAXIMUM_RESULTS_CHARACTERS} from './text-parts.js';
 
 /** One event of a run, with its data. */
 export type ProgressEvent = {
@@ -12,7 +13,7 @@
 export type GenerationProgress = {
 	/** Begins a run at a weight version, on an engine of a software version; events of earlier runs are kept. */
 	readonly beginRun: (version: number | undefined, softwareVersion: string | undefined) => void;
-	/** Adds the next event; returns a description of the problem when the event is rejected. */
+	/** Adds the next event; returns a description of the problem when the event is rejected. All text is dropped when it becomes larger than a record of the batch's log may be. */
 	readonly add: (event: ProgressEvent) => string | undefined;
 	/** Marks the text as complete. */
 	readonly complete: () => void;
@@ -23,10 +24,15 @@
 	/** Software version of the engines that generated the text; meaningless while there is no text. */
 	readonly softwareVersion: () => string | undefined;
 	readonly text: () => string;
+	/** Memory that the text takes, in bytes. */
+	readonly memoryBytes: () => number;
 	readonly versions: () => readonly number[];
 	readonly partial: (itemId: string) => PartialText;
 };
 
+/** Memory of one event in addition to its characters. */
+const EVENT_MEMORY_BYTES = 32;
+
 /** Creates the progress of an item, which continues the text of earlier runs if there is any. */
 export function createGenerationProgress(earlier?: PartialText): GenerationProgress {
 	let chunks = [...earlier?.pieces ?? []];
@@ -35,6 +41,16 @@
 	let currentVersion: number | undefined;
 	let isComplete = earlier?.isComplete ?? false;
 	let softwareVersion = earlier?.softwareVersion;
+	/** Length of the text, with the line ends between the events. */
+	let length = chunks.reduce((sum, chunk) => sum + chunk.length + 1, 0);
+
+	function reset(): void {
+		isComplete = false;
+		chunks = [];
+		length = 0;
+		versions = new Set();
+		lastEventId = 0;
+	}
 
 	return {
 		beginRun(version, runSoftwareVersion) {
@@ -51,6 +67,12 @@
 				return 'the server did not state the weight version of an event';
 			}
 
+			length += event.data.length + 1;
+			if (length > MAXIMUM_RESULTS_CHARACTERS) {
+				reset();
+				return `the text is larger than ${MAXIMUM_RESULTS_CHARACTERS} characters`;
+			}
+
 			versions.add(currentVersion);
 			chunks.push(event.data);
 			lastEventId = event.id;
@@ -60,14 +82,10 @@
 			isComplete = true;
 		},
 		isComplete: () => isComplete,
-		reset() {
-			isComplete = false;
-			chunks = [];
-			versions = new Set();
-			lastEventId = 0;
-		},
+		reset,
 		lastEventId: () => lastEventId,
 		softwareVersion: () => softwareVersion,
+		memoryBytes: () => length + (chunks.length * EVENT_MEMORY_BYTES),
 		text: () => chunks.join('\n'),
 		versions: () => [...versions].toSorted((a, b) => a - b),
 		partial: itemId => ({
--- a/src/batches/common/text-parts.ts
+++ b/src/batches/common/text-parts.ts
@@ -6,7 +6,7 @@
 /** Maximum text of parts in one record; an object of the store holds a megabyte, including results. */
 const MAXIMUM_PARTS_CHARACTERS = 200_000;
 /** Maximum text of results in one record. */
-const MAXIMUM_RESULTS_CHARACTERS = 600_000;
+export const MAXIMUM_RESULTS_CHARACTERS = 600_000;
 
 /** Returns the part of a text that follows the stored text, or the complete text where the two differ. */
 function createPart(text: PartialText, stored: PartialText | undefined): TextPart {
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -2,7 +2,9 @@
 import {Buffer} from 'node:buffer';
 import type {Result} from 'neverthrow';
 import {createEventTail, isEventStream} from '../../adapters/common/event-stream.js';
+import type {BytesHeld} from '../../base/common/byte-budget.js';
 import type {Failure} from '../../base/common/failure.js';
+import {responseBudget} from '../../base/common/message-budgets.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
@@ -74,6 +76,8 @@
 /** Statuses of engine responses: `STATUS_IMPOSSIBLE` ends an item, `STATUS_FAILED` ends it after as many attempts as its route allows. */
 const STATUS_IMPOSSIBLE = 422;
 const STATUS_FAILED = 500;
+/** Memory of a text from which on it counts toward the memory for responses, so that ordinary texts are never given up for others. */
+const ORDINARY_TEXT_BYTES = 128 * 1024;
 /** Events that a run must have before it may move, so that it does not move back and forth between engines of similar speed. */
 const MINIMUM_EVENTS_TO_MOVE = 8;
 
@@ -216,7 +220,7 @@
 		progress.beginRun(head.version, run.softwareVersion);
 	}
 
-	function createReader(run: RunState) {
+	function createReader(run: RunState, heldBytes: BytesHeld) {
 		return protocol.createEventReader(event => {
 			if (run.brokenBy !== undefined) {
 				return;
@@ -237,12 +241,18 @@
 			const problem = event.version !== undefined && event.version < batch.oldestVersion ? `version ${event.version} of the event is older than the batch accepts` : progress.add(event);
 			if (problem !== undefined) {
 				abortRun(run, problem);
+			} else if (progress.memoryBytes() > ORDINARY_TEXT_BYTES) {
+				heldBytes.set(progress.memoryBytes(), now);
 			}
 		});
 	}
 
 	async function callEngine(run: RunState, dispatch: Dispatch): Promise<Result<BackendResponse, Failure>> {
-		const reader = createReader(run);
+		const heldBytes = responseBudget.open(reason => {
+			abortRun(run, reason);
+			progress.reset();
+		}, clock.monotonic());
+		const reader = createReader(run, heldBytes);
 		const tail = createEventTail();
 		const called = await caller.attempt(dispatch.server, {
 			method: 'POST', path: item.path, headers: buildItemHeaders(batch, item, protocol, dependencies.deployment.current()?.tenancy?.kind === 'required'), body,
@@ -267,6 +277,7 @@
 				return reader.feed(chunk);
 			},
 		});
+		heldBytes.release();
 		if (called.isOk() && called.value.status === 200 && tail.endsWithinEvent()) {
 			run.brokenBy ??= 'the stream ended within an event';
 		}
--- a/src/gateway/node/event-forwarder.ts
+++ b/src/gateway/node/event-forwarder.ts
@@ -1,7 +1,10 @@
 /** Forwards the bytes of a stream to its caller. */
+import {performance} from 'node:perf_hooks';
 import {createEventBlocks} from '../../adapters/common/event-blocks.js';
 import {MAXIMUM_EVENT_BYTES} from '../../adapters/common/event-bound.js';
 import {createEventTail} from '../../adapters/common/event-stream.js';
+import type {BytesHeld} from '../../base/common/byte-budget.js';
+import {responseBudget} from '../../base/common/message-budgets.js';
 import type {ServerProtocol} from '../common/server-protocol.js';
 
 /** The forwarding of one response. */
@@ -10,6 +13,8 @@
 	readonly forward: (chunk: Uint8Array) => string | undefined;
 	/** Whether bytes of an event were received whose end was not. */
 	readonly endsWithinEvent: () => boolean;
+	/** Stops counting the bytes that it holds, when the response has ended. */
+	readonly release: () => void;
 };
 
 /**
@@ -21,9 +26,27 @@
 		onEvent(event.id);
 	});
 	const blocks = createEventBlocks();
+	let heldBytes: BytesHeld | undefined;
+	let excess: string | undefined;
+
+	/** Counts the incomplete event toward the memory for responses; most events come whole, and hold nothing. */
+	function countPending(): void {
+		if (heldBytes === undefined && blocks.pendingBytes() === 0) {
+			return;
+		}
+
+		heldBytes ??= responseBudget.open(reason => {
+			excess = reason;
+		}, performance.now());
+		heldBytes.set(blocks.pendingBytes(), performance.now());
+	}
+
 	/** The last bytes that were forwarded as they arrived. */
 	const tail = createEventTail();
 	return {
+		release() {
+			heldBytes?.release();
+		},
 		endsWithinEvent: () => blocks.pendingBytes() > 0 || tail.endsWithinEvent(),
 		forward(chunk) {
 			if (!completeEventsOnly()) {
@@ -38,7 +61,8 @@
 				reader.feed(complete);
 			}
 
-			return blocks.pendingBytes() > MAXIMUM_EVENT_BYTES ? `an event is larger than ${MAXIMUM_EVENT_BYTES} bytes` : undefined;
+			countPending();
+			return excess ?? (blocks.pendingBytes() > MAXIMUM_EVENT_BYTES ? `an event is larger than ${MAXIMUM_EVENT_BYTES} bytes` : undefined);
 		},
 	};
 }
--- a/src/gateway/node/relaying-caller.ts
+++ b/src/gateway/node/relaying-caller.ts
@@ -2,6 +2,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createCompactBytes} from '../../base/common/compact-bytes.js';
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../base/common/failure.js';
+import {responseBudget} from '../../base/common/message-budgets.js';
 import type {Clock} from '../../base/common/clock.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
@@ -52,6 +53,8 @@
 /** Collects the response of a relayed attempt. */
 type Collector = RelaySink & {
 	readonly complete: () => Result<BackendResponse, Failure>;
+	/** Stops counting the body toward the memory for responses. */
+	readonly release: () => void;
 };
 
 /** Creates the caller. */
@@ -77,6 +80,10 @@
 		const heads: Array<{readonly head: ResponseHead; readonly relayed: RelayedHead}> = [];
 		const body = createCompactBytes();
 		let length = 0;
+		let excess: string | undefined;
+		const heldBytes = responseBudget.open(reason => {
+			excess = reason;
+		}, clock.monotonic());
 		const recordHead = statements.observe(server.id, clock.monotonic());
 		return {
 			onHead(relayed) {
@@ -91,10 +98,11 @@
 					return options.onData(chunk);
 				}
 
-				body.add(chunk);
+				heldBytes.add(body.add(chunk), clock.monotonic());
 				length += chunk.length;
-				return length > MAXIMUM_BODY_BYTES ? `the response body is larger than ${MAXIMUM_BODY_BYTES} bytes` : undefined;
+				return excess ?? (length > MAXIMUM_BODY_BYTES ? `the response body is larger than ${MAXIMUM_BODY_BYTES} bytes` : undefined);
 			},
+			release: heldBytes.release,
 			complete() {
 				const [received] = heads;
 				return received === undefined
@@ -124,6 +132,7 @@
 			const endOpen = choice.begin(peer.name);
 			const end = await transport.send(peer, relayCall, collector, options.signal);
 			endOpen();
+			collector.release();
 			if (end.kind === 'refused') {
 				choice.recordRefusal(server.pool, peer.name, end.reason, clock.monotonic());
 				return undefined;
--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -246,6 +246,7 @@
 			},
 		});
 		request.signal.removeEventListener('abort', onDisconnect);
+		eventForwarder.release();
 		const isInterrupted = request.route.canResume && state.lastEventId !== undefined && !(answered.isOk() && answered.value.status === 200 && !eventForwarder.endsWithinEvent());
 		if (isInterrupted && hasOtherVersion(chosen.server.id, softwareVersion)) {
 			log.info('stream is of unknown software version', {requestId: request.requestId, serverId: chosen.server.id, softwareVersion});
--- a/src/gateway/test/event-forwarder.test.ts
+++ b/src/gateway/test/event-forwarder.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
+import {responseBudget} from '../../base/common/message-budgets.js';
 import {MAXIMUM_EVENT_BYTES} from '../../adapters/common/event-bound.js';
 import {createEventBlocks} from '../../adapters/common/event-blocks.js';
 import {createEventForwarder} from '../node/event-forwarder.js';
@@ -52,6 +53,24 @@
 	assert.is(problems.length, 1);
 });
 
+// Issue 46, report of other operators: the bytes of a server in trouble filled the memory of the daemon.
+test('events that do not end, of many streams at once, hold no more memory than responses may', () => {
+	const size = MAXIMUM_EVENT_BYTES - 1024;
+	const forwarders = Array.from({length: Math.ceil(1.5 * responseBudget.maximumBytes() / size)}, () => createEventForwarder(new IdProtocol(), () => undefined, () => undefined, () => true));
+	const before = responseBudget.held();
+	forwarders.forEach(forwarder => {
+		forwarder.forward(Buffer.alloc(size, 'x'));
+	});
+	assert.ok(responseBudget.held() > before, 'they are counted');
+	assert.ok(responseBudget.held() <= responseBudget.maximumBytes());
+	const refused = forwarders.filter(forwarder => forwarder.forward(Buffer.from('x')) !== undefined).length;
+	assert.ok((forwarders.length - refused) * size <= responseBudget.maximumBytes(), `${refused} of ${forwarders.length} are refused`);
+	forwarders.forEach(({release}) => {
+		release();
+	});
+	assert.ok(responseBudget.held() <= before, 'what was released is no longer counted');
+});
+
 test('whatever the size of the chunks, events are passed on whole, in order, and as soon as they are complete', () => {
 	const stream = Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n\n\n: comment\n\nid: 3\ndata: c\n\nid: 4\nda');
 	const whole = stream.subarray(0, stream.lastIndexOf('\n\n') + 2).toString('utf8');
--- a/src/peers/node/peer-mesh.ts
+++ b/src/peers/node/peer-mesh.ts
@@ -3,6 +3,7 @@
 import {
 	Agent, createServer, type IncomingMessage, type ServerResponse,
 } from 'node:http';
+import {performance} from 'node:perf_hooks';
 import {
 	err, ok, ResultAsync, type Result,
 } from 'neverthrow';
@@ -15,6 +16,7 @@
 import {createMessagePace} from '../../base/node/message-pace.js';
 import {createCompactBytes} from '../../base/common/compact-bytes.js';
 import {parseJson} from '../../base/common/json.js';
+import {requestBudget} from '../../base/common/message-budgets.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {
 	PeerDaemon, PeerHandler, PeerMesh, PeerReply,
@@ -42,19 +44,26 @@
 	return new Promise((resolve, reject) => {
 		const body = createCompactBytes();
 		const pace = createMessagePace(request);
+		const heldBytes = requestBudget.open(reason => {
+			request.destroy(new Error(reason));
+		}, performance.now());
 		let length = 0;
 		request.on('data', (chunk: Uint8Array) => {
 			pace.countChunk();
 			length += chunk.length;
-			body.add(chunk);
+			heldBytes.add(body.add(chunk), performance.now());
 			if (length > MAXIMUM_BODY_BYTES) {
 				request.destroy(new Error(`the body of the call exceeds ${MAXIMUM_BODY_BYTES} bytes`));
 			}
 		});
 		request.on('error', reject);
-		request.on('close', pace.dispose);
+		request.on('close', () => {
+			pace.dispose();
+			heldBytes.release();
+		});
 		request.on('end', () => {
 			pace.dispose();
+			heldBytes.release();
 			resolve(Buffer.from(body.take()).toString('utf8'));
 		});
 	});
