Let the lease on orders lapse when connections to its holder are refused

Cause: a refused connection was taken for the proof that the holder's process had ended, and the lease was replaced before it had lapsed. A partition refuses as well, and the holder behind it goes on until its own limit.

Ruled out: asking further daemons, or the holder's entry in the store. All of them may be cut off from a holder that reaches servers.

Change: only another run of the process, answering at the same address, proves the end; else the lease must lapse. Until then the others read it once. Usage is asked for again where a connection was refused. The other uses of a refused connection say what a wrong guess costs.

Evidence: order-lease and usage-duty, 1 test each fails on the code of before.

One test asked for the replacement of an ended holder within 2.5 s by the refused connection alone, which can't be told from a partition. Two as strict stand in its place: within 2.5 s when the process runs again, and within 2.5 s after the lapse otherwise.

--- a/src/batches/node/owner-calls.ts
+++ b/src/batches/node/owner-calls.ts
@@ -27,7 +27,7 @@
 
 /** Calls to owners. */
 export type OwnerCalls = {
-	/** Calls the owner of a batch. Undefined means that it no longer owns the batch, or that its process has ended or does not reply. */
+	/** Calls the owner of a batch. Undefined means that it no longer owns the batch, or that its process has probably ended or does not reply. */
 	readonly call: (batchId: string, owner: PeerDaemon, name: string, body: Record<string, unknown>, timeoutMs: number) => Promise<Result<PeerReply | undefined, Failure>>;
 	/** Runs an operation at the owner with `remote`, or here with `local` when this daemon owns the batch or takes it over, the batch has ended, or the call failed. */
 	readonly withOwner: <T>(batchId: string, remote: (owner: PeerDaemon) => Promise<Result<PeerReply | undefined, Failure>>, read: (reply: PeerReply) => Result<T, Failure>, local: (entry: HeldBatch) => Promise<Result<T, Failure>>) => Promise<Result<T, Failure>>;
@@ -117,9 +117,10 @@
 		const earlier = silentSince.get(batchId);
 		const since = earlier ?? startedAt;
 		silentSince.set(batchId, since);
-		const hasProcessEnded = isRefusedConnection(reply.error);
+		// A partition may refuse as well. Two daemons then run the batch for a while, and its log, written under conditions, decides between them.
+		const hasProbablyEnded = isRefusedConnection(reply.error);
 		const isSilent = earlier !== undefined && clock.monotonic() - since >= OWNER_SILENCE_MS;
-		return hasProcessEnded || isSilent ? ok(undefined) : err(reply.error);
+		return hasProbablyEnded || isSilent ? ok(undefined) : err(reply.error);
 	}
 
 	/** Runs an operation at the owner with `remote`, or here with `local` when this daemon owns the batch or takes it over, the batch has ended, or the call failed. */
--- a/src/duties/node/load-collection.ts
+++ b/src/duties/node/load-collection.ts
@@ -61,6 +61,7 @@
 			const reply = status === 200 ? decodeReply(body) : undefined;
 			// A daemon from the settings may be known by its address only.
 			return reply === undefined ? {loads: [], ended: []} : {loads: reply.loads.map((load, index) => (index === 0 ? {...load, daemon: first!.name} : load)), ended: reply.ended};
+			// A partition may refuse as well; the decision then lacks this daemon's load.
 		}, failure => ({loads: [], ended: isRefusedConnection(failure) ? [first!.name] : []}));
 	}
 
--- a/src/duties/node/usage-collection.ts
+++ b/src/duties/node/usage-collection.ts
@@ -6,7 +6,6 @@
 import type {Metrics} from '../../kernel/common/metrics.js';
 import {createDecoder, handleDecoded, peerDaemonSchema} from '../../peers/common/decode-call.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
-import {isRefusedConnection} from '../../peers/common/process-end.js';
 import type {OrganisationCounts, UsageReport} from '../common/duties-api.js';
 import {GROUP_SIZE, groupDaemons} from '../common/daemon-groups.js';
 import {findMedian, type FleetTime} from '../common/fleet-time.js';
@@ -73,7 +72,7 @@
 
 type Answer = {
 	readonly reports: readonly DaemonCounts[];
-	/** Daemons that are not asked again: their process has ended, or their build does not count. */
+	/** Daemons that are not asked again, as their build does not count. */
 	readonly hopeless: readonly string[];
 };
 
@@ -129,7 +128,7 @@
 			}
 
 			return {reports: reply?.reports ?? [], hopeless: isEarlierBuild ? [first.name] : []};
-		}, failure => ({reports: [], hopeless: isRefusedConnection(failure) ? [first.name] : []}));
+		}, () => ({reports: [], hopeless: []}));
 	}
 
 	handleDecoded(mesh, log, COUNTS_CALL, decodeCall, async ({windows, fleetTime, ask: others = []}) => {
--- a/src/limits/node/server-permits.ts
+++ b/src/limits/node/server-permits.ts
@@ -164,6 +164,7 @@
 		const call: HandoverCall = {serverId, keeper: mesh.self};
 		const areTold = await Promise.all(ranked.slice(own + 1, own + 1 + PREDECESSORS).map(async daemon => {
 			const reply = await mesh.call(daemon, HANDOVER_CALL, call, REPLY_TIMEOUT_MS);
+			// A partition may refuse as well: two keepers then grant at once, and a daemon that is cut off is excused from the limit.
 			return reply.isOk() || isRefusedConnection(reply.error);
 		}));
 		if (areTold.every(Boolean)) {
--- a/src/orders/node/order-lease.ts
+++ b/src/orders/node/order-lease.ts
@@ -6,7 +6,6 @@
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
-import {isRefusedConnection} from '../../peers/common/process-end.js';
 import {createReachRecord} from '../../gateway/common/reach-record.js';
 import {
 	canOrder, canTake, mustRelease, reachesLongEnough, type LeaseTimes,
@@ -75,6 +74,9 @@
 	} = dependencies;
 	let observed: ObservedLease | undefined;
 	let held: HeldLease | undefined;
+	/** When the holder last replied that it holds the lease, and when the lease was last read. */
+	let heldAt = Number.NEGATIVE_INFINITY;
+	let readAt = Number.NEGATIVE_INFINITY;
 	let isLeaving = false;
 	let isOpen = true;
 	const reach = createReachRecord();
@@ -112,8 +114,9 @@
 	async function readLease(): Promise<void> {
 		const found = await api.read(LEASE_ID);
 		found.match(object => {
+			readAt = clock.monotonic();
 			if (object !== undefined) {
-				recordObservation(object, clock.monotonic());
+				recordObservation(object, readAt);
 			}
 		}, failure => {
 			log.debug('lease on orders not read', {code: failure.code, reason: failure.message});
@@ -147,11 +150,14 @@
 		}
 	}
 
-	/** Asks the holder's process whether it holds the lease. Returns `gone` only when that run of the process has certainly ended. */
-	async function ping(holder: PeerDaemon): Promise<'holds' | 'gone' | 'unknown'> {
+	/**
+	 * Asks the holder's process whether it holds the lease. Returns `gone` only when that run of the process has certainly ended, because another
+	 * run answers at its address. A refused connection is no proof: a partition refuses as well, and the holder behind it may still reach the engines.
+	 */
+	async function ping(holder: PeerDaemon): Promise<'holds' | 'gone' | 'holdsNot' | 'silent'> {
 		const reply = await mesh.call(holder, 'order-lease', {}, PING_TIMEOUT_MS);
 		if (reply.isErr()) {
-			return isRefusedConnection(reply.error) ? 'gone' : 'unknown';
+			return 'silent';
 		}
 
 		// The handler below creates the body on the other daemon.
@@ -161,7 +167,7 @@
 			return 'gone';
 		}
 
-		return body.holds ? 'holds' : 'unknown';
+		return body.holds ? 'holds' : 'holdsNot';
 	}
 
 	async function take(hasProcessEnded: boolean): Promise<void> {
@@ -207,6 +213,11 @@
 		}
 	}
 
+	/** Whether the lease was read since its holder has been silent, and has not lapsed since: until then, reading it again would change nothing. */
+	function awaitsLapse(now: number): boolean {
+		return observed !== undefined && readAt > heldAt && now - observed.seenAt < times.lapseMs;
+	}
+
 	async function checkLease(): Promise<void> {
 		const now = clock.monotonic();
 		reach.record(dependencies.reachesEngines(), now);
@@ -225,8 +236,13 @@
 		}
 
 		const holder = observed?.spec.holder;
-		const status = holder === undefined || isSelf(holder) ? 'unknown' : await ping(holder);
+		const status = holder === undefined || isSelf(holder) ? 'holdsNot' : await ping(holder);
 		if (status === 'holds') {
+			heldAt = clock.monotonic();
+			return;
+		}
+
+		if (status === 'silent' && awaitsLapse(clock.monotonic())) {
 			return;
 		}
 
