Look at open responses only while a server drains

The look at idle connections went over all open calls at the end of each response, also while nothing stops: processor time in calm that grows with the number of open requests. Suspended messages go on also when resuming one of them throws.

--- a/src/base/node/message-pace.ts
+++ b/src/base/node/message-pace.ts
@@ -24,10 +24,12 @@
 const suspended: Array<() => void> = [];
 
 function resumeFirst(): void {
-	suspended.shift()?.();
+	const resume = suspended.shift();
 	if (suspended.length > 0) {
 		setImmediate(resumeFirst);
 	}
+
+	resume?.();
 }
 
 function awaitTurn(resume: () => void): void {
--- a/src/hosting/node/caller-server.ts
+++ b/src/hosting/node/caller-server.ts
@@ -434,8 +434,7 @@
 
 	/** Closes idle connections of a draining server. Node.js counts a connection as idle whose response has ended but waits to be read, so these come first. */
 	function closeIdleConnections(): void {
-		const isDelivered = [...openCalls.keys()].every(response => !response.writableEnded || response.writableFinished);
-		if (isDraining && isDelivered) {
+		if (isDraining && [...openCalls.keys()].every(response => !response.writableEnded || response.writableFinished)) {
 			server.closeIdleConnections();
 		}
 	}
