Read a batch's log again while the outcome of a write is unknown

Cause: the owner's links were cut while the store did its write. Others read the results from the store, and the owner, which still waited for the outcome, listed its own copy of the log when it was reached again.

Change: while the outcome of a write is unknown, the owner reads the log at most every half second before it serves a page; a daemon whose owner can't confirm its log reads the store in its place.

Evidence: a sixth test of batches/test/paused-owners failed before.

--- a/src/batches/node/batch-service.ts
+++ b/src/batches/node/batch-service.ts
@@ -57,6 +57,9 @@
 /** Time between checks of the owned batches, for unwritten results and slow engines. */
 const TICK_MS = 50;
 const RETRY_AFTER_MS = 500;
+const STATUS_UNAVAILABLE = 503;
+/** Age from which on a log with a write of unknown outcome is read again before it is served: results that were read must be listed everywhere a second later. */
+const UNSETTLED_VIEW_MS = 500;
 /** Time without progress after which a batch whose engines are out of reach is handed over, and time between two trials. */
 const STALLED_MS = 1500;
 const HAND_OVER_PERIOD_MS = 2000;
@@ -145,22 +148,28 @@
 		return entry.batchLog.page(after, entry.batch.items.length);
 	}
 
-	/** Reads the log from the store if this daemon has paused since the store last confirmed it: another daemon may have taken the batch over meanwhile. */
+	/**
+	 * Reads the log from the store if others may have read more of it: after a pause of this daemon, as another one may have taken the batch over
+	 * meanwhile, and while the outcome of a write is unknown, as the store may have done it.
+	 */
 	async function confirmLog({batch, batchLog, writer}: HeldBatch): Promise<Result<void, Failure>> {
-		const resumedAt = pauses.resumedAt(readClocks(clock));
-		if (batchLog.isEnded() || writer.confirmedAt() >= resumedAt) {
+		const now = readClocks(clock);
+		const resumedAt = pauses.resumedAt(now);
+		const isUnsettled = writer.hasUnsettledWrite();
+		const since = isUnsettled ? Math.max(resumedAt, now.monotonic - UNSETTLED_VIEW_MS) : resumedAt;
+		if (batchLog.isEnded() || writer.confirmedAt() >= since) {
 			return ok();
 		}
 
-		const confirmed = await writer.confirmSince(resumedAt);
-		metrics.count('batch.confirmed_after_pause', 1, {outcome: confirmed.isOk() ? 'confirmed' : 'failed'});
-		log.info('batch log is read before it is served, as this daemon has paused', {
-			batchId: batch.id, owner: batchLog.owner().name, outcome: confirmed.isOk() ? 'confirmed' : confirmed.error.message,
+		const confirmed = await writer.confirmSince(since);
+		metrics.count('batch.confirmed_before_read', 1, {cause: isUnsettled ? 'write' : 'pause', outcome: confirmed.isOk() ? 'confirmed' : 'failed'});
+		log.info('batch log is read before it is served', {
+			batchId: batch.id, cause: isUnsettled ? 'the outcome of a write is unknown' : 'this daemon has paused', owner: batchLog.owner().name, outcome: confirmed.isOk() ? 'confirmed' : confirmed.error.message,
 		});
 		return confirmed;
 	}
 
-	/** Waits for results, and returns those of a log that is not older than this daemon's last pause. The wait itself may span a pause. */
+	/** Waits for results, and returns those of a log that nobody can have read more of. The wait itself may span a pause. */
 	async function readHere(entry: HeldBatch, after: number, waitMs: number): Promise<Result<ResultPage, Failure>> {
 		await waitForResults(entry, after, waitMs);
 		const confirmed = await confirmLog(entry);
@@ -281,7 +290,11 @@
 			return withOwnerFor<ResultPage>(
 				batchId,
 				reader,
-				async owner => calls.call(batchId, owner, READ_CALL, {after, waitMs, reader}, waitMs + OWNER_REPLY_MS),
+				async owner => {
+					const reply = await calls.call(batchId, owner, READ_CALL, {after, waitMs, reader}, waitMs + OWNER_REPLY_MS);
+					// An owner that can't confirm its log is replaced by the store for this read.
+					return reply.andThen(answer => (answer?.status === STATUS_UNAVAILABLE ? err(unavailable('read batch', owner.name, 'the owner can not confirm its log')) : ok(answer)));
+				},
 				reply => checkReply(reply, 'read batch', batchId).andThen<ResultPage, Failure>(checked => {
 					const read = decodePage(checked.body);
 					return read === undefined ? err(unavailable('read batch', batchId, 'the page of the owner can not be decoded')) : ok(read);
--- a/src/batches/node/log-writer.ts
+++ b/src/batches/node/log-writer.ts
@@ -21,6 +21,8 @@
 	readonly catchUp: () => Promise<Result<void, Failure>>;
 	/** Reads the log unless the store has confirmed it since a monotonic time. Calls at the same time share one read. */
 	readonly confirmSince: (since: number) => Promise<Result<void, Failure>>;
+	/** Whether the store may have done a write of this daemon, or may still do it, that the local log lacks. */
+	readonly hasUnsettledWrite: () => boolean;
 	/** Monotonic time at which the store last confirmed that this daemon knows the complete log. */
 	readonly confirmedAt: () => number;
 };
@@ -72,6 +74,8 @@
 	const queue = new PQueue({concurrency: 1});
 	let confirmedAt = dependencies.createdAt ?? Number.NEGATIVE_INFINITY;
 	let writes = 0;
+	/** Positions of writes whose outcome is unknown. */
+	const unsettled = new Set<number>();
 
 	function applyRecord(record: LogRecord): void {
 		batchLog.apply(record);
@@ -112,6 +116,7 @@
 	function settleLater(position: number, readsLeft: number): void {
 		loop.after(SETTLE_PERIOD_MS, () => {
 			if (batchLog.length() > position || readsLeft === 0) {
+				unsettled.delete(position);
 				log.info('write to the batch log is settled', {batchId, position, outcome: batchLog.length() > position ? 'written' : 'not written'});
 				return;
 			}
@@ -140,6 +145,7 @@
 
 		if (created.error.code !== 'conflict') {
 			if (created.error.effect === 'outcomeUnknown') {
+				unsettled.add(batchLog.length());
 				settleLater(batchLog.length(), MAXIMUM_SETTLE_READS);
 			}
 
@@ -166,6 +172,7 @@
 			const isConfirmed = (): boolean => confirmedAt >= since;
 			return isConfirmed() ? ok() : queue.add(async () => (isConfirmed() ? ok() : readAll()));
 		},
+		hasUnsettledWrite: () => [...unsettled].some(position => batchLog.length() <= position),
 		confirmedAt: () => confirmedAt,
 	};
 }
--- a/src/batches/test/paused-owners.test.ts
+++ b/src/batches/test/paused-owners.test.ts
@@ -54,6 +54,29 @@
 	assert.is(countListed(await world.finish(waiting)), LENGTHS.length);
 });
 
+// Soak seed 780007: an owner whose write had been done without an answer listed fewer results than others had read from the store.
+test('a read at an owner that does not know the outcome of its write lists all results that were read elsewhere', async () => {
+	const world = createBatchSimulation({daemons: ['d1', 'd2', 'd3'], engines: 1});
+	await world.finish(world.serviceOf('d1').submit(createBatch('b', LENGTHS), 10_000));
+	await world.finish(world.serviceOf('d3').read('b', 0, 0));
+	world.store.loseNextWrite.add('d1');
+	while (world.store.loseNextWrite.size > 0) {
+		await world.time.advance(5);
+	}
+
+	world.store.partitioned.add('d1');
+	world.network.unresponsive.add('d1');
+	const listed = countListed(await world.finish(world.serviceOf('d2').read('b', 0, 0)));
+	assert.ok(Number(listed) > 0, 'read from the store');
+	await world.time.advance(1000);
+	world.network.unresponsive.delete('d1');
+	assert.is(countListed(await world.finish(world.serviceOf('d3').read('b', 0, 0))), listed, 'the store is read in place of the owner');
+	assert.is(countListed(await world.finish(world.serviceOf('d1').read('b', 0, 0))), 'unavailable');
+	world.store.partitioned.delete('d1');
+	await world.time.advance(2000);
+	assert.ok(Number(countListed(await world.finish(world.serviceOf('d1').read('b', 0, 0)))) >= Number(listed));
+});
+
 test('while the store does not respond, an owner that has paused refuses reads', async () => {
 	const world = await takeOverFromPaused();
 	world.store.partitioned.add('d1').add('d3');
