Take a refusal after a cut for "not run" only if the first send was not sent

Cause: after the links were cut, the attempt was sent again over another daemon, and the refusal of that send was returned for both.

Change: such a refusal has an unknown outcome, unless the first send did not reach the server.

--- a/src/gateway/node/relaying-caller.ts
+++ b/src/gateway/node/relaying-caller.ts
@@ -210,7 +210,7 @@
 			const left = shorten(call, now - startedAt);
 			const mayRelay = !options.signal.aborted && left.options.timeoutMs > 0;
 			if (isCutOff && mayRelay) {
-				return await relay(left) ?? err(createOutcomeUnknown('unavailable', {step: 'call backend server', peer: server.id}, 'the link to the server was cut'));
+				return takeAfterCut(await relay(left), result, server.id);
 			}
 
 			const isNotSent = result.isErr() && result.error.effect === 'notRun' && hasFailedToConnect;
@@ -220,6 +220,18 @@
 	};
 }
 
+/** Whether a response or failure says that the request has not run. */
+function saysNotRun(result: Result<BackendResponse, Failure>): boolean {
+	return result.match(({head}) => head.isNotRun || head.isOtherServer, ({effect}) => effect === 'notRun');
+}
+
+/** The outcome of a request that was sent again after its link was cut: a refusal of the second send does not tell whether the first has run. */
+function takeAfterCut(again: Result<BackendResponse, Failure> | undefined, first: Result<BackendResponse, Failure>, serverId: string): Result<BackendResponse, Failure> {
+	return again === undefined || (saysNotRun(again) && !saysNotRun(first))
+		? err(createOutcomeUnknown('unavailable', {step: 'call backend server', peer: serverId}, 'the link to the server was cut'))
+		: again;
+}
+
 function createResponse({status, headers}: RelayedHead, head: ResponseHead, body: Uint8Array): Result<BackendResponse, Failure> {
 	return ok({
 		status, headers: Object.fromEntries(Object.entries(headers).map(([name, value]) => [name, typeof value === 'string' ? value : [...value]])), body, head,
