--- a/src/adapters/node/http-exchange.ts
+++ b/src/adapters/node/http-exchange.ts
@@ -39,6 +39,10 @@
 	readonly onSocket?: (socket: Socket) => void;
 	/** Called before the first byte can have been sent. */
 	readonly onSent?: () => void;
+	/** Asked when the connection is ready, immediately before the first byte is sent; with false the call fails as not run. */
+	readonly maySend?: () => boolean;
+	/** Resets the connection of a call that is given up, so that the system does not deliver later what it has not delivered yet. */
+	readonly resetsWhenGivenUp?: boolean;
 	/** Receives the chunks of a 200 response as they arrive, instead of the response's `body`. A returned text aborts the call and is the reason. */
 	readonly onData?: (chunk: Uint8Array) => string | undefined;
 	/** Maximum size of the body in bytes; a larger one fails the call. */
@@ -200,6 +204,10 @@
 
 	function fail(code: FailureCode, message: string, wasClosed = false): void {
 		settle(err(isSent ? createOutcomeUnknown(code, origin, message) : createNotRun(code, origin, message)), wasClosed);
+		if (isSent && call.resetsWhenGivenUp === true) {
+			request.socket?.resetAndDestroy();
+		}
+
 		request.destroy();
 	}
 
@@ -215,10 +223,17 @@
 	call.signal?.addEventListener('abort', abort, {once: true});
 	return {
 		markSent() {
-			if (!isSettled) {
-				isSent = true;
-				call.onSent?.();
+			if (isSettled) {
+				return;
 			}
+
+			if (call.maySend?.() === false) {
+				fail('aborted', 'no longer allowed when the connection was ready');
+				return;
+			}
+
+			isSent = true;
+			call.onSent?.();
 		},
 		succeed(response) {
 			settle(ok(response), false);
--- a/src/duties/common/duties-api.ts
+++ b/src/duties/common/duties-api.ts
@@ -2,16 +2,14 @@
 import type {Result} from 'neverthrow';
 import type {Failure} from '../../base/common/failure.js';
 import {createServiceKey} from '../../kernel/common/contribution.js';
+import type {Permission} from '../../orders/common/exclusive-actions.js';
 
 /** Number of requests that began to run, by organisation. */
 export type OrganisationCounts = Readonly<Record<string, number>>;
 
-/** Who calls, and under which fencing number. */
-export type DutyCaller = {
+/** Who calls, under which fencing number, and until when: a call is not sent later, and one without an answer is given up then. */
+export type DutyCaller = Permission & {
 	readonly holder: string;
-	readonly fencing: number;
-	/** Whether the call may still be sent; asked when the connection is ready, because the process may have stood still until then. */
-	readonly isCurrent: () => boolean;
 };
 
 /** The usage of one window. */
--- a/src/duties/duties.contribution.ts
+++ b/src/duties/duties.contribution.ts
@@ -6,7 +6,7 @@
 import {untracked, type RunTracker} from '../gateway/common/run-tracker.js';
 import type {Activation, Context} from '../kernel/common/contribution.js';
 import {registerContribution} from '../kernel/common/registry.js';
-import {orderFencingKey} from '../orders/orders.contribution.js';
+import {orderLeaseKey} from '../orders/orders.contribution.js';
 import {peerMeshKey} from '../peers/common/peer-mesh.js';
 import {hostKey} from '../settings/common/host.js';
 import {dutiesKey, type Duties} from './common/duties-api.js';
@@ -66,7 +66,7 @@
 		...context, mesh: context.use(peerMeshKey), counter, time,
 	});
 	const duty = createUsageDuty({
-		api, lease: context.use(orderFencingKey), calls, collection, store: createUsageStore(context.use(objectApiKey), log), time, times: settings, clock, log,
+		api, lease: context.use(orderLeaseKey), calls, collection, store: createUsageStore(context.use(objectApiKey), log), time, times: settings, clock, log,
 	});
 	return {
 		...joinDisposables([
@@ -104,7 +104,7 @@
 		},
 	});
 	const duty = createScaleDuty({
-		api, lease: context.use(orderFencingKey), calls, collection, deployment, view, clock,
+		api, lease: context.use(orderLeaseKey), calls, collection, deployment, view, clock,
 	});
 	return loop.every({name: 'scaling', periodMs: SCALE_PERIOD_MS, run: duty.run});
 }
@@ -128,7 +128,7 @@
 		}
 
 		const calls = createDutyCalls({
-			...context, holder: host.name, lease: context.use(orderFencingKey), term: createDutyTerm(computeQuietMs(host.bounds.leaseMs, host.serversCheckFencing)), callsPerSecond,
+			...context, holder: host.name, lease: context.use(orderLeaseKey), term: createDutyTerm(computeQuietMs(host.bounds.leaseMs, host.serversCheckFencing)), callsPerSecond,
 		});
 		const usage = counter === undefined ? undefined : startUsage(context, duties, calls, counter);
 		const scaling = scalesPools ? startScaling(context, duties, calls, refusals) : {dispose: () => undefined};
--- a/src/duties/node/duty-calls.ts
+++ b/src/duties/node/duty-calls.ts
@@ -4,6 +4,7 @@
 import type {Failure} from '../../base/common/failure.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
+import type {OrderLease} from '../../orders/node/order-lease.js';
 import type {DutyCaller, DutyOutcome} from '../common/duties-api.js';
 import type {DutyTerm} from '../common/duty-term.js';
 
@@ -32,7 +33,7 @@
 export type DutyCallsDependencies = {
 	/** Name of this daemon. */
 	readonly holder: string;
-	readonly lease: {readonly fencing: (now: number) => number | undefined};
+	readonly lease: Pick<OrderLease, 'fencing' | 'act'>;
 	readonly term: DutyTerm;
 	readonly callsPerSecond: number;
 	readonly clock: Clock;
@@ -86,8 +87,16 @@
 
 			nextAt = now + (1000 / (callsPerSecond * RATE_SHARE));
 			open.add(subject);
-			const answer = await send({holder, fencing, isCurrent: () => currentFencing(clock.monotonic()) === fencing});
+			const answer = await lease.act(async permission => send({
+				...permission,
+				holder,
+				isCurrent: () => permission.isCurrent() && currentFencing(clock.monotonic()) === permission.fencing,
+			}));
 			open.delete(subject);
+			if (answer === undefined) {
+				return 'notMade';
+			}
+
 			const end: DutyCallEnd = answer.unwrapOr('noAnswer' as const);
 			if (end === 'fenced') {
 				term.recordFenced(subject, fencing);
--- a/src/duties/test/scale-duty.test.ts
+++ b/src/duties/test/scale-duty.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import {createDutiesPlatform, findViolations} from '../../../test/fakes/duties-platform.js';
 import {createMeshNetwork} from '../../../test/fakes/mesh-network.js';
+import {createStubLease} from '../../../test/fakes/stub-lease.js';
 import {createVirtualTime} from '../../../test/fakes/virtual-loop.js';
 import type {Deployment} from '../../gateway/common/deployment.js';
 import {silentLog} from '../../kernel/common/log.js';
@@ -34,7 +35,7 @@
 		time, network, platform, servers, requests: 0, waiting: 0, lease: {holder: 'd1', fencing: 5}, connectedSince: 0 as number | undefined,
 	};
 	['d1', 'd2'].forEach(name => {
-		const lease = {fencing: () => (world.lease.holder === name ? world.lease.fencing : undefined)};
+		const lease = createStubLease(() => (world.lease.holder === name ? world.lease.fencing : undefined));
 		const duty = createScaleDuty({
 			api: platform.api,
 			lease,
--- a/src/duties/test/usage-duty.test.ts
+++ b/src/duties/test/usage-duty.test.ts
@@ -68,7 +68,7 @@
 		});
 		const fencing = (now: number) => (ended.has(name) ? undefined : lease.fencing(now));
 		const calls = createDutyCalls({
-			holder: name, lease: {fencing}, term: createDutyTerm(computeQuietMs(LEASE_MS, checksFencing)), callsPerSecond: 2, clock, log, metrics: silentMetrics,
+			holder: name, lease: {...lease, fencing}, term: createDutyTerm(computeQuietMs(LEASE_MS, checksFencing)), callsPerSecond: 2, clock, log, metrics: silentMetrics,
 		});
 		const duty = createUsageDuty({
 			api: platform.api, lease: {fencing}, calls, collection, store: createUsageStore(store.open(name), log), time, times, clock, log,
--- a/src/orders/node/order-lease.ts
+++ b/src/orders/node/order-lease.ts
@@ -1,21 +1,34 @@
-/** The lease on orders to engines. One daemon at a time holds it; the lease is an object of the store, and the revision with which the holder took it is the fencing number. */
+/**
+ * The lease on orders to engines. One daemon at a time holds it; the lease is an object of the store, and the revision with which the holder took it
+ * is the fencing number. All that only the holder may do goes through `act`, which ends with the holder's term.
+ */
+import type {Result} from 'neverthrow';
 import type {Disposable} from '../../base/common/disposable.js';
-import {readClocks, type Clock, type ClockReading} from '../../base/common/clock.js';
+import {
+	computeElapsedMs, readClocks, type Clock, type ClockReading,
+} from '../../base/common/clock.js';
+import type {Failure} from '../../base/common/failure.js';
 import type {Random} from '../../base/common/random.js';
 import type {ApiObject, ObjectApi} from '../../adapters/common/object-api.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
 import {createReachRecord} from '../../gateway/common/reach-record.js';
+import {createExclusiveActions, type ExclusiveAction} from '../common/exclusive-actions.js';
 import {
-	canOrder, canTake, mustRelease, reachesLongEnough, type LeaseTimes,
+	addHolder, chooseLapseMs, computeFirstActionAt, computeRemainingMs, computeRenewalMs, type LeaseTimes,
 } from '../common/lease-policy.js';
+import {decodeLeaseReply, type LeaseRecord, type LeaseReply} from '../common/lease-record.js';
+import {createObservedLease} from '../common/observed-lease.js';
+import {watchTermEnd} from './term-end.js';
 
 /** The lease as one daemon sees it. */
 export type OrderLease = Disposable & {
-	/** Fencing number for orders; undefined when this daemon may not give orders at `now`. */
+	/** Fencing number of the term; undefined when this daemon may not act at `now`. */
 	readonly fencing: (now: number) => number | undefined;
-	/** Releases the lease, and takes it no more. */
+	/** Performs what only the holder may do. Returns undefined, without performing it, when this daemon may not act. */
+	readonly act: <T>(action: ExclusiveAction<T>) => Promise<Result<T, Failure> | undefined>;
+	/** Stops acting and releases the lease, and takes it no more. */
 	readonly release: () => Promise<void>;
 };
 
@@ -34,24 +47,25 @@
 	readonly onDidLose: () => void;
 };
 
-/** The stored lease object. */
-type LeaseSpec = {
-	/** Undefined after a release. */
-	readonly holder?: PeerDaemon;
-	readonly renewals: number;
-};
-
-type ObservedLease = {
-	readonly revision: number;
-	readonly spec: LeaseSpec;
-	readonly seenAt: number;
-};
-
 type HeldLease = {
 	readonly fencing: number;
 	readonly revision: number;
 	readonly renewedAt: ClockReading;
+	/** Lapse time from the last renewal on. */
+	readonly lapseMs: number;
+	readonly earlierHolders: readonly string[];
+	/** Earliest time of an action, so that holders do not take turns too fast. */
+	readonly firstActionAt: number;
+	/** The holder has stopped acting and waits for the actions under way before it releases the lease. */
+	readonly isEnding: boolean;
+};
+
+/** A renewal as it was sent. */
+type Renewal = {
+	/** Number of the renewal, which no other of this daemon's run has. */
 	readonly renewals: number;
+	readonly lapseMs: number;
+	readonly sentAt: ClockReading;
 };
 
 const LEASE_ID = {kind: 'order-leases', name: 'orders'};
@@ -59,37 +73,27 @@
 const CHECK_INTERVAL_MS = 1000;
 const CHECK_JITTER_SHARE = 0.4;
 const MAXIMUM_INITIAL_DELAY_MS = 1500;
+/** Time after a failed renewal at which the holder tries again, as long as its term lasts. */
+const RENEWAL_RETRY_MS = 250;
 const PING_TIMEOUT_MS = 700;
 
-function readSpec(object: ApiObject): LeaseSpec {
-	// Only daemons write to this kind.
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-	return object.spec as LeaseSpec;
-}
-
 /** Starts to watch the lease, and to take it when it is free. */
 export function createOrderLease(dependencies: OrderLeaseDependencies): OrderLease {
 	const {
 		api, mesh, clock, loop, random, log, times,
 	} = dependencies;
-	let observed: ObservedLease | undefined;
+	const startedAt = clock.monotonic();
+	const actions = createExclusiveActions();
+	const reach = createReachRecord();
+	const observed = createObservedLease(mesh.self, times);
 	let held: HeldLease | undefined;
-	/** When the holder last replied that it holds the lease, and when the lease was last read. */
-	let heldAt = Number.NEGATIVE_INFINITY;
-	let readAt = Number.NEGATIVE_INFINITY;
+	let renewals = 0;
+	/** Renewals since the last one that is known to have taken effect. */
+	let openRenewals: readonly Renewal[] = [];
+	/** Whether the lease was read since its holder has been silent. */
+	let hasReadInSilence = false;
 	let isLeaving = false;
 	let isOpen = true;
-	const reach = createReachRecord();
-
-	function recordObservation(object: ApiObject, now: number): void {
-		if (observed?.revision !== object.revision) {
-			observed = {revision: object.revision, spec: readSpec(object), seenAt: now};
-		}
-	}
-
-	function isSelf(holder: PeerDaemon | undefined): boolean {
-		return holder?.name === mesh.self.name && holder.incarnation === mesh.self.incarnation;
-	}
 
 	function lose(reason: string): void {
 		if (held !== undefined) {
@@ -99,99 +103,117 @@
 		}
 	}
 
-	function recordHeld(object: ApiObject, sentAt: ClockReading, renewals: number): void {
-		recordObservation(object, sentAt.monotonic);
-		const isNew = held === undefined;
+	/** Time for which the term with this fencing number still lasts at `now`; 0 or less once it has ended. */
+	function remainingMs(fencing: number, now: number): number {
+		return held?.fencing === fencing ? computeRemainingMs(held.renewedAt, {monotonic: now, wall: clock.wall()}, held.lapseMs) : 0;
+	}
+
+	/** Fencing number with which an action may start at `now`. */
+	function findFencing(now: number): number | undefined {
+		return held === undefined || held.isEnding || isLeaving || now < held.firstActionAt || !dependencies.reachesEngines() || remainingMs(held.fencing, now) <= 0
+			? undefined
+			: held.fencing;
+	}
+
+	function recordTaken(object: ApiObject, {sentAt, lapseMs}: Renewal, earlierHolders: readonly string[]): void {
+		observed.recordObject(object, sentAt.monotonic);
+		const firstActionAt = computeFirstActionAt(mesh.self.name, earlierHolders, actions.lastActedAt() ?? startedAt, times);
+		openRenewals = [];
 		held = {
-			fencing: held?.fencing ?? object.revision, revision: object.revision, renewedAt: sentAt, renewals,
+			fencing: object.revision, revision: object.revision, renewedAt: sentAt, lapseMs, earlierHolders, firstActionAt, isEnding: false,
 		};
-		if (isNew) {
-			log.info('took the lease on orders', {fencing: held.fencing});
-			dependencies.onDidTake();
-		}
+		actions.startTerm();
+		log.info('took the lease on orders', {fencing: held.fencing, waitMs: Math.max(0, Math.round(firstActionAt - sentAt.monotonic))});
+		dependencies.onDidTake();
 	}
 
 	async function readLease(): Promise<void> {
 		const found = await api.read(LEASE_ID);
 		found.match(object => {
-			readAt = clock.monotonic();
 			if (object !== undefined) {
-				recordObservation(object, readAt);
+				observed.recordObject(object, clock.monotonic());
 			}
 		}, failure => {
 			log.debug('lease on orders not read', {code: failure.code, reason: failure.message});
 		});
 	}
 
+	function createRecord({renewals: number, lapseMs}: Renewal, earlierHolders: readonly string[]): LeaseRecord {
+		return {
+			holder: mesh.self, renewals: number, lapseMs, earlierHolders,
+		};
+	}
+
+	function recordRenewal(current: HeldLease, {sentAt, lapseMs}: Renewal, revision: number): void {
+		openRenewals = [];
+		held = {
+			...current, revision, renewedAt: sentAt, lapseMs,
+		};
+	}
+
 	async function renew(current: HeldLease): Promise<void> {
 		const sentAt = readClocks(clock);
-		if (sentAt.monotonic - current.renewedAt.monotonic < times.renewMs && canOrder(current.renewedAt, sentAt, times)) {
+		if (computeElapsedMs(current.renewedAt, sentAt) < computeRenewalMs(current.lapseMs)) {
+			return;
+		}
+
+		renewals += 1;
+		const renewal = {renewals, lapseMs: chooseLapseMs(actions.lastActedAt(), sentAt.monotonic, times), sentAt};
+		openRenewals = [...openRenewals, renewal];
+		const written = await api.replace(LEASE_ID, createRecord(renewal, current.earlierHolders), current.revision);
+		if (held?.fencing !== current.fencing) {
 			return;
 		}
 
-		const renewals = current.renewals + 1;
-		const written = await api.replace(LEASE_ID, {holder: mesh.self, renewals}, current.revision);
 		if (written.isOk()) {
-			recordHeld(written.value, sentAt, renewals);
+			observed.recordObject(written.value, sentAt.monotonic);
+			recordRenewal(held, renewal, written.value.revision);
 			return;
 		}
 
 		await readLease();
-		const isOwnWrite = observed !== undefined && isSelf(observed.spec.holder) && observed.revision >= current.revision;
-		if (isOwnWrite && observed!.spec.renewals === renewals) {
-			// The renewal took effect although its response was lost.
-			held = {
-				...current, revision: observed!.revision, renewedAt: sentAt, renewals,
-			};
-		} else if (observed !== undefined && !isSelf(observed.spec.holder)) {
-			lose(`held by ${observed.spec.holder?.name ?? 'nobody'}`);
-		} else if (clock.monotonic() - current.renewedAt.monotonic > 2 * times.lapseMs) {
+		const found = observed.current();
+		if (held?.fencing !== current.fencing || found === undefined) {
+			return;
+		}
+
+		// A renewal without a response may have taken effect, also an earlier one: the term counts from when that one was sent.
+		const effective = openRenewals.find(open => open.renewals === found.record?.renewals);
+		if (!observed.isOwn()) {
+			lose(`held by ${found.record?.holder?.name ?? 'nobody'}`);
+		} else if (effective !== undefined) {
+			recordRenewal(held, effective, found.revision);
+		} else if (clock.monotonic() - current.renewedAt.monotonic > times.expiryMs) {
 			lose('not renewed in time');
 		}
 	}
 
-	/**
-	 * Asks the holder's process whether it holds the lease. Returns `gone` only when that run of the process has certainly ended, because another
-	 * run answers at its address. A refused connection is no proof: a partition refuses as well, and the holder behind it may still reach the engines.
-	 */
-	async function ping(holder: PeerDaemon): Promise<'holds' | 'gone' | 'holdsNot' | 'silent'> {
+	/** Asks the holder's process whether it holds the lease. Its reply also says when the lease was renewed, so that it need not be read. */
+	async function ping(holder: PeerDaemon): Promise<'holds' | 'holdsNot' | 'silent'> {
 		const reply = await mesh.call(holder, 'order-lease', {}, PING_TIMEOUT_MS);
-		if (reply.isErr()) {
+		const body = reply.isOk() ? decodeLeaseReply(reply.value.body) : undefined;
+		if (body?.incarnation !== holder.incarnation) {
+			// Another run of the process, or another daemon at its address, says nothing of what this run has sent.
 			return 'silent';
 		}
 
-		// The handler below creates the body on the other daemon.
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion
-		const body = reply.value.body as {incarnation: string; holds: boolean; holder: PeerDaemon | undefined} | undefined;
-		if (body?.incarnation !== holder.incarnation) {
-			return 'gone';
+		const {revision, renewedMsAgo, lapseMs} = body;
+		if (revision !== undefined && renewedMsAgo !== undefined && lapseMs !== undefined) {
+			observed.recordStatement(holder, {revision, lapseMs, renewedBy: clock.monotonic() - renewedMsAgo});
 		}
 
 		return body.holds ? 'holds' : 'holdsNot';
 	}
 
-	async function take(hasProcessEnded: boolean): Promise<void> {
-		const sentAt = readClocks(clock);
-		const spec: LeaseSpec = {holder: mesh.self, renewals: 0};
-		if (observed === undefined) {
-			const created = await api.create(LEASE_ID, spec);
-			if (created.isOk()) {
-				recordHeld(created.value, sentAt, 0);
-			} else {
-				await readLease();
-			}
-
-			return;
-		}
-
-		const isReleased = observed.spec.holder === undefined || isSelf(observed.spec.holder);
-		if (!canTake({seenAt: observed.seenAt, hasProcessEnded, isReleased}, sentAt.monotonic, times)) {
-			return;
-		}
-
-		const written = await api.replace(LEASE_ID, spec, observed.revision);
+	async function take(): Promise<void> {
+		renewals += 1;
+		const first: Renewal = {renewals, lapseMs: times.busyLapseMs, sentAt: readClocks(clock)};
+		const before = observed.current();
+		const earlierHolders = addHolder(before?.record?.holder?.name, before?.record?.earlierHolders ?? []);
+		const record = createRecord(first, earlierHolders);
+		const written = before === undefined ? await api.create(LEASE_ID, record) : await api.replace(LEASE_ID, record, before.revision);
 		if (written.isOk()) {
-			recordHeld(written.value, sentAt, 0);
+			recordTaken(written.value, first, earlierHolders);
 			return;
 		}
 
@@ -199,62 +221,91 @@
 		await readLease();
 	}
 
-	/** Releases the lease, so that another daemon takes it at once. */
+	/** Whether this daemon may take the lease. Its own is free unless something that it has sent has no answer. */
+	const mayTake = (): boolean => observed.mayTake(clock.monotonic(), !actions.hasUnanswered());
+
+	/**
+	 * Stops acting, and releases the lease so that another daemon takes it at once. While something that was sent has no answer, its effect may
+	 * still come, and the lease is left to lapse instead.
+	 */
 	async function giveUp(reason: string): Promise<void> {
-		if (held === undefined) {
+		if (held === undefined || held.isEnding) {
 			return;
 		}
 
-		const {revision, renewals} = held;
-		lose(reason);
-		const written = await api.replace(LEASE_ID, {renewals}, revision);
+		const {fencing} = held;
+		held = {...held, isEnding: true};
+		await actions.whenIdle();
+		if (held?.fencing !== fencing) {
+			return;
+		}
+
+		const {revision, earlierHolders} = held;
+		const isAnswered = !actions.hasUnanswered();
+		lose(isAnswered ? reason : `${reason}; lapses, as an action has no answer`);
+		if (!isAnswered) {
+			return;
+		}
+
+		const released: LeaseRecord = {renewals, earlierHolders: addHolder(mesh.self.name, earlierHolders)};
+		const written = await api.replace(LEASE_ID, released, revision);
 		if (written.isErr()) {
 			log.info('lease on orders not released', {reason: written.error.message});
 		}
 	}
 
-	/** Whether the lease was read since its holder has been silent, and has not lapsed since: until then, reading it again would change nothing. */
-	function awaitsLapse(now: number): boolean {
-		return observed !== undefined && readAt > heldAt && now - observed.seenAt < times.lapseMs;
-	}
-
 	async function checkLease(): Promise<void> {
 		const now = clock.monotonic();
 		reach.record(dependencies.reachesEngines(), now);
-		if (held !== undefined && mustRelease(reach.lostForMs(now), times)) {
-			await giveUp('the engines can not be reached');
+		if (held?.isEnding === false) {
+			await (reach.lostForMs(now) >= times.lostReachMs ? giveUp('the engines can not be reached') : renew(held));
 			return;
 		}
 
-		if (held !== undefined) {
-			await renew(held);
+		if (held !== undefined || isLeaving || reach.reachedForMs(now) < times.soundReachMs) {
 			return;
 		}
 
-		if (isLeaving || !reachesLongEnough(reach.reachedForMs(now), times)) {
-			return;
-		}
-
-		const holder = observed?.spec.holder;
-		const status = holder === undefined || isSelf(holder) ? 'holdsNot' : await ping(holder);
+		const before = observed.current();
+		const holder = before?.record?.holder;
+		const status = holder === undefined || observed.isOwn() ? 'holdsNot' : await ping(holder);
 		if (status === 'holds') {
-			heldAt = clock.monotonic();
+			hasReadInSilence = false;
 			return;
 		}
 
-		if (status === 'silent' && awaitsLapse(clock.monotonic())) {
+		// A silent holder may have released the lease before; otherwise reading it again before it lapses would change nothing.
+		if (status === 'silent' && hasReadInSilence && !mayTake()) {
 			return;
 		}
 
-		const before = observed?.revision;
+		hasReadInSilence = true;
 		await readLease();
-		await take(status === 'gone' && observed?.revision === before);
+		if (mayTake() && !isLeaving) {
+			await take();
+		}
 	}
 
-	mesh.handle('order-lease', async () => ({
-		status: 200,
-		body: {incarnation: mesh.self.incarnation, holds: held !== undefined && canOrder(held.renewedAt, readClocks(clock), times), holder: observed?.spec.holder},
-	}));
+	mesh.handle('order-lease', async () => {
+		const reading = readClocks(clock);
+		const body: LeaseReply & {readonly holder: PeerDaemon | undefined} = {
+			incarnation: mesh.self.incarnation,
+			holds: held !== undefined && !held.isEnding && computeRemainingMs(held.renewedAt, reading, held.lapseMs) > 0,
+			holder: observed.current()?.record?.holder,
+			// By the monotonic clock alone: a wall clock that jumps must not make the others count the lease as lapsed.
+			...(held !== undefined && {revision: held.revision, lapseMs: held.lapseMs, renewedMsAgo: reading.monotonic - held.renewedAt.monotonic}),
+		};
+		return {status: 200, body};
+	});
+
+	/** Time until the next check. That of a holder falls on the time of its next renewal. */
+	function computeDelayMs(now: ClockReading): number {
+		if (held === undefined || held.isEnding || computeRemainingMs(held.renewedAt, now, held.lapseMs) <= 0) {
+			return CHECK_INTERVAL_MS * (1 + (CHECK_JITTER_SHARE * random()));
+		}
+
+		return Math.max(RENEWAL_RETRY_MS, Math.min(CHECK_INTERVAL_MS, computeRenewalMs(held.lapseMs) - computeElapsedMs(held.renewedAt, now)));
+	}
 
 	async function run(): Promise<void> {
 		if (!isOpen) {
@@ -262,7 +313,7 @@
 		}
 
 		await checkLease();
-		loop.after(CHECK_INTERVAL_MS * (1 + (CHECK_JITTER_SHARE * random())), () => {
+		loop.after(computeDelayMs(readClocks(clock)), () => {
 			void run();
 		});
 	}
@@ -272,7 +323,20 @@
 		void run();
 	});
 	return {
-		fencing: now => (held !== undefined && !isLeaving && dependencies.reachesEngines() && canOrder(held.renewedAt, {monotonic: now, wall: clock.wall()}, times) ? held.fencing : undefined),
+		fencing: findFencing,
+		async act(action) {
+			const fencing = findFencing(clock.monotonic());
+			if (fencing === undefined) {
+				return undefined;
+			}
+
+			const end = watchTermEnd(() => remainingMs(fencing, clock.monotonic()), loop);
+			try {
+				return await actions.perform({fencing, isCurrent: () => findFencing(clock.monotonic()) === fencing, signal: end.signal}, action, clock.monotonic);
+			} finally {
+				end.dispose();
+			}
+		},
 		async release() {
 			isLeaving = true;
 			await giveUp('released');
--- a/src/orders/node/order-service.ts
+++ b/src/orders/node/order-service.ts
@@ -24,6 +24,7 @@
 import {
 	assignEngines, createLagTable, planLoads, type Assignment, type ModelTarget, type PlannedEngine, type PlannedLoad,
 } from '../common/load-plan.js';
+import type {Permission} from '../common/exclusive-actions.js';
 import type {OrderLease} from './order-lease.js';
 
 /** Decodes the weight versions of one engine, by model, as another daemon has read them. */
@@ -75,6 +76,14 @@
 /** Models that each engine serves. Engines serve all models, so that any engine can take over the work of a slow or crashed one. */
 const MODELS_PER_ENGINE = Number.POSITIVE_INFINITY;
 
+/** Number of orders that an engine had accepted when it was last asked. */
+type AcceptedOrders = {
+	/** Start of the engine's run, and the term of this daemon, in which it said so. */
+	readonly startedAt: number | undefined;
+	readonly fencing: number | undefined;
+	readonly count: number;
+};
+
 function createOnce(action: () => void): () => void {
 	const disposable = createDisposable(action);
 	return () => {
@@ -92,11 +101,12 @@
 	const loading = new Map<string, string>();
 	let active = 0;
 	const lagTable = createLagTable();
-	const acceptedOrders = new Map<string, {readonly startedAt: number | undefined; readonly count: number}>();
+	const acceptedOrders = new Map<string, AcceptedOrders>();
 	let targets: ReadonlyMap<string, number> = new Map();
 	let assignment: Assignment = new Map();
 
-	async function callServer(server: ServerEntry, call: ServerCall): Promise<Result<{readonly status: number; readonly body: string}, Failure>> {
+	/** Calls an engine. With a permission the call is sent only while that lasts, and given up when it ends. */
+	async function callServer(server: ServerEntry, call: ServerCall, permission?: Permission): Promise<Result<{readonly status: number; readonly body: string}, Failure>> {
 		const base = createHttpBase('call engine', {ip: server.address, port: server.port});
 		if (base.isErr()) {
 			return err(base.error);
@@ -110,6 +120,7 @@
 			headers: call.headers,
 			...(call.body !== undefined && {body: call.body}),
 			timeoutMs: CALL_TIMEOUT_MS,
+			...(permission !== undefined && {signal: permission.signal, maySend: permission.isCurrent, resetsWhenGivenUp: true}),
 			acceptsConnectionEnd: true,
 			maximumBytes: MAXIMUM_REPORT_BYTES,
 			connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -164,14 +175,18 @@
 				return err(createNotRun('invalid', {step: 'read engine report', peer: server.id}, `the report with status ${status} is invalid`));
 			}
 
-			acceptedOrders.set(server.id, {startedAt: report.startedAt ?? server.startedAt, count: report.acceptedOrders});
+			acceptedOrders.set(server.id, {startedAt: report.startedAt ?? server.startedAt, fencing: lease.fencing(clock.monotonic()), count: report.acceptedOrders});
 			return ok(report);
 		});
 	}
 
+	/**
+	 * Returns how many orders an engine has accepted. Each term asks each engine before its first order: an engine that answers has also read what
+	 * earlier holders had sent it, so that no earlier order is read after one of this term.
+	 */
 	async function countOrders(server: ServerEntry): Promise<number | undefined> {
 		const known = acceptedOrders.get(server.id);
-		if (known !== undefined && known.startedAt === server.startedAt) {
+		if (known !== undefined && known.startedAt === server.startedAt && known.fencing === lease.fencing(clock.monotonic())) {
 			return known.count;
 		}
 
@@ -182,16 +197,22 @@
 	async function giveOrder(server: ServerEntry, load: PlannedLoad): Promise<OrderOutcome | undefined> {
 		const expectedOrders = await countOrders(server);
 		const permit = await awaitPermit(server);
-		// The lease is checked again immediately before the order is sent.
-		const fencing = lease.fencing(clock.monotonic());
-		if (fencing === undefined || expectedOrders === undefined || permit.isErr()) {
+		if (expectedOrders === undefined || permit.isErr()) {
 			return undefined;
 		}
 
 		const needsSingle = deployment.current()?.routes.some(route => route.needsSingleVersion && route.pools.some(share => share.pool === server.pool)) ?? false;
-		const response = await callServer(server, protocol.buildOrderCall({
-			model: load.model, version: load.version, runs: needsSingle ? 'finishFirst' : 'goOn', holder: mesh.self.name, fencing, expectedOrders,
-		}, server.id));
+		let fencing: number | undefined;
+		const response = await lease.act(async permission => {
+			fencing = permission.fencing;
+			return callServer(server, protocol.buildOrderCall({
+				model: load.model, version: load.version, runs: needsSingle ? 'finishFirst' : 'goOn', holder: mesh.self.name, fencing, expectedOrders,
+			}, server.id), permission);
+		});
+		if (response === undefined) {
+			return undefined;
+		}
+
 		const outcome = response.map(({status}) => protocol.readOrderOutcome(status));
 		log.info('order given', {
 			serverId: server.id, model: load.model, version: load.version, fencing, expectedOrders, ...outcome.match(value => ({outcome: value}), failure => ({outcome: 'no answer', reason: failure.message})),
--- a/src/orders/orders.contribution.ts
+++ b/src/orders/orders.contribution.ts
@@ -14,8 +14,8 @@
 import {createOrderLease, type OrderLease} from './node/order-lease.js';
 import {createOrderService, type OrderService} from './node/order-service.js';
 
-/** Service key of the fencing number of the lease on orders, for further duties that one daemon has. */
-export const orderFencingKey = createServiceKey<Pick<OrderLease, 'fencing'>>('order-fencing');
+/** Service key of the lease on orders, for further duties that one daemon has. */
+export const orderLeaseKey = createServiceKey<Pick<OrderLease, 'fencing' | 'act'>>('order-lease');
 
 /** Maximum wait of one poll for named versions, and minimum time between polls. */
 const MAXIMUM_POLL_WAIT_MS = 5000;
@@ -71,7 +71,7 @@
 				following.dispose();
 			},
 		});
-		context.provide(orderFencingKey, lease);
+		context.provide(orderLeaseKey, lease);
 		const service = createOrderService({...dependencies, lease});
 		return {
 			...joinDisposables([
--- a/src/peers/common/peer-mesh.ts
+++ b/src/peers/common/peer-mesh.ts
@@ -15,6 +15,11 @@
 	readonly capacity?: number;
 };
 
+/** Whether an identity is that of the given run of a daemon. */
+export function isSameRun(daemon: PeerDaemon | undefined, run: PeerDaemon): boolean {
+	return daemon?.name === run.name && daemon.incarnation === run.incarnation;
+}
+
 /** The reply of the called daemon. */
 export type PeerReply = {
 	readonly status: number;
--- a/test/fakes/mesh-network.ts
+++ b/test/fakes/mesh-network.ts
@@ -11,6 +11,8 @@
 	readonly unresponsive: Set<string>;
 	/** Daemons behind a partition that refuses connections: the calls to them and their own are refused. */
 	readonly refusing: Set<string>;
+	/** Replaces the answer of a daemon to one kind of call, as another process at its address would. */
+	readonly answerFor: (name: string, call: string, body: unknown) => void;
 	/** Kills a daemon's process: its port then refuses connections. */
 	readonly kill: (name: string) => void;
 	/** Calls that were answered so far, and the bytes of their bodies and replies as JSON. */
@@ -31,6 +33,9 @@
 		unresponsive: silent,
 		refusing,
 		traffic: () => ({calls, bytes}),
+		answerFor(name, call, body) {
+			members.get(name)?.handlers.set(call, async () => ({status: 200, body}));
+		},
 		kill(name) {
 			members.delete(name);
 		},
