--- a/src/orders/common/lease-policy.ts
+++ b/src/orders/common/lease-policy.ts
@@ -20,9 +20,9 @@
 
 /** Shares of `leaseMs` after which the lease of a busy holder lapses, and that of another. */
 const BUSY_SHARE = 2 / 3;
-const IDLE_SHARE = 1.1;
+const IDLE_SHARE = 1.2;
 /** Actions from one renewal to the next from which on a holder is busy. */
-const BUSY_ACTIONS = 3;
+const BUSY_ACTIONS = 4;
 /** Share of the lapse time between renewals; a renewal and one repetition of it fit into the rest. */
 const RENEWAL_SHARE = 0.75;
 /**
