--- a/src/orders/test/exclusive-actions.test.ts
+++ b/src/orders/test/exclusive-actions.test.ts
@@ -2,6 +2,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {err, ok, type Result} from 'neverthrow';
+import {findViolations, type CarriedOut} from '../../../test/fakes/duties-platform.js';
 import {createMemoryObjects} from '../../../test/fakes/memory-objects.js';
 import {createMeshNetwork} from '../../../test/fakes/mesh-network.js';
 import {createSeededRandom, createVirtualTime} from '../../../test/fakes/virtual-loop.js';
@@ -22,24 +23,6 @@
 /** Longest way of an action to its server on a link that works. */
 const WAY_MS = 60;
 
-type Arrival = {readonly at: number; readonly holder: string; readonly fencing: number};
-
-/** What is wrong with the arrivals of one server that does not check fencing numbers. */
-function findViolations(arrivals: readonly Arrival[]): readonly string[] {
-	return arrivals.flatMap((arrival, index) => {
-		const before = arrivals.slice(0, index);
-		const higher = before.find(({fencing}) => fencing > arrival.fencing);
-		const shared = before.find(({fencing, holder}) => fencing === arrival.fencing && holder !== arrival.holder);
-		const lastOwn = before.findLastIndex(({holder}) => holder === arrival.holder);
-		const hasTurned = lastOwn !== -1 && before.slice(lastOwn + 1).some(({holder}) => holder !== arrival.holder) && arrival.at - before[lastOwn]!.at < LEASE_MS;
-		return [
-			...(higher === undefined ? [] : [`${arrival.at}: ${arrival.fencing} of ${arrival.holder} after ${higher.fencing} of ${higher.holder}`]),
-			...(shared === undefined ? [] : [`${arrival.at}: ${arrival.fencing} of two holders`]),
-			...(hasTurned ? [`${arrival.at}: ${arrival.holder} takes turns with another`] : []),
-		];
-	});
-}
-
 /** Plays a day in which all daemons try to act all the time, while partitions, kills, releases, late writes and clocks disturb them. */
 async function playDay(seed: number, mechanism: 'on' | 'off' = 'on') {
 	const random = createSeededRandom(seed);
@@ -48,7 +31,7 @@
 	const store = createMemoryObjects(loop);
 	const network = createMeshNetwork(loop);
 	const cutFromServers = new Set<string>();
-	const arrivals: Arrival[] = [];
+	const arrivals: Array<CarriedOut<undefined>> = [];
 	const leases = new Map<string, OrderLease>();
 	let runs = 0;
 	let actions = 0;
@@ -65,7 +48,9 @@
 			loop.after(random() * WAY_MS, () => {
 				// What has not arrived when the call is given up is discarded.
 				if ((mechanism === 'off' || !signal.aborted) && !cutFromServers.has(holder)) {
-					arrivals.push({at: clock.monotonic(), holder, fencing});
+					arrivals.push({
+						at: clock.monotonic(), holder, fencing, call: undefined,
+					});
 					actions += 1;
 				}
 			});
@@ -153,7 +138,7 @@
 		},
 	});
 	await time.advance(DAY_MS);
-	return {violations: findViolations(arrivals), actions, holders: new Set(arrivals.map(arrival => arrival.holder)).size};
+	return {violations: findViolations(arrivals, LEASE_MS), actions, holders: new Set(arrivals.map(arrival => arrival.holder)).size};
 }
 
 // Guards against review/6 and its class: partitions, releases, restarts and late writes let two daemons order the same servers.
