Review: machines stay without the store after its connections went silent

Cause: a daemon whose call to the store had no answer tries one idle connection each 1.5 s, and keeps the other silent ones, so a new connection is opened only after all of them have failed.

--- a/review/kit-3/test/silent-store-case.ts
+++ b/review/kit-3/test/silent-store-case.ts
@@ -15,9 +15,11 @@
 const hasTrouble = process.env.TROUBLE !== '0';
 const folder = process.argv[2] ?? '.';
 /** Streams that begin at the same time at each daemon. */
-const BURST = 80;
-const SHAPE = {events: 20, intervalMs: 25, eventCharacters: 100};
+const BURST = 200;
+const SHAPE = {events: 10, intervalMs: 25, eventCharacters: 100};
 const CLIENT_BYTES_PER_SECOND = 1_000_000;
+/** Time in which the store answers, by the sheets of the sites. */
+const STORE_MS = 4;
 const SETTLE_MS = 3000;
 const STABLE_MS = 4000;
 const PROPAGATION_MS = 2500;
@@ -35,6 +37,7 @@
 async function main(): Promise<number> {
 	const link = createSilentLink();
 	const fleet = await startFleet(buildRoutes(POOL), link);
+	fleet.store.faults.slowMs = STORE_MS;
 	const serviceByAttempt = new Map<string, string>();
 	const workers = [POOL, POOL, OTHER_POOL, OTHER_POOL].map((service, index) => createPlainWorker({
 		id: `i-${index + 1}`, ip: `${fleet.network}.${101 + index}`, zone: ['zone-a', 'zone-b'][index % 2]!, service,
@@ -44,8 +47,8 @@
 			what: 'run', worker: id, service, attemptId,
 		});
 	}));
-	const streamWorkers = ['v1', 'v1', 'v2', 'v2'].map((softwareVersion, index) => createStreamWorker({
-		id: `s-${index + 1}`, service: STREAM_POOL, ip: `${fleet.network}.${121 + index}`, zone: ['zone-a', 'zone-b'][index % 2]!, softwareVersion, slots: 64,
+	const streamWorkers = ['v1', 'v1', 'v1', 'v2', 'v2', 'v2'].map((softwareVersion, index) => createStreamWorker({
+		id: `s-${index + 1}`, service: STREAM_POOL, ip: `${fleet.network}.${121 + index}`, zone: ['zone-a', 'zone-b'][index % 2]!, softwareVersion, slots: 120,
 	}, SHAPE, fleet.store, fleet.record));
 	try {
 		await Promise.all([...workers, ...streamWorkers].map(async worker => worker.start()));
