Review: one legal batch job ends one machine after another

Cause: the body of a submitted batch job is expanded several times, as texts of two bytes a character, before its size is compared with what the store takes.

--- a/review/kit-3/test/fleet.ts
+++ b/review/kit-3/test/fleet.ts
@@ -1,7 +1,7 @@
 /** A small deployment on loopback addresses: the built daemons as processes, the project's store stand-in, and streaming workers. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {
-	closeSync, mkdtempSync, openSync, rmSync, writeFileSync,
+	closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {
 	createServer, request, type IncomingMessage, type Server, type ServerResponse,
@@ -26,6 +26,8 @@
 const HEARTBEAT_MS = 1200;
 /** Heartbeats without a write after which the store removes an entry. */
 const EXPIRY_HEARTBEATS = 3;
+/** Memory of a machine for callers. */
+export const MEMORY_MB = 350;
 const START_TIMEOUT_MS = 20_000;
 
 export type Address = {readonly ip: string; readonly port: number};
@@ -193,9 +195,15 @@
 	/** Writes the record to a file. */
 	readonly writeRecord: (file: string) => void;
 	readonly waitUntilReady: () => Promise<void>;
+	/** Resident memory of a daemon's process in megabytes; 0 while it does not run. */
+	readonly readMemoryMb: (name: string) => number;
+	/** Ends a daemon's process as the platform does when it uses too much memory, and starts it again. */
+	readonly restart: (name: string) => Promise<void>;
 	readonly close: () => Promise<void>;
 };
 
+const RESTART_MS = 500;
+
 /** Writes a version of the configuration; the store acknowledges it at once. */
 export function configure(store: StoreStandIn, version: number, routes: ReadonlyArray<Readonly<Record<string, unknown>>>): void {
 	store.put('config', 'main', {
@@ -211,7 +219,7 @@
 }
 
 /** Renders the settings of a process as the template of the deploy file does. */
-function renderSettings({name, ip, zone, role}: {readonly name: string; readonly ip: string; readonly zone: keyof typeof ZONES; readonly role: 'entry' | 'disk'}, seeds: readonly string[], store: Address): string {
+function renderSettings({name, ip, zone, role}: {readonly name: string; readonly ip: string; readonly zone: keyof typeof ZONES; readonly role: 'entry' | 'disk'}, seeds: readonly string[], store: Address, memoryMb: number): string {
 	const isEntry = role === 'entry';
 	return JSON.stringify({
 		platform_settings: {
@@ -229,7 +237,7 @@
 			bootstrap: true,
 			counts_as_loss: !isEntry,
 			limits: {
-				cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0,
+				cpu_share: 0.675, cores: 1, memory_mb: memoryMb, max_fds: 4100, link_mbps: 1000, disk_mb: 0,
 			},
 			data_dir: null,
 			discovery: 'platform',
@@ -270,14 +278,20 @@
 	readonly open: (ip: string, target: Address) => Promise<Address>;
 };
 
+export type FleetOptions = {
+	readonly link?: StoreLink;
+	/** Memory of each machine for callers, in megabytes. */
+	readonly memoryMb?: number;
+};
+
 /** Starts the store, writes the configuration, and starts three daemons for callers and one for disks. */
-export async function startFleet(routes: ReadonlyArray<Readonly<Record<string, unknown>>>, link?: StoreLink): Promise<Fleet> {
+export async function startFleet(routes: ReadonlyArray<Readonly<Record<string, unknown>>>, {link, memoryMb = MEMORY_MB}: FleetOptions = {}): Promise<Fleet> {
 	const root = process.cwd();
 	const folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 	const network = `127.${20 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}`;
 	const startedAt = Date.now();
 	const lines: string[] = [];
-	const children: ChildProcess[] = [];
+	const children = new Map<string, ChildProcess>();
 	const store = createStoreStandIn(Math.random);
 	const ownAddress = {ip: `${network}.251`, port: await store.open(`${network}.251`, async value => value)};
 	const storeAddress = await link?.open(`${network}.252`, ownAddress) ?? ownAddress;
@@ -298,16 +312,27 @@
 	];
 	const entries = specs.filter(({role}) => role === 'entry');
 	const seeds = entries.map(({ip}) => `${ip}:${PORTS.control}`);
-	specs.forEach(spec => {
+	const startProcess = (spec: typeof specs[number]): void => {
 		const settingsFile = path.join(folder, `${spec.name}.json`);
-		writeFileSync(settingsFile, renderSettings(spec, seeds, storeAddress));
+		writeFileSync(settingsFile, renderSettings(spec, seeds, storeAddress, memoryMb));
 		const log = openSync(path.join(folder, `${spec.name}.log`), 'a');
 		const options = spec.role === 'entry' ? ['--max-old-space-size=200', '--max-semi-space-size=4'] : ['--max-old-space-size=48', '--max-semi-space-size=1'];
-		children.push(spawn(process.execPath, [...options, 'target/daemon.mjs'], {
+		children.set(spec.name, spawn(process.execPath, [...options, 'target/daemon.mjs'], {
 			cwd: root, env: {PATH: process.env.PATH, ROSEMARYSHORE_SETTINGS: settingsFile}, stdio: ['ignore', log, log],
 		}));
 		closeSync(log);
-	});
+	};
+
+	const endProcess = async (child: ChildProcess): Promise<void> => {
+		child.kill('SIGKILL');
+		if (child.exitCode === null && child.signalCode === null) {
+			await new Promise(resolve => {
+				child.once('exit', resolve);
+			});
+		}
+	};
+
+	specs.forEach(startProcess);
 
 	return {
 		store,
@@ -329,17 +354,21 @@
 				await sleep(200);
 			}
 		},
+		readMemoryMb(name) {
+			try {
+				const status = readFileSync(`/proc/${children.get(name)?.pid}/status`, 'utf8');
+				return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1024;
+			} catch {
+				return 0;
+			}
+		},
+		async restart(name) {
+			await endProcess(children.get(name)!);
+			await sleep(RESTART_MS);
+			startProcess(specs.find(spec => spec.name === name)!);
+		},
 		async close() {
-			children.forEach(child => {
-				child.kill('SIGKILL');
-			});
-			await Promise.all(children.map(async child => {
-				if (child.exitCode === null && child.signalCode === null) {
-					await new Promise(resolve => {
-						child.once('exit', resolve);
-					});
-				}
-			}));
+			await Promise.all([...children.values()].map(async child => endProcess(child)));
 			store.close();
 			if (process.env.KEEP_LOGS === undefined) {
 				rmSync(folder, {recursive: true, force: true});
--- a/review/kit-3/test/plain-service.ts
+++ b/review/kit-3/test/plain-service.ts
@@ -12,6 +12,8 @@
 	readonly ip: string;
 	readonly zone: string;
 	readonly service: string;
+	/** Time that a request takes; by default `WORK_MS`. */
+	readonly workMs?: number;
 };
 
 /** A worker that takes `WORK_MS` for each request. */
@@ -57,7 +59,7 @@
 					response.writeHead(200, {
 						'Attempt-Id': attemptId, 'Server-Stamp': `stamp-${attemptId}`, 'Instance-Load': '1,0,6', 'content-length': 2, ...(state === 'draining' && {Connection: 'close'}),
 					}).end('ok');
-				}, WORK_MS);
+				}, spec.workMs ?? WORK_MS);
 			});
 			server = started;
 			await new Promise<void>((resolve, reject) => {
--- a/review/kit-3/test/silent-store-case.ts
+++ b/review/kit-3/test/silent-store-case.ts
@@ -36,7 +36,7 @@
 
 async function main(): Promise<number> {
 	const link = createSilentLink();
-	const fleet = await startFleet(buildRoutes(POOL), link);
+	const fleet = await startFleet(buildRoutes(POOL), {link});
 	fleet.store.faults.slowMs = STORE_MS;
 	const serviceByAttempt = new Map<string, string>();
 	const workers = [POOL, POOL, OTHER_POOL, OTHER_POOL].map((service, index) => createPlainWorker({
