Review: a woken owner sends items of an ended batch job over other machines

Cause: after a pause, an owner ends its silent runs and starts them again before it reads the batch's log, and the machines that relay the items do not know that the batch has ended.

--- a/review/kit-3/test/fleet.ts
+++ b/review/kit-3/test/fleet.ts
@@ -183,6 +183,7 @@
 
 export type Daemon = {
 	readonly name: string;
+	readonly ip: string;
 	readonly front: Address;
 };
 
@@ -197,6 +198,8 @@
 	readonly waitUntilReady: () => Promise<void>;
 	/** Resident memory of a daemon's process in megabytes; 0 while it does not run. */
 	readonly readMemoryMb: (name: string) => number;
+	/** Sends a signal to a daemon's process. */
+	readonly signal: (name: string, signal: NodeJS.Signals) => void;
 	/** Ends a daemon's process as the platform does when it uses too much memory, and starts it again. */
 	readonly restart: (name: string) => Promise<void>;
 	readonly close: () => Promise<void>;
@@ -205,11 +208,11 @@
 const RESTART_MS = 500;
 
 /** Writes a version of the configuration; the store acknowledges it at once. */
-export function configure(store: StoreStandIn, version: number, routes: ReadonlyArray<Readonly<Record<string, unknown>>>): void {
+export function configure(store: StoreStandIn, version: number, routes: ReadonlyArray<Readonly<Record<string, unknown>>>, services?: ReadonlyArray<Readonly<Record<string, unknown>>>): void {
 	store.put('config', 'main', {
 		version,
 		routes,
-		services: [POOL, OTHER_POOL, STREAM_POOL].map(name => ({
+		services: services ?? [POOL, OTHER_POOL, STREAM_POOL].map(name => ({
 			name, health_path: '/healthz', max_conns: 140, protocol: 'h1', tls: false,
 		})),
 		limits: {
@@ -282,10 +285,31 @@
 	readonly link?: StoreLink;
 	/** Memory of each machine for callers, in megabytes. */
 	readonly memoryMb?: number;
+	/** Replaces addresses in what the store answers, so that connections pass through links. */
+	readonly rewrite?: (value: unknown) => Promise<unknown>;
+	/** Services of the configuration; by default the plain ones. */
+	readonly services?: ReadonlyArray<Readonly<Record<string, unknown>>>;
+	/** Lets each process connect from its own address, as processes of different machines do. */
+	readonly hasOwnAddresses?: boolean;
 };
 
+/** Renders a module that makes a process connect from its own address; on the loopback interface, all would have the same one. */
+function renderAddressBinding(ip: string): string {
+	return `data:text/javascript,${encodeURIComponent(`
+		import {Socket} from 'node:net';
+		const {connect} = Socket.prototype;
+		Socket.prototype.connect = function (...args) {
+			const options = Array.isArray(args[0]) ? args[0][0] : args[0];
+			options.localAddress ??= '${ip}';
+			return connect.apply(this, args);
+		};
+	`)}`;
+}
+
 /** Starts the store, writes the configuration, and starts three daemons for callers and one for disks. */
-export async function startFleet(routes: ReadonlyArray<Readonly<Record<string, unknown>>>, {link, memoryMb = MEMORY_MB}: FleetOptions = {}): Promise<Fleet> {
+export async function startFleet(routes: ReadonlyArray<Readonly<Record<string, unknown>>>, {
+	link, memoryMb = MEMORY_MB, rewrite = async value => value, services, hasOwnAddresses = false,
+}: FleetOptions = {}): Promise<Fleet> {
 	const root = process.cwd();
 	const folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 	const network = `127.${20 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}`;
@@ -293,9 +317,9 @@
 	const lines: string[] = [];
 	const children = new Map<string, ChildProcess>();
 	const store = createStoreStandIn(Math.random);
-	const ownAddress = {ip: `${network}.251`, port: await store.open(`${network}.251`, async value => value)};
+	const ownAddress = {ip: `${network}.251`, port: await store.open(`${network}.251`, rewrite)};
 	const storeAddress = await link?.open(`${network}.252`, ownAddress) ?? ownAddress;
-	configure(store, 1, routes);
+	configure(store, 1, routes, services);
 	const specs = [
 		{
 			name: 'edge-1', ip: `${network}.1`, zone: 'zone-a' as const, role: 'entry' as const,
@@ -317,7 +341,7 @@
 		writeFileSync(settingsFile, renderSettings(spec, seeds, storeAddress, memoryMb));
 		const log = openSync(path.join(folder, `${spec.name}.log`), 'a');
 		const options = spec.role === 'entry' ? ['--max-old-space-size=200', '--max-semi-space-size=4'] : ['--max-old-space-size=48', '--max-semi-space-size=1'];
-		children.set(spec.name, spawn(process.execPath, [...options, 'target/daemon.mjs'], {
+		children.set(spec.name, spawn(process.execPath, [...options, ...(hasOwnAddresses ? ['--import', renderAddressBinding(spec.ip)] : []), 'target/daemon.mjs'], {
 			cwd: root, env: {PATH: process.env.PATH, ROSEMARYSHORE_SETTINGS: settingsFile}, stdio: ['ignore', log, log],
 		}));
 		closeSync(log);
@@ -337,7 +361,7 @@
 	return {
 		store,
 		network,
-		daemons: entries.map(({name, ip}) => ({name, front: {ip, port: PORTS.front}})),
+		daemons: entries.map(({name, ip}) => ({name, ip, front: {ip, port: PORTS.front}})),
 		record(line) {
 			lines.push(JSON.stringify({ms: Date.now() - startedAt, ...line}));
 		},
@@ -362,6 +386,9 @@
 				return 0;
 			}
 		},
+		signal(name, signal) {
+			children.get(name)?.kill(signal);
+		},
 		async restart(name) {
 			await endProcess(children.get(name)!);
 			await sleep(RESTART_MS);
