--- a/review/kit-3/test/fleet.ts
+++ b/review/kit-3/test/fleet.ts
@@ -357,6 +357,13 @@
 	};
 
 	specs.forEach(startProcess);
+	// The script's own time limit sends this signal.
+	process.once('SIGTERM', () => {
+		children.forEach(child => {
+			child.kill('SIGKILL');
+		});
+		process.exit(2);
+	});
 
 	return {
 		store,
