--- a/review/kit-3/test/finished-streams-case.ts
+++ b/review/kit-3/test/finished-streams-case.ts
@@ -2,7 +2,6 @@
  * Slow readers lose their connections after their workers have finished the streams, and take the streams up at other daemons. Two software
  * versions serve side by side.
  */
-import path from 'node:path';
 import process from 'node:process';
 import {
 	createStreamWorker, HOST, sleep, startFleet, STREAM_POOL,
@@ -12,7 +11,7 @@
 } from './stream-client.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const folder = process.argv[2] ?? '.';
+const recordFile = process.argv[2] ?? 'record.txt';
 /** A stream takes its worker 0.5 s, and its client 2 s. */
 const SHAPE = {events: 24, intervalMs: 20, eventCharacters: 1000};
 const CLIENT_BYTES_PER_SECOND = 12_000;
@@ -70,7 +69,7 @@
 		workers.forEach(worker => {
 			worker.close();
 		});
-		fleet.writeRecord(path.join(folder, 'record.txt'));
+		fleet.writeRecord(recordFile);
 		await fleet.close();
 	}
 }
--- a/review/kit-3/test/fleet.ts
+++ b/review/kit-3/test/fleet.ts
@@ -15,9 +15,47 @@
 export const POOL = 'plain';
 export const OTHER_POOL = 'other';
 export const STREAM_POOL = 'streams';
-const PORTS = {
-	front: 18_149, ready: 18_141, control: 18_144, peers: 17_380, lastPeer: 17_395, worker: 18_080,
+const FIRST_PORTS = {
+	front: 18_149, ready: 18_141, control: 18_144, peers: 17_380, lastPeer: 17_395, worker: 18_080, metrics: 18_160,
 } as const;
+const PORTS_APART = 40;
+
+async function isFree(port: number): Promise<boolean> {
+	return new Promise(resolve => {
+		const server = createServer();
+		server.on('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '0.0.0.0', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
+/** Moves the ports together until no program of the machine listens at any of them. */
+async function choosePorts(): Promise<Readonly<Record<keyof typeof FIRST_PORTS, number>>> {
+	for (let offset = 0; offset < 50 * PORTS_APART; offset += PORTS_APART) {
+		const ports = {
+			front: FIRST_PORTS.front + offset,
+			ready: FIRST_PORTS.ready + offset,
+			control: FIRST_PORTS.control + offset,
+			peers: FIRST_PORTS.peers + offset,
+			lastPeer: FIRST_PORTS.lastPeer + offset,
+			worker: FIRST_PORTS.worker + offset,
+			metrics: FIRST_PORTS.metrics + offset,
+		};
+		const peers = Array.from({length: ports.lastPeer - ports.peers + 1}, (_, index) => ports.peers + index);
+		if ((await Promise.all([...new Set([...Object.values(ports), ...peers])].map(async port => isFree(port)))).every(Boolean)) {
+			return ports;
+		}
+	}
+
+	throw new Error('no free ports');
+}
+
+const PORTS = await choosePorts();
 const ZONES = {'zone-a': 'south', 'zone-b': 'south', 'zone-c': 'north'} as const;
 /** The bounds of the smallest sites of the users' pages. */
 const BOUNDS = {
@@ -253,7 +291,7 @@
 				address: `${store.ip}:${store.port}`, form: 'objects', writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1_048_576, ttl_min_ms: 1000,
 			},
 		},
-		metrics: {port: 9464, path: '/metrics'},
+		metrics: {port: PORTS.metrics, path: '/metrics'},
 		hedging: {maximumShare: 0.1, percentile: 0.99},
 	});
 }
@@ -362,6 +400,7 @@
 		children.forEach(child => {
 			child.kill('SIGKILL');
 		});
+		writeFileSync(process.argv[2] ?? 'record.txt', `${lines.join('\n')}\n`);
 		process.exit(2);
 	});
 
--- a/review/kit-3/test/frozen-owner-case.ts
+++ b/review/kit-3/test/frozen-owner-case.ts
@@ -4,7 +4,6 @@
  */
 import {Buffer} from 'node:buffer';
 import {Agent} from 'node:http';
-import path from 'node:path';
 import process from 'node:process';
 import {sendCall} from '../../../platform/test/soak/call.js';
 import {createLedger} from '../../../platform/test/soak/ledger.js';
@@ -15,7 +14,7 @@
 } from './fleet.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const folder = process.argv[2] ?? '.';
+const recordFile = process.argv[2] ?? 'record.txt';
 const MODEL = 'm0';
 const ITEMS = 24;
 const SLOTS = 6;
@@ -154,7 +153,7 @@
 			worker.close();
 		});
 		links.close();
-		fleet.writeRecord(path.join(folder, 'record.txt'));
+		fleet.writeRecord(recordFile);
 		await fleet.close();
 	}
 }
--- a/review/kit-3/test/large-batch-case.ts
+++ b/review/kit-3/test/large-batch-case.ts
@@ -5,7 +5,6 @@
  */
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'node:http';
-import path from 'node:path';
 import process from 'node:process';
 import {
 	HOST, POOL, sleep, startFleet, type Address, type Daemon,
@@ -13,7 +12,7 @@
 import {createPlainWorker} from './plain-service.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const folder = process.argv[2] ?? '.';
+const recordFile = process.argv[2] ?? 'record.txt';
 /** Memory of the smallest machines for callers of the sites under grown/. */
 const MEMORY_MB = 250;
 const MEMORY_CHECK_MS = 10;
@@ -164,7 +163,7 @@
 		workers.forEach(worker => {
 			worker.close();
 		});
-		fleet.writeRecord(path.join(folder, 'record.txt'));
+		fleet.writeRecord(recordFile);
 		await fleet.close();
 	}
 }
--- a/review/kit-3/test/silent-store-case.ts
+++ b/review/kit-3/test/silent-store-case.ts
@@ -3,7 +3,6 @@
  * connections to the store go silent, while new ones work. Then a version of the configuration moves a route to another service, and requests
  * show at which daemons it is in force.
  */
-import path from 'node:path';
 import process from 'node:process';
 import {
 	configure, createStreamWorker, HOST, OTHER_POOL, POOL, sleep, startFleet, STREAM_POOL, type Daemon,
@@ -13,7 +12,7 @@
 import {openClientLink, readStream} from './stream-client.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const folder = process.argv[2] ?? '.';
+const recordFile = process.argv[2] ?? 'record.txt';
 /** Streams that begin at the same time at each daemon. */
 const BURST = 200;
 const SHAPE = {events: 10, intervalMs: 25, eventCharacters: 100};
@@ -92,7 +91,7 @@
 		[...workers, ...streamWorkers].forEach(worker => {
 			worker.close();
 		});
-		fleet.writeRecord(path.join(folder, 'record.txt'));
+		fleet.writeRecord(recordFile);
 		await fleet.close();
 		link.close();
 	}
--- a/review/kit-3/test/small-chunks-case.ts
+++ b/review/kit-3/test/small-chunks-case.ts
@@ -3,7 +3,6 @@
  * callers of that machine send their requests beside them.
  */
 import {connect, type Socket} from 'node:net';
-import path from 'node:path';
 import process from 'node:process';
 import {
 	HOST, POOL, sleep, startFleet, type Address,
@@ -11,7 +10,7 @@
 import {createPlainWorker, sendPlain} from './plain-service.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const folder = process.argv[2] ?? '.';
+const recordFile = process.argv[2] ?? 'record.txt';
 const CONNECTIONS = 300;
 /** Bytes of each body on the wire; a chunk of one byte takes six. */
 const BODY_BYTES = 120_000;
@@ -84,7 +83,7 @@
 		workers.forEach(worker => {
 			worker.close();
 		});
-		fleet.writeRecord(path.join(folder, 'record.txt'));
+		fleet.writeRecord(recordFile);
 		await fleet.close();
 	}
 }
