Send nothing for a batch that has ended at another daemon

Cause: an owner that reaches no engine runs its items over other daemons. One that stood still while its batch was ended elsewhere gave up its silent runs as it went on and sent the next ones by what it had known before. Only waiting items and a periodic check asked for the age of that, no send did, and the daemons that relay could not tell.

Change: checked-caller.ts, which items and scoring calls pass, first, repeated and hedged ones alike, asks the state of the batch at the moment of the send and again when the connection is ready. A state that the store has not confirmed within 0.8 of cancel_ms waits for one read of the log, which all sends of the batch share. An attempt over another daemon carries the time within which it may begin, which that daemon counts by its own clocks. While the last read has failed, items go on over the own links, and over other daemons that do not reach the store either.

Why it works: nothing is sent by knowledge that is older than the time in which an item may still begin, wherever the pause falls. In calm the log is read every 0.6 of cancel_ms as before, so no send waits.

Ruled out: the wall clock for sends over the own links, as each of its jumps would delay them (a test forbids that). A question to the relaying daemon's own batches: it would need calls to the store for those that it does not know.

--- a/src/batches/node/batch-owner.ts
+++ b/src/batches/node/batch-owner.ts
@@ -14,6 +14,7 @@
 import {
 	createGenerationRun, type GenerationEnd, type GenerationDependencies, type GenerationRun,
 } from './generation-runner.js';
+import {createBatchStatus, type BatchStatusDependencies} from './batch-status.js';
 import {createItemScoring, type ScoringDependencies} from './item-scoring.js';
 import type {LogWriter} from './log-writer.js';
 
@@ -31,7 +32,7 @@
 };
 
 /** Dependencies of an owner. */
-export type OwnerDependencies = GenerationDependencies & ScoringDependencies & {
+export type OwnerDependencies = Omit<GenerationDependencies & ScoringDependencies, 'work'> & Pick<BatchStatusDependencies, 'cancelMs' | 'resumedAt'> & {
 	readonly deployment: DeploymentHolder;
 	readonly batchLog: BatchLog;
 	readonly writer: LogWriter;
@@ -40,8 +41,6 @@
 	readonly partials: readonly PartialText[];
 	/** Whether another daemon owned the batch before. */
 	readonly isTakenOver: boolean;
-	/** Time after the end of a batch from which no item of it may start any more, in milliseconds. */
-	readonly cancelMs: number;
 };
 
 /** Share of the time until it is due that a batch is assumed to have left when it is taken over. */
@@ -55,7 +54,7 @@
 
 /** Time since the last confirmation by the store after which the log is read before another item starts. */
 const CONFIRMATION_TTL_MS = 1000;
-/** Share of `cancelMs` after which the log is read while items run, because an item whose run fails starts again on another engine. */
+/** Share of `cancelMs` after which the log is read while items run, so that an item whose run fails starts again on another engine without a wait for the store. */
 const RUNNING_CONFIRMATION_SHARE = 0.6;
 /** Maximum time without a write while items run: it bounds the work lost when the owner crashes, at the cost of calls to the store. */
 const TEXT_WRITE_INTERVAL_MS = 2000;
@@ -73,8 +72,7 @@
 	let writtenAt = clock.monotonic();
 	let isWriting = false;
 	let isConfirming = false;
-	/** Includes failed reads: while the store is unreachable, nobody can end the batch or take it over either. */
-	let confirmAttemptedAt = Number.NEGATIVE_INFINITY;
+	const status = createBatchStatus(batch.id, {...dependencies, isLost});
 	const itemRoute = (item: BatchItem): Route | undefined => deployment.findRoute(batch.host, item.path) ?? deployment.findRoute(batch.host, batch.path);
 
 	/** The time that the earlier owners of a batch have used is unknown, and assumed by `TAKEN_OVER_REMAINING_SHARE`. */
@@ -84,7 +82,7 @@
 	const states: readonly ItemState[] = batch.items.map(item => ({
 		item,
 		run: createGenerationRun(batch, item, () => itemRoute(item), {
-			...dependencies, priorityOf: (remainingMs, now) => order.priorityOf(item, remainingMs, now),
+			...dependencies, work: status, priorityOf: (remainingMs, now) => order.priorityOf(item, remainingMs, now),
 		}, dependencies.partials.find(partial => partial.itemId === item.id)),
 		phase: batchLog.isListed(item.id) ? 'finished' : 'waiting',
 	}));
@@ -103,7 +101,7 @@
 		return stop.signal.aborted || batchLog.isEnded();
 	}
 
-	const scorer = createItemScoring(batch.id, dependencies, stop.signal, isLost);
+	const scorer = createItemScoring(batch.id, {...dependencies, work: status}, stop.signal, isLost);
 
 	function timing(now: number) {
 		const written = countCompleteGroups(batch.items, itemId => batchLog.isListed(itemId));
@@ -225,13 +223,8 @@
 		}
 
 		isConfirming = true;
-		void writer.catchUp().then(caughtUp => {
+		void status.confirm().then(() => {
 			isConfirming = false;
-			confirmAttemptedAt = clock.monotonic();
-			if (caughtUp.isErr()) {
-				log.info('batch log not confirmed', {batchId: batch.id, code: caughtUp.error.code, reason: caughtUp.error.message});
-			}
-
 			startWaiting(clock.monotonic());
 		});
 	}
@@ -257,7 +250,7 @@
 			return;
 		}
 
-		if (now - Math.max(confirmAttemptedAt, writer.confirmedAt()) > CONFIRMATION_TTL_MS) {
+		if (now - status.attemptedAt() > CONFIRMATION_TTL_MS) {
 			confirm();
 			return;
 		}
@@ -267,7 +260,7 @@
 
 	/** Reads the log while items run, so that this daemon notices the end of the batch or another owner even when it writes nothing. */
 	function confirmWhileRunning(now: number): void {
-		const isDue = now - Math.max(confirmAttemptedAt, writer.confirmedAt()) > dependencies.cancelMs * RUNNING_CONFIRMATION_SHARE;
+		const isDue = now - status.attemptedAt() > dependencies.cancelMs * RUNNING_CONFIRMATION_SHARE;
 		if (!isLost() && isDue && states.some(state => state.phase === 'running')) {
 			confirm();
 		}
--- a/src/batches/node/generation-runner.ts
+++ b/src/batches/node/generation-runner.ts
@@ -10,9 +10,10 @@
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {DeploymentHolder, Route} from '../../gateway/common/deployment.js';
-import {isLateCopy} from '../../gateway/common/attempt-policy.js';
+import {isLateCopy, isWithheld} from '../../gateway/common/attempt-policy.js';
 import type {ResponseHead, ServerProtocol} from '../../gateway/common/server-protocol.js';
 import type {ServerEntry} from '../../gateway/common/server-view.js';
+import type {WorkStatus} from '../../gateway/common/work-status.js';
 import type {BackendResponse, ServerCaller} from '../../gateway/node/server-caller.js';
 import type {Dispatch} from '../../routing/common/router.js';
 import type {Batch, BatchItem, PartialText} from '../common/batch.js';
@@ -58,6 +59,8 @@
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly workEstimate: WorkEstimate;
+	/** Whether the batch goes on; asked before each run is sent. */
+	readonly work: WorkStatus;
 };
 
 /** Time without an event after which a run continues on another engine; longer than an engine takes to load weights. */
@@ -263,6 +266,7 @@
 			...(progress.lastEventId() > 0 && {resumeAfter: String(progress.lastEventId())}),
 		}, {
 			timeoutMs: MAXIMUM_RUN_MS,
+			work: dependencies.work,
 			signal: run.abort.signal,
 			onCut() {
 				abortRun(run, 'the links to the engines are cut');
@@ -287,7 +291,7 @@
 
 	/** Whether the engine ended a run without a complete response. */
 	function hasBrokenOff(run: RunState, failure: Failure): boolean {
-		return run.brokenBy === undefined && !stopped && !isLateCopy(failure);
+		return run.brokenBy === undefined && !stopped && !isLateCopy(failure) && !isWithheld(failure);
 	}
 
 	function endDispatch(run: RunState, result: Result<BackendResponse, Failure>): void {
@@ -303,7 +307,7 @@
 			refusals.record(serverId, batch.model, now);
 		} else if (outcome === 'done') {
 			refusals.forget(serverId, batch.model);
-		} else if (result.isOk() || !isLateCopy(result.error)) {
+		} else if (result.isOk() || !(isLateCopy(result.error) || isWithheld(result.error))) {
 			engines.avoid(serverId, now);
 		}
 
--- a/src/batches/node/held-batches.ts
+++ b/src/batches/node/held-batches.ts
@@ -2,6 +2,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
 import {createEmitter} from '../../base/common/event.js';
+import {createSuspensionRecord} from '../../base/node/suspension-record.js';
 import type {ObjectApi} from '../../adapters/common/object-api.js';
 import type {PeerDaemon, PeerMesh} from '../../peers/common/peer-mesh.js';
 import type {
@@ -30,7 +31,7 @@
 };
 
 /** Dependencies of the held batches. */
-export type HeldBatchDependencies = Omit<OwnerDependencies, 'batchLog' | 'writer' | 'knownSince' | 'partials' | 'isTakenOver'> & {
+export type HeldBatchDependencies = Omit<OwnerDependencies, 'batchLog' | 'writer' | 'knownSince' | 'partials' | 'isTakenOver' | 'resumedAt'> & {
 	readonly api: ObjectApi;
 	readonly mesh: PeerMesh;
 	/** Age at which the stored objects of a batch are removed, in milliseconds. */
@@ -91,6 +92,7 @@
 		api, mesh, clock, loop, log,
 	} = dependencies;
 	const held = new Map<string, HeldBatch>();
+	const {resumedAt} = createSuspensionRecord(clock);
 	const ownerByBatch = new Map<string, PeerDaemon>();
 	/** Monotonic time at which the owner of each batch was cached. */
 	const ownerCachedAt = new Map<string, number>();
@@ -162,6 +164,7 @@
 		const now = clock.monotonic();
 		entry.owner = createBatchOwner(entry.batch, {
 			...dependencies,
+			resumedAt,
 			batchLog: entry.batchLog,
 			writer: entry.writer,
 			knownSince: now,
--- a/src/batches/node/item-scoring.ts
+++ b/src/batches/node/item-scoring.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '../../base/common/clock.js';
 import type {Failure} from '../../base/common/failure.js';
 import type {DeploymentHolder, Route} from '../../gateway/common/deployment.js';
+import type {WorkStatus} from '../../gateway/common/work-status.js';
 import type {Forwarder} from '../../gateway/node/forwarder.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
@@ -17,6 +18,8 @@
 	readonly forwarder: Forwarder;
 	/** Queue that limits the concurrent scoring calls of the daemon. */
 	readonly scoring: PQueue;
+	/** Whether the batch goes on; asked before each call is sent. */
+	readonly work: WorkStatus;
 	readonly clock: Clock;
 	readonly loop: Loop;
 	readonly log: Log;
@@ -35,7 +38,7 @@
 const SERVERS_PER_CALL = 2;
 
 /** Creates the scoring of a batch. `isLost` tells that this daemon no longer owns the batch; `signal` aborts calls in that case. */
-export function createItemScoring(batchId: string, {deployment, forwarder, scoring, clock, loop, log}: ScoringDependencies, signal: AbortSignal, isLost: () => boolean): ItemScoring {
+export function createItemScoring(batchId: string, {deployment, forwarder, scoring, work, clock, loop, log}: ScoringDependencies, signal: AbortSignal, isLost: () => boolean): ItemScoring {
 	async function callScorer(call: ScoringCall, route: Route, waitingSince: number): Promise<Result<{readonly status: number; readonly score: string | undefined}, Failure>> {
 		const response = await forwarder.forward({
 			requestId: call.requestId,
@@ -53,6 +56,7 @@
 			fingerprint: undefined,
 			organisation: undefined,
 			waitingSince,
+			work,
 		});
 		return response.map(({status, head}) => ({status, score: head.signature}));
 	}
--- a/src/batches/test/item-scoring.test.ts
+++ b/src/batches/test/item-scoring.test.ts
@@ -26,6 +26,7 @@
 		loop,
 		log: silentLog,
 		scoring: new PQueue(),
+		work: {read: () => ({kind: 'confirmed', beginWithinMs: 1000}), refresh: async () => undefined},
 		forwarder: {
 			async forward(request) {
 				sent.push(request);
--- a/src/gateway/common/attempt-policy.ts
+++ b/src/gateway/common/attempt-policy.ts
@@ -28,6 +28,11 @@
 	return failure.code === LATE_COPY_CODE;
 }
 
+/** Whether an attempt was withheld by this daemon itself, or by one that relays it, which says nothing about the server. */
+export function isWithheld(failure: Failure): boolean {
+	return failure.code === 'aborted' && failure.effect === 'notRun';
+}
+
 /** How to proceed. */
 export type AttemptDecision
 	/** Return the response to the caller. */
--- a/src/gateway/common/relay-choice.ts
+++ b/src/gateway/common/relay-choice.ts
@@ -15,7 +15,7 @@
 
 /** Time for which a daemon is not asked again after a refusal, in milliseconds. */
 const AVOID_MS: Readonly<Record<RelayRefusal, number>> = {
-	busy: 200, cut: 1500, unreachable: 1500, unsupported: 30_000,
+	busy: 200, cut: 1500, unconfirmed: 0, unreachable: 1500, unsupported: 30_000,
 };
 /** Attempts that a daemon of the own zone may have more than one farther away, before that one is preferred. */
 const DISTANCE_COST = {zone: 0, region: 4, far: 12} as const;
--- a/src/gateway/common/relay.ts
+++ b/src/gateway/common/relay.ts
@@ -3,6 +3,7 @@
 import type {Failure} from '../../base/common/failure.js';
 import type {PeerDaemon} from '../../peers/common/peer-mesh.js';
 import type {ServerAttempt} from './server-protocol.js';
+import type {SendableState} from './work-status.js';
 
 /** An attempt that another daemon is asked to send. */
 export type RelayCall = {
@@ -17,6 +18,8 @@
 	readonly timeoutMs: number;
 	/** Whether the attempt needs a connection of its own; undefined from daemons of builds that do not tell. */
 	readonly usesNewConnection?: boolean;
+	/** State of the work that the attempt belongs to; undefined for other attempts, and from daemons of builds that do not tell. */
+	readonly work?: SendableState;
 };
 
 /** Status line and headers of a server's response. */
@@ -39,6 +42,8 @@
 	= | 'busy'
 	/** Its own links to the pool are cut. */
 		| 'cut'
+	/** The asking daemon can't tell whether the attempt's work goes on, and this one reaches the store, at which the work may have ended. */
+		| 'unconfirmed'
 	/** It is of a build without relays. */
 		| 'unsupported'
 	/** It could not be connected to. */
@@ -52,5 +57,6 @@
 
 /** Carries attempts to other daemons. */
 export type RelayTransport = {
-	readonly send: (peer: PeerDaemon, call: RelayCall, sink: RelaySink, signal: AbortSignal) => Promise<RelayEnd>;
+	/** `maySend` is asked when the connection is ready, immediately before the first byte is sent; with false the attempt fails as not run. */
+	readonly send: (peer: PeerDaemon, call: RelayCall, sink: RelaySink, signal: AbortSignal, maySend?: () => boolean) => Promise<RelayEnd>;
 };
--- a/src/gateway/gateway.contribution.ts
+++ b/src/gateway/gateway.contribution.ts
@@ -33,6 +33,7 @@
 import {createServerLinks, type ServerLinks} from './common/server-links.js';
 import {createServerStatements, type ServerStatements} from './common/server-statements.js';
 import {createServerView, type ServerView} from './common/server-view.js';
+import {createCheckedCaller} from './node/checked-caller.js';
 import {createCrashDetector, type CrashDetector} from './node/crash-detector.js';
 import {createSuspectExchange, type SuspectExchange} from './node/suspect-exchange.js';
 import {createSuspectObjects} from './node/suspect-objects.js';
@@ -128,13 +129,13 @@
 	const streams = context.use(peerStreamsKey);
 	const findUsable = (serverId: string) => (view.find(serverId)?.isLeaving === false ? view.table.find(serverId) : undefined);
 	const relayHelper = createRelayHelper({
-		...context, direct, links, findServer: findUsable,
+		...context, direct, links, findServer: findUsable, reachesStore: () => !deployment.mayBeOutdated(context.clock.monotonic()),
 	});
-	serveRelays(streams, relayHelper, context.loop);
+	serveRelays(streams, relayHelper, context);
 	const attempts = createOpenAttempts();
-	const caller = createRelayingCaller({
+	const caller = createCheckedCaller(createRelayingCaller({
 		...context, direct, links, attempts, choice: createRelayChoice(mesh.self, context.random), transport: createHttpRelayTransport(streams), mesh, protocol, statements,
-	});
+	}), context);
 	view.onDidStartLeaving(notice => {
 		context.log.info('backend server says that it is leaving', {serverId: notice.serverId, startedAt: notice.startedAt});
 	});
--- a/src/gateway/node/forwarder.ts
+++ b/src/gateway/node/forwarder.ts
@@ -15,6 +15,7 @@
 import type {LoadEstimate} from '../../routing/common/load-estimate.js';
 import {choosePool, type Route} from '../common/deployment.js';
 import type {Resumption} from '../common/stream-origin.js';
+import type {WorkStatus} from '../common/work-status.js';
 import type {FailureRates} from '../common/failure-rates.js';
 import type {HedgePolicy} from '../common/hedge-policy.js';
 import type {PoolServers} from '../common/pool-servers.js';
@@ -44,6 +45,8 @@
 	readonly fingerprint: (() => string) | undefined;
 	/** Name of the organisation whose key the request carries; undefined for requests of none. */
 	readonly organisation: string | undefined;
+	/** Set when the request belongs to work that may end at another daemon. */
+	readonly work?: WorkStatus;
 	/** Set when the caller continues a stream. */
 	readonly resumption?: Resumption;
 };
@@ -185,7 +188,7 @@
 		const result = await caller.attempt(dispatch.server, request, {
 			requestId: request.requestId, remainingMs, serverId: dispatch.server.id, ...(request.urgency !== undefined && {urgency: request.urgency}),
 		}, {
-			timeoutMs: Math.max(1, remainingMs), signal, usesNewConnection, onCut: () => request.route.repeatability === 'idempotent' ? 'restart' : 'wait',
+			timeoutMs: Math.max(1, remainingMs), signal, usesNewConnection, onCut: () => request.route.repeatability === 'idempotent' ? 'restart' : 'wait', ...(request.work !== undefined && {work: request.work}),
 		});
 		run?.end(!isNotRun(toAttemptEnd(result)));
 		const now = clock.monotonic();
--- a/src/gateway/node/http-relay.ts
+++ b/src/gateway/node/http-relay.ts
@@ -15,6 +15,7 @@
 import {MAXIMUM_STATUS, MINIMUM_STATUS} from '../../adapters/common/http-fields.js';
 import {openUnreadBytes} from '../../base/node/unread-bytes.js';
 import {parseJson} from '../../base/common/json.js';
+import {readClocks, type Clock} from '../../base/common/clock.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {PeerStreams} from '../../peers/node/peer-streams.js';
 import {readBody} from '../../requests/node/read-body.js';
@@ -53,12 +54,13 @@
 	}),
 	timeoutMs: z.number(),
 	usesNewConnection: z.boolean().optional(),
+	work: z.union([z.object({kind: z.literal('confirmed'), beginWithinMs: z.number()}), z.object({kind: z.literal('unconfirmed')})]).optional(),
 });
 /** The status of a final response, as `exchange` accepts it from a server. */
 const statusSchema = z.number().int().min(MINIMUM_STATUS).max(MAXIMUM_STATUS);
 const headSchema = z.object({status: statusSchema, headers: headersSchema});
 const failureSchema = z.object({code: z.string(), effect: z.enum(['notRun', 'outcomeUnknown']), message: z.string()});
-const refusalSchema = z.object({reason: z.enum(['busy', 'cut'])});
+const refusalSchema = z.object({reason: z.enum(['busy', 'cut', 'unconfirmed'])});
 
 function splitLine(bytes: Uint8Array): readonly [string, Uint8Array] | undefined {
 	const end = bytes.indexOf(LINE_FEED);
@@ -77,10 +79,10 @@
 	}
 
 	const {
-		hasBody, attempt: {urgency, resumeAfter, ...attempt}, usesNewConnection = false, ...call
+		hasBody, attempt: {urgency, resumeAfter, ...attempt}, usesNewConnection = false, work, ...call
 	} = parsed.data;
 	return {
-		...call, usesNewConnection, attempt: {...attempt, ...(urgency !== undefined && {urgency}), ...(resumeAfter !== undefined && {resumeAfter})}, body: hasBody ? body : undefined,
+		...call, usesNewConnection, ...(work !== undefined && {work}), attempt: {...attempt, ...(urgency !== undefined && {urgency}), ...(resumeAfter !== undefined && {resumeAfter})}, body: hasBody ? body : undefined,
 	};
 }
 
@@ -93,8 +95,9 @@
 }
 
 /** Registers the side that serves other daemons. */
-export function serveRelays(streams: PeerStreams, helper: RelayHelper, loop: Loop): void {
+export function serveRelays(streams: PeerStreams, helper: RelayHelper, {loop, clock}: {readonly loop: Loop; readonly clock: Clock}): void {
 	async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const receivedAt = readClocks(clock);
 		const abort = new AbortController();
 		response.on('close', () => {
 			if (!response.writableFinished) {
@@ -121,7 +124,7 @@
 		}
 
 		const unread = openUnreadBytes(response);
-		const end = await helper.relay(call, {
+		const end = await helper.relay(call, receivedAt, {
 			onHead(head) {
 				response.writeHead(STATUS.ok, {'content-type': 'application/octet-stream'});
 				response.write(`${JSON.stringify(head)}\n`);
@@ -157,7 +160,7 @@
 /** Creates the side that calls other daemons. */
 export function createHttpRelayTransport(streams: PeerStreams): RelayTransport {
 	return {
-		async send(peer, call, sink, signal) {
+		async send(peer, call, sink, signal, maySend) {
 			const origin = {step: 'relay attempt', peer: peer.name};
 			let head: RelayedHead | undefined;
 			const beginning = createCompactBytes();
@@ -183,6 +186,7 @@
 			const replied = await streams.callStream(peer, RELAY_CALL, {
 				body: encodeCall(call),
 				signal,
+				...(maySend !== undefined && {maySend}),
 				timeoutMs: call.timeoutMs + REPLY_MARGIN_MS,
 				connectTimeoutMs: CONNECT_TIMEOUT_MS,
 				onData: chunk => head === undefined ? readHead(chunk) : sink.onData(chunk),
--- a/src/gateway/node/relay-helper.ts
+++ b/src/gateway/node/relay-helper.ts
@@ -1,6 +1,9 @@
 /** Sends attempts to backend servers for other daemons, as far as this daemon reaches the servers itself. */
 import {err, type Result} from 'neverthrow';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
+import {
+	computeElapsedMs, readClocks, type Clock, type ClockReading,
+} from '../../base/common/clock.js';
 import {createTaskSet} from '../../base/common/task-set.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {BackendServer} from '../../routing/common/router.js';
@@ -14,8 +17,8 @@
 export type RelayHelper = {
 	/** Whether this daemon would refuse an attempt at the server now, and why. */
 	readonly findRefusal: (serverId: string) => RelayRefusal | undefined;
-	/** Sends an attempt over this daemon's own links, and never over another daemon. */
-	readonly relay: (call: RelayCall, sink: RelaySink, signal: AbortSignal) => Promise<RelayEnd>;
+	/** Sends an attempt, whose call arrived at `receivedAt`, over this daemon's own links, and never over another daemon. */
+	readonly relay: (call: RelayCall, receivedAt: ClockReading, sink: RelaySink, signal: AbortSignal) => Promise<RelayEnd>;
 	/** Refuses further attempts; resolves when none is in progress. */
 	readonly drain: () => Promise<void>;
 };
@@ -27,6 +30,9 @@
 	readonly links: Pick<ServerLinks, 'isCut'>;
 	/** A server that may get requests, as this daemon knows it. */
 	readonly findServer: (serverId: string) => BackendServer | undefined;
+	/** Whether this daemon has heard from the store lately. */
+	readonly reachesStore: () => boolean;
+	readonly clock: Clock;
 	readonly log: Log;
 };
 
@@ -41,7 +47,7 @@
 
 /** Creates the helper. */
 export function createRelayHelper({
-	direct, links, findServer, log,
+	direct, links, findServer, reachesStore, clock, log,
 }: RelayHelperDependencies): RelayHelper {
 	let relayed = 0;
 	let isDraining = false;
@@ -56,7 +62,12 @@
 		return isDraining || relayed >= MAXIMUM_RELAYED ? 'busy' : undefined;
 	}
 
-	async function send(call: RelayCall, server: BackendServer, sink: RelaySink, signal: AbortSignal): Promise<Result<void, Failure>> {
+	/** Whether an attempt may still begin. The asking daemon's knowledge of the work ages by the clocks of this one, which may have paused. */
+	function mayBegin({work}: RelayCall, receivedAt: ClockReading): boolean {
+		return work?.kind === 'confirmed' ? computeElapsedMs(receivedAt, readClocks(clock)) <= work.beginWithinMs : (work === undefined || !reachesStore());
+	}
+
+	async function send(call: RelayCall, receivedAt: ClockReading, server: BackendServer, sink: RelaySink, signal: AbortSignal): Promise<Result<void, Failure>> {
 		let hasHead = false;
 		const problems: string[] = [];
 		const abort = new AbortController();
@@ -81,6 +92,7 @@
 			usesNewConnection: call.usesNewConnection === true,
 			connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, call.timeoutMs),
 			signal: abort.signal,
+			maySend: () => mayBegin(call, receivedAt),
 			onHead(head, headers) {
 				if (head.status !== 200) {
 					return undefined;
@@ -108,12 +120,12 @@
 		});
 	}
 
-	async function relay(call: RelayCall, sink: RelaySink, signal: AbortSignal): Promise<RelayEnd> {
+	async function relay(call: RelayCall, receivedAt: ClockReading, sink: RelaySink, signal: AbortSignal): Promise<RelayEnd> {
 		const server = findServer(call.server.id);
 		const isSame = server?.address === call.server.address && server.port === call.server.port;
 		relayed += 1;
 		const result = server !== undefined && isSame
-			? await send(call, server, sink, signal)
+			? await send(call, receivedAt, server, sink, signal)
 			: err(createNotRun('rejected', {step: 'relay attempt', peer: call.server.id}, 'this daemon does not know the server, or knows that it is leaving'));
 		relayed -= 1;
 		if (result.isErr() && result.error.effect === 'notRun' && server !== undefined && links.isCut(server.pool)) {
@@ -126,9 +138,9 @@
 
 	return {
 		findRefusal,
-		async relay(call, sink, signal) {
-			const refusal = findRefusal(call.server.id);
-			return refusal === undefined ? inProgress.run(async () => relay(call, sink, signal)) : {kind: 'refused', reason: refusal};
+		async relay(call, receivedAt, sink, signal) {
+			const refusal = call.work?.kind === 'unconfirmed' && reachesStore() ? 'unconfirmed' : findRefusal(call.server.id);
+			return refusal === undefined ? inProgress.run(async () => relay(call, receivedAt, sink, signal)) : {kind: 'refused', reason: refusal};
 		},
 		async drain() {
 			isDraining = true;
--- a/src/gateway/node/relaying-caller.ts
+++ b/src/gateway/node/relaying-caller.ts
@@ -8,6 +8,7 @@
 import type {Metrics} from '../../kernel/common/metrics.js';
 import type {PeerMesh} from '../../peers/common/peer-mesh.js';
 import type {BackendServer} from '../../routing/common/router.js';
+import {isWithheld} from '../common/attempt-policy.js';
 import type {OpenAttempts} from '../common/open-attempts.js';
 import type {RelayChoice} from '../common/relay-choice.js';
 import type {
@@ -16,6 +17,7 @@
 import type {ServerLinks} from '../common/server-links.js';
 import type {ResponseHead, ServerAttempt, ServerProtocol} from '../common/server-protocol.js';
 import type {ServerStatements} from '../common/server-statements.js';
+import {maySendIn} from '../common/work-status.js';
 import type {
 	AttemptOptions, BackendResponse, ServerCaller, ServerRequest,
 } from './server-caller.js';
@@ -37,6 +39,8 @@
 
 /** Time limit for connecting to a server: longer than a connection between regions takes and a VM is paused by its quota, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 300;
+/** Time after which a call that waits for its connection is not sent any more, as the remaining times that it states are too long by then. */
+const MAXIMUM_CALL_AGE_MS = 500;
 /** Maximum number of daemons that are asked to relay one attempt. */
 const MAXIMUM_ASKED = 6;
 /** Maximum size of a body that is not read as it arrives. */
@@ -116,6 +120,7 @@
 	async function relay(call: Call): Promise<Result<BackendResponse, Failure> | undefined> {
 		const startedAt = clock.monotonic();
 		const {server, request, attempt, options} = call;
+		await options.work?.refresh('relayed');
 		const asked = choice.list(server.pool, mesh.others(), startedAt).slice(0, MAXIMUM_ASKED);
 		const taken = await asked.reduce<Promise<Result<BackendResponse, Failure> | undefined>>(async (previous, peer) => {
 			const known = await previous;
@@ -125,12 +130,17 @@
 				return known;
 			}
 
+			const state = options.work?.read('relayed', now);
+			if (state !== undefined && !maySendIn(state)) {
+				return err(createNotRun('aborted', {step: 'relay attempt', peer: server.id}, `the work of the request is ${state.kind}`));
+			}
+
 			const relayCall: RelayCall = {
-				server: {id: server.id, address: server.address, port: server.port}, method: request.method, path: request.path, headers: request.headers, body: request.body, attempt: left.attempt, timeoutMs: left.options.timeoutMs, usesNewConnection: options.usesNewConnection === true,
+				server: {id: server.id, address: server.address, port: server.port}, method: request.method, path: request.path, headers: request.headers, body: request.body, attempt: left.attempt, timeoutMs: left.options.timeoutMs, usesNewConnection: options.usesNewConnection === true, ...(state !== undefined && {work: state}),
 			};
 			const collector = createCollector(call);
 			const endOpen = choice.begin(peer.name);
-			const end = await transport.send(peer, relayCall, collector, options.signal);
+			const end = await transport.send(peer, relayCall, collector, options.signal, () => clock.monotonic() - now <= MAXIMUM_CALL_AGE_MS && options.maySend?.() !== false);
 			endOpen();
 			collector.release();
 			if (end.kind === 'refused') {
@@ -138,7 +148,7 @@
 				return undefined;
 			}
 
-			return end.result.andThen(() => collector.complete());
+			return end.result.isErr() && isWithheld(end.result.error) && !options.signal.aborted ? undefined : end.result.andThen(() => collector.complete());
 		}, Promise.resolve(undefined));
 		metrics.count('server_links.relayed', 1, {pool: server.pool, outcome: taken === undefined ? 'refused' : (taken.isOk() ? 'answered' : taken.error.effect)});
 		log.info('attempt over another daemon', {
--- a/src/gateway/node/server-caller.ts
+++ b/src/gateway/node/server-caller.ts
@@ -10,6 +10,7 @@
 import {LATE_COPY_CODE} from '../common/attempt-policy.js';
 import type {ResponseHead, ServerAttempt, ServerProtocol} from '../common/server-protocol.js';
 import type {ServerStatements} from '../common/server-statements.js';
+import type {WorkStatus} from '../common/work-status.js';
 import {createServerConnections} from './server-connections.js';
 
 /** A request to a server, without the headers that an attempt adds. */
@@ -41,6 +42,10 @@
 	readonly onDidConnect?: (isConnected: boolean) => void;
 	/** Opens a new connection that is used only for this attempt, also at a daemon that relays it and may not know what its connections have carried. */
 	readonly usesNewConnection?: boolean;
+	/** The work that the attempt belongs to, if that may end at another daemon; the attempt is not sent unless its state is recent. */
+	readonly work?: WorkStatus;
+	/** Asked when the connection is ready, immediately before the first byte is sent; with false the attempt fails as not run. */
+	readonly maySend?: () => boolean;
 };
 
 /** Calls backend servers. */
@@ -109,6 +114,7 @@
 				// A connection reset directly after the last bytes is reported as a normal end, so a response without a length can't be known to be complete.
 				acceptsConnectionEnd: false,
 				...(options.onData && {onData: options.onData}),
+				...(options.maySend && {maySend: options.maySend}),
 				...(options.connectTimeoutMs !== undefined && {connectTimeoutMs: options.connectTimeoutMs}),
 				onSocket(socket) {
 					carried = connections.record(socket, attempt.requestId, clock.monotonic());
--- a/src/gateway/test/forwarder.test.ts
+++ b/src/gateway/test/forwarder.test.ts
@@ -14,15 +14,17 @@
 import type {Repeatability} from '../common/deployment.js';
 import {permissiveRequestGuard} from '../common/request-guard.js';
 import {createServerView} from '../common/server-view.js';
+import type {WorkStatus} from '../common/work-status.js';
 import {createForwarder} from '../node/forwarder.js';
 import {createServerAcquisition} from '../node/server-acquisition.js';
 import type {ServerCaller, ServerRequest} from '../node/server-caller.js';
 
+const work: WorkStatus = {read: () => ({kind: 'confirmed', beginWithinMs: 1000}), refresh: async () => undefined};
 const test = suite('forwarder');
 const POOL = 'p';
 
 /** Forwards one request to servers that all refuse it; returns the server of each attempt, and whether it used a connection of its own. */
-async function listRefusedAttempts(repeatability: Repeatability, signal = new AbortController().signal): Promise<ReadonlyArray<{readonly serverId: string; readonly isNew: boolean; readonly headers: ServerRequest['headers']}>> {
+async function listRefusedAttempts(repeatability: Repeatability, signal = new AbortController().signal): Promise<ReadonlyArray<{readonly serverId: string; readonly isNew: boolean; readonly headers: ServerRequest['headers']; readonly work: WorkStatus | undefined}>> {
 	const random = createSeededRandom(1);
 	const time = createVirtualTime(random);
 	const {clock, loop} = time;
@@ -30,10 +32,12 @@
 	view.update(['s1', 's2'].map(id => ({
 		id, pool: POOL, address: id, port: 1, availabilityZone: 'z', slots: 8, isLeaving: false, versions: new Map(), sequence: 1, startedAt: 1, softwareVersion: 'v1',
 	})), 0);
-	const attempts: Array<{readonly serverId: string; readonly isNew: boolean; readonly headers: ServerRequest['headers']}> = [];
+	const attempts: Array<{readonly serverId: string; readonly isNew: boolean; readonly headers: ServerRequest['headers']; readonly work: WorkStatus | undefined}> = [];
 	const caller: ServerCaller = {
 		async attempt(server, {headers}, {requestId}, options) {
-			attempts.push({serverId: server.id, isNew: options.usesNewConnection === true, headers});
+			attempts.push({
+				serverId: server.id, isNew: options.usesNewConnection === true, headers, work: options.work,
+			});
 			await loop.sleep(1);
 			return ok({
 				status: 503, headers: {}, body: new Uint8Array(), head: {
@@ -92,6 +96,7 @@
 		permitUrgency: 'caller',
 		fingerprint: undefined,
 		organisation: undefined,
+		work,
 	});
 	await time.advance(2000);
 	await forwarded;
@@ -124,4 +129,10 @@
 	assert.ok(attempts.length > 2 && attempts.every(({headers}) => headers['X-Customer'] === 'a'));
 });
 
+// Incident docs/incidents/sent-after-the-end.md: a repeated scoring call of a batch that has ended meanwhile must not be sent.
+test('each attempt of a request asks whether the work that it belongs to goes on', async () => {
+	const attempts = await listRefusedAttempts('idempotent');
+	assert.ok(attempts.length > 2 && attempts.every(attempt => attempt.work === work));
+});
+
 test.run();
--- a/src/gateway/test/http-relay.test.ts
+++ b/src/gateway/test/http-relay.test.ts
@@ -31,7 +31,7 @@
 };
 
 /** Relays one attempt from one daemon over another to a server on the loopback interface. */
-async function relayOnce(respond: (request: IncomingMessage, response: ServerResponse) => void, options: {readonly isHelper?: boolean; readonly isCut?: boolean; readonly abortAfterMs?: number; readonly body?: string} = {}): Promise<Relayed> {
+async function relayOnce(respond: (request: IncomingMessage, response: ServerResponse) => void, options: {readonly isHelper?: boolean; readonly isCut?: boolean; readonly abortAfterMs?: number; readonly body?: string; readonly work?: RelayCall['work']; readonly reachesStore?: boolean; readonly maySend?: () => boolean} = {}): Promise<Relayed> {
 	const server = createServer(respond);
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
@@ -54,15 +54,15 @@
 	});
 	if (options.isHelper !== false) {
 		serveRelays(helperMesh, createRelayHelper({
-			direct, links: {isCut: () => options.isCut === true}, log: silentLog, findServer: id => ({
+			direct, links: {isCut: () => options.isCut === true}, reachesStore: () => options.reachesStore !== false, clock: systemClock, log: silentLog, findServer: id => ({
 				id, address: '127.0.0.1', port, pool: 'p', availabilityZone: 'z', region: 'r', state: 'live',
 			}),
-		}), createTimerLoop(systemClock, () => 0.5, silentLog));
+		}), {loop: createTimerLoop(systemClock, () => 0.5, silentLog), clock: systemClock});
 	}
 
 	await helperMesh.listen();
 	const call: RelayCall = {
-		server: {id: 's', address: '127.0.0.1', port}, method: 'POST', path: '/x?y=1', headers: {'X-Caller': 'c'}, body: Buffer.from(options.body ?? 'the body'), attempt: {requestId: 'q', remainingMs: 2000, serverId: 's'}, timeoutMs: 2000,
+		server: {id: 's', address: '127.0.0.1', port}, method: 'POST', path: '/x?y=1', headers: {'X-Caller': 'c'}, body: Buffer.from(options.body ?? 'the body'), attempt: {requestId: 'q', remainingMs: 2000, serverId: 's'}, timeoutMs: 2000, ...(options.work !== undefined && {work: options.work}),
 	};
 	const abort = new AbortController();
 	if (options.abortAfterMs !== undefined) {
@@ -82,7 +82,7 @@
 			chunks.push(chunk);
 			return undefined;
 		},
-	}, abort.signal);
+	}, abort.signal, options.maySend);
 	await new Promise(resolve => {
 		setTimeout(resolve, 30);
 	});
@@ -195,4 +195,28 @@
 	assert.is(body.length, text.length);
 });
 
+/** Relays an attempt of work in this state; returns how it ended, and whether the server got it. */
+async function relayWork(options: Pick<NonNullable<Parameters<typeof relayOnce>[1]>, 'maySend' | 'reachesStore' | 'work'>): Promise<string> {
+	let isReceived = false;
+	const {end} = await relayOnce((request, response) => {
+		isReceived = true;
+		response.writeHead(200, {'request-id': 'q'});
+		response.end();
+	}, options);
+	const outcome = end.kind === 'refused' ? end.reason : end.result.match(() => 'answered', ({effect}) => effect);
+	return `${outcome}${isReceived ? ', received' : ''}`;
+}
+
+// Incident docs/incidents/sent-after-the-end.md: the daemons that relayed items of an ended batch could not tell that their sender's knowledge was old.
+test('an attempt is sent only within the time for which its work is known to go on', async () => {
+	assert.is(await relayWork({work: {kind: 'confirmed', beginWithinMs: 1000}}), 'answered, received');
+	assert.is(await relayWork({work: {kind: 'confirmed', beginWithinMs: -1}}), 'notRun');
+	assert.is(await relayWork({work: {kind: 'confirmed', beginWithinMs: 1000}, maySend: () => false}), 'notRun');
+});
+
+test('an attempt whose sender does not reach the store is sent only by a daemon that does not reach it either', async () => {
+	assert.is(await relayWork({work: {kind: 'unconfirmed'}}), 'unconfirmed');
+	assert.is(await relayWork({work: {kind: 'unconfirmed'}, reachesStore: false}), 'answered, received');
+});
+
 test.run();
--- a/src/gateway/test/relaying-caller.test.ts
+++ b/src/gateway/test/relaying-caller.test.ts
@@ -12,6 +12,8 @@
 import {createRelayChoice} from '../common/relay-choice.js';
 import {createServerLinks} from '../common/server-links.js';
 import {createServerStatements} from '../common/server-statements.js';
+import type {RelayCall} from '../common/relay.js';
+import type {WorkState} from '../common/work-status.js';
 import {createRelayingCaller} from '../node/relaying-caller.js';
 import type {BackendResponse} from '../node/server-caller.js';
 import {IdProtocol} from './id-protocol.js';
@@ -22,9 +24,23 @@
 	name, incarnation: '1', ip: name, port: 1, region: 'r', availabilityZone: 'z',
 });
 
-/** Makes an attempt whose link is cut before its response; \`first\` is how it ends, and \`headers\` are those of the response over another daemon. */
-async function attemptAcrossCut(first: Failure, status: number, headers: Readonly<Record<string, string>>): Promise<Result<BackendResponse, Failure>> {
+type CutAttempt = {
+	/** How the first send ends. */
+	readonly first: Failure;
+	/** Status and headers of the response over another daemon. */
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string>>;
+	/** States of the attempt's work, in the order in which they are asked for; the last one stays. */
+	readonly states?: readonly WorkState[];
+};
+
+const attemptAcrossCut = async (first: Failure, status: number, headers: Readonly<Record<string, string>>) => attemptAfterCut({first, status, headers}).then(({result}) => result);
+
+/** Makes an attempt whose link is cut before its response. */
+async function attemptAfterCut({first, status, headers, states}: CutAttempt): Promise<{readonly result: Result<BackendResponse, Failure>; readonly calls: readonly RelayCall[]}> {
 	const {clock} = createVirtualTime();
+	const left = [...states ?? []];
+	const calls: RelayCall[] = [];
 	const attempts = createOpenAttempts();
 	const limits = createServerLimits();
 	const caller = createRelayingCaller({
@@ -39,7 +55,8 @@
 		attempts,
 		choice: createRelayChoice(createPeer('a'), () => 0.5),
 		transport: {
-			async send(_peer, _call, sink) {
+			async send(_peer, call, sink) {
+				calls.push(call);
 				sink.onHead({status, headers});
 				return {kind: 'ended', result: ok()};
 			},
@@ -53,11 +70,14 @@
 		log: silentLog,
 		metrics: silentMetrics,
 	});
-	return caller.attempt({
+	const result = await caller.attempt({
 		id: 's', pool: 'p', address: '127.0.0.1', port: 1, availabilityZone: 'z', region: 'r', state: 'live',
 	}, {
 		method: 'POST', path: '/', headers: {}, body: undefined,
-	}, {requestId: 'r1', remainingMs: 1000, serverId: 's'}, {timeoutMs: 1000, signal: new AbortController().signal, onCut: () => 'restart'});
+	}, {requestId: 'r1', remainingMs: 1000, serverId: 's'}, {
+		timeoutMs: 1000, signal: new AbortController().signal, onCut: () => 'restart', ...(states !== undefined && {work: {read: () => (left.length > 1 ? left.shift()! : left[0]!), refresh: async () => undefined}}),
+	});
+	return {result, calls};
 }
 
 const describe = (result: Result<BackendResponse, Failure>): string | number => result.match(({status}) => status, ({effect}) => effect);
@@ -76,4 +96,20 @@
 	assert.is(describe(await attemptAcrossCut(unsent, 503, {'x-skipped': '1'})), 503);
 });
 
+// Incident docs/incidents/sent-after-the-end.md: an attempt that goes on over another daemon was sent without a look at the state of its batch.
+test('an attempt that goes on over another daemon asks for the state of its work again, and states it', async () => {
+	const unsent = createNotRun('aborted', origin, 'aborted');
+	const ended = await attemptAfterCut({
+		first: unsent, status: 200, headers: {'request-id': 'r1'}, states: [{kind: 'ended'}],
+	});
+	assert.is(describe(ended.result), 'notRun');
+	assert.is(ended.calls.length, 0);
+	const state = {kind: 'confirmed', beginWithinMs: 1200} as const;
+	const going = await attemptAfterCut({
+		first: unsent, status: 200, headers: {'request-id': 'r1'}, states: [state],
+	});
+	assert.is(describe(going.result), 200);
+	assert.equal(going.calls.map(({work}) => work), [state]);
+});
+
 test.run();
--- a/src/peers/node/peer-streams.ts
+++ b/src/peers/node/peer-streams.ts
@@ -14,7 +14,7 @@
 	/** Registers the handler of a call by its name, which is unique also among the calls of the mesh. */
 	readonly handleStream: (name: string, handler: PeerStreamHandler) => void;
 	/** Calls another daemon. A daemon that does not know the call replies with status 404. */
-	readonly callStream: (peer: PeerDaemon, name: string, call: Pick<HttpCall, 'body' | 'connectTimeoutMs' | 'onData' | 'signal' | 'timeoutMs'>) => Promise<Result<HttpResponse, Failure>>;
+	readonly callStream: (peer: PeerDaemon, name: string, call: Pick<HttpCall, 'body' | 'connectTimeoutMs' | 'maySend' | 'onData' | 'signal' | 'timeoutMs'>) => Promise<Result<HttpResponse, Failure>>;
 };
 
 /** Service key of the daemon's streamed calls. */
--- a/test/fakes/batch-world.ts
+++ b/test/fakes/batch-world.ts
@@ -21,6 +21,8 @@
 } from '../../src/gateway/common/server-protocol.js';
 import {createServerView, type ServerEntry} from '../../src/gateway/common/server-view.js';
 import {createSharedLoads} from '../../src/gateway/common/shared-loads.js';
+import {maySendIn} from '../../src/gateway/common/work-status.js';
+import {createCheckedCaller} from '../../src/gateway/node/checked-caller.js';
 import type {Forwarder} from '../../src/gateway/node/forwarder.js';
 import type {BackendResponse, ServerCaller, ServerRequest} from '../../src/gateway/node/server-caller.js';
 import {unlimitedPermits} from '../../src/limits/common/server-permits.js';
@@ -31,7 +33,7 @@
 import {createPrefixIndex} from '../../src/routing/common/prefix-index.js';
 import {createMemoryObjects} from './memory-objects.js';
 import {createMeshNetwork} from './mesh-network.js';
-import {createSeededRandom, createVirtualTime} from './virtual-loop.js';
+import {createFreezableLoop, createSeededRandom, createVirtualTime} from './virtual-loop.js';
 
 /** A simulated engine; tests change its state while it runs. */
 export type SimulatedEngine = {
@@ -146,6 +148,7 @@
 	const store = createMemoryObjects(loop);
 	const network = createMeshNetwork(loop);
 	const scoreAttempts = new Map<string, number>();
+	const scoreStarts: Array<{readonly requestId: string; readonly at: number; readonly daemon: string}> = [];
 	const engines: SimulatedEngine[] = Array.from({length: options.engines}, (_, index) => ({
 		id: `e${index}`, slots: 8, eventIntervalMs: 35, version: 1, running: 0, isDown: false, isRefusing: false, isLeaving: false, softwareVersion: 'v1', refused: 0, starts: [],
 	}));
@@ -164,6 +167,8 @@
 
 	/** Daemons that reach no engine. Runs that are open go on. */
 	const cutOff = new Set<string>();
+	/** Daemons that stand still. */
+	const frozen = new Set<string>();
 
 	async function generate(daemon: string, engine: SimulatedEngine, attempt: ServerAttempt, {headers, body}: ServerRequest, options_: Parameters<ServerCaller['attempt']>[3]): Promise<Result<BackendResponse, Failure>> {
 		const origin = {step: 'call', peer: engine.id};
@@ -172,6 +177,10 @@
 			return err(createNotRun('unavailable', origin, 'refused'));
 		}
 
+		if (options_.maySend?.() === false) {
+			return err(createNotRun('aborted', origin, 'no longer allowed'));
+		}
+
 		if (engine.isRefusing || engine.running >= engine.slots) {
 			engine.refused += 1;
 			const head = createResponseHead(attempt.requestId, engine, 503, true);
@@ -189,7 +198,7 @@
 		// An engine that has no further event to generate reports no version.
 		const head = {...createResponseHead(attempt.requestId, engine, 200), ...(after >= events && {version: undefined})};
 		options_.onHead?.(head, {'content-type': engine.endsEarly === 'otherType' ? 'application/json' : 'text/event-stream'});
-		const breakReason = await emit(engine, attempt.requestId, after, events, options_);
+		const breakReason = await emit({daemon, engine}, attempt.requestId, after, events, options_);
 		engine.running -= 1;
 		return breakReason === undefined
 			? ok({
@@ -198,9 +207,18 @@
 			: err(createOutcomeUnknown(breakReason === 'aborted' ? 'aborted' : 'incomplete', origin, breakReason));
 	}
 
-	async function emit(engine: SimulatedEngine, itemId: string, after: number, events: number, options_: Parameters<ServerCaller['attempt']>[3]): Promise<string | undefined> {
+	async function emit({daemon, engine}: {readonly daemon: string; readonly engine: SimulatedEngine}, itemId: string, after: number, events: number, options_: Parameters<ServerCaller['attempt']>[3]): Promise<string | undefined> {
+		const aborted = new Promise<void>(resolve => {
+			options_.signal.addEventListener('abort', () => {
+				resolve();
+			}, {once: true});
+		});
 		for (let id = after + 1; id <= events && engine.endsBeforeFirstEvent !== true; id += 1) {
-			await loop.sleep(engine.eventIntervalMs);
+			await Promise.race([loop.sleep(engine.eventIntervalMs), aborted]);
+			while (frozen.has(daemon) && !options_.signal.aborted) {
+				await Promise.race([loop.sleep(engine.eventIntervalMs), aborted]);
+			}
+
 			if (options_.signal.aborted) {
 				return 'aborted';
 			}
@@ -251,14 +269,21 @@
 				name: POOL, maximumConnections: 100, slots: 8, models: [MODEL],
 			}], limits: {maximumBodyBytes: 1_000_000, headerTimeoutMs: 1000, idleTimeoutMs: 1000}, tenancy: options.tenancy ?? {kind: 'none'},
 		});
-		const caller: ServerCaller = {
+		const ownLoop = createFreezableLoop(time);
+		const caller = createCheckedCaller({
 			attempt: async (server, request, attempt, options_) => generate(name, engines.find(engine => engine.id === server.id)!, attempt, request, options_),
 			close: () => undefined,
-		};
+		}, {clock, log, metrics: silentMetrics});
 		const forwarder: Forwarder = {
 			whenIdle: async () => undefined,
 			async forward(request) {
+				await request.work?.refresh('direct');
+				if (request.work !== undefined && !maySendIn(request.work.read('direct', clock.monotonic()))) {
+					return err(createNotRun('aborted', {step: 'forward', peer: name}, 'the batch has ended'));
+				}
+
 				const attempt = (scoreAttempts.get(request.requestId) ?? 0) + 1;
+				scoreStarts.push({requestId: request.requestId, at: clock.monotonic(), daemon: name});
 				scoreAttempts.set(request.requestId, attempt);
 				await loop.sleep(50);
 				const status = options.score?.(request.requestId, attempt) ?? 200;
@@ -279,7 +304,7 @@
 			},
 		});
 		const service = createBatchService({
-			api: store.open(name), mesh, clock, loop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new TextEventProtocol(), eventIntervals: createEventIntervals(), startPriorities, workEstimate: createWorkEstimate(), ownerChoice: createOwnerChoice(), refusals: createRecentRefusals(), permits: unlimitedPermits, scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, reachesEngines: () => !cutOff.has(name), onTick: exchange.tick, onSubmit: exchange.exchangeReports,
+			api: store.open(name), mesh, clock, loop: ownLoop, random, log, metrics: silentMetrics, deployment, view, loads, caller, forwarder, protocol: new TextEventProtocol(), eventIntervals: createEventIntervals(), startPriorities, workEstimate: createWorkEstimate(), ownerChoice: createOwnerChoice(), refusals: createRecentRefusals(), permits: unlimitedPermits, scoring: new PQueue({concurrency: 8}), retentionMs: 1e9, cancelMs: 3000, reachesEngines: () => !cutOff.has(name), onTick: exchange.tick, onSubmit: exchange.exchangeReports,
 			dispatcher: createDispatcher({
 				table: view.table, loads, prefixes: createPrefixIndex(100), weights: {prefillMsPerToken: 0, crossRegionMs: 0, crossRegionMsPerKilobyte: 0}, ownRegion: 'r', random, isReservedElsewhere: () => false,
 			}),
@@ -292,7 +317,7 @@
 		updateView();
 		const startTasks = () => [
 			loop.every({name: 'look', periodMs: 500, run: updateView}),
-			loop.every({name: 'tick', periodMs: 50, run: service.tick}),
+			ownLoop.every({name: 'tick', periodMs: 50, run: service.tick}),
 		];
 		let tasks = startTasks();
 		const end = () => {
@@ -302,7 +327,7 @@
 		};
 
 		return {
-			service, view, end, startTasks() {
+			service, view, end, loop: ownLoop, startTasks() {
 				end();
 				tasks = startTasks();
 			},
@@ -349,7 +374,7 @@
 	}
 
 	return {
-		time, store, network, engines, daemons, cutOff, finish, readAll, scoreAttempts, lines,
+		time, store, network, engines, daemons, cutOff, finish, readAll, scoreAttempts, scoreStarts, lines,
 		serviceOf: (name: string) => daemons.get(name)!.service,
 		startsOf: (itemId: string) => engines.flatMap(engine => engine.starts.filter(start => start.itemId === itemId)),
 		/** Stores a batch whose owner no longer runs and hands it over to the daemon `name` with the given partial texts. Returns the status of the reply. */
@@ -370,6 +395,18 @@
 			network.unresponsive.add(name);
 			daemons.get(name)!.end();
 		},
+		/** Stops a daemon as SIGSTOP does, also while runs are open at engines. */
+		freeze(name: string) {
+			network.unresponsive.add(name);
+			frozen.add(name);
+			daemons.get(name)!.loop.freeze();
+		},
+		/** Lets a daemon that stands still go on: its timers come first. */
+		thaw(name: string) {
+			network.unresponsive.delete(name);
+			daemons.get(name)!.loop.thaw();
+			frozen.delete(name);
+		},
 		/** Lets other daemons call a paused one again, before its first timer. */
 		reconnect(name: string) {
 			network.unresponsive.delete(name);
--- a/test/fakes/crashing-fleet.ts
+++ b/test/fakes/crashing-fleet.ts
@@ -1,6 +1,7 @@
 /** Simulates daemons that forward requests to servers, some of which crash under certain requests or for other reasons, in virtual time. */
 import type {ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import {readClocks} from '../../src/base/common/clock.js';
 import {createNotRun, createOutcomeUnknown, type Failure} from '../../src/base/common/failure.js';
 import {joinDisposables} from '../../src/base/common/disposable.js';
 import {createFailureRates} from '../../src/gateway/common/failure-rates.js';
@@ -264,7 +265,7 @@
 				},
 			});
 		});
-		const end = await Promise.race([helper.relay(call, sink, signal), broken]);
+		const end = await Promise.race([helper.relay(call, readClocks(clock), sink, signal), broken]);
 		await loop.sleep(LATENCY_MS);
 		return end;
 	}
@@ -325,7 +326,7 @@
 		const openAttempts = createOpenAttempts();
 		helpers.set(name, hasRelays
 			? createRelayHelper({
-				direct, links, findServer: id => view.table.find(id), log: silentLog,
+				direct, links, findServer: id => view.table.find(id), reachesStore: () => true, clock, log: silentLog,
 			})
 			: undefined);
 		const caller = hasRelays
--- a/test/fakes/virtual-loop.ts
+++ b/test/fakes/virtual-loop.ts
@@ -124,3 +124,50 @@
 		},
 	};
 }
+
+/** A loop whose actions can be held back, as those of a process that stands still are. */
+export type FreezableLoop = Loop & {
+	readonly freeze: () => void;
+	/** Runs the actions that have become due meanwhile, in their order. */
+	readonly thaw: () => void;
+};
+
+/** Creates the loop of one process over the loop that all processes of a test share. */
+export function createFreezableLoop({clock, loop: {after, every, sleep}}: Pick<VirtualTime, 'clock' | 'loop'>): FreezableLoop {
+	let held: Array<() => void> | undefined;
+	const run = (action: () => void): void => {
+		if (held === undefined) {
+			action();
+		} else {
+			held.push(action);
+		}
+	};
+
+	return {
+		after: (delayMs, action) => after(delayMs, () => {
+			run(() => {
+				action(clock.monotonic());
+			});
+		}),
+		every: task => every({
+			...task, run: async () => new Promise<void>(resolve => {
+				run(() => {
+					void Promise.resolve(task.run(clock.monotonic())).then(resolve);
+				});
+			}),
+		}),
+		sleep: async delayMs => sleep(delayMs).then(async () => new Promise(resolve => {
+			run(resolve);
+		})),
+		freeze() {
+			held = [];
+		},
+		thaw() {
+			const due = held ?? [];
+			held = undefined;
+			due.forEach(action => {
+				action();
+			});
+		},
+	};
+}
