Keep the software version of a stream known while its caller may ask for it

They read slowly, lost their connections, and got the rest of a stream from a server of another version.

Cause: no record of a stream means that it began at the base version, and the record was removed as the server's response was complete. A response that was handed to the operating system may not have been read, so callers still took such streams up.

Change: a record names the daemon that keeps it. A daemon at which the caller continues the stream becomes the keeper before it goes on, and the clean-up for ended daemons takes only records whose keeper does not run. A write counts as known only once the store has confirmed it, a failed removal is repeated, and the record is read from the store also at the daemon that began the stream, as others may have changed it.

Why it works: nothing that happens on the server's side ends a record any more, only the time in which a caller may ask, at whichever daemon it asked last.

Ruled out: records for streams at the base version as well, which would tell "forgotten" from "base" at twice the writes; removal by one daemon for all, which would put the load of all removals on it. A base that changes unnoticed by one daemon, and callers that read for over a minute after the last byte was handed over, stay open (postmortem).

--- a/src/gateway/node/stream-forwarder.ts
+++ b/src/gateway/node/stream-forwarder.ts
@@ -46,7 +46,7 @@
 	readonly guard: RequestGuard;
 	/** Ids of the servers of a pool. */
 	readonly serverIdsOf: (pool: string) => readonly string[];
-	readonly records: Pick<StreamRecords, 'baseOf' | 'findOrigin' | 'isServing' | 'prefersBase' | 'recordBegin' | 'recordComplete' | 'recordUnknown'>;
+	readonly records: Pick<StreamRecords, 'baseOf' | 'findOrigin' | 'isServing' | 'keep' | 'prefersBase' | 'recordBegin' | 'recordUnknown'>;
 	/** Pool and software version of a server, as its entry states them; undefined if there is no entry of its present run. */
 	readonly findServer: (serverId: string) => Pick<ServerEntry, 'pool' | 'softwareVersion'> | undefined;
 	readonly protocol: ServerProtocol;
@@ -269,7 +269,6 @@
 			}
 
 			if (backendResponse.status === 200) {
-				records.recordComplete(request.requestId);
 				response.end();
 				return 'done';
 			}
@@ -339,7 +338,23 @@
 			: createNotRun('unavailable', origin, 'no backend server accepted the stream', state.refusal?.retryAfterMs ?? RETRY_AFTER_MS);
 	}
 
+	/** Keeps the record of the request's stream until the response has closed. */
+	function keepRecord({requestId, route, resumption}: PlainRequest, response: ServerResponse): void {
+		const firstRequestId = resumption === undefined ? requestId : resumption.firstRequestId;
+		if (!route.canResume || firstRequestId === undefined) {
+			return;
+		}
+
+		const release = records.keep(firstRequestId);
+		if (response.closed) {
+			release();
+		} else {
+			response.once('close', release);
+		}
+	}
+
 	async function forward(request: PlainRequest, response: ServerResponse, isLast: boolean): Promise<Failure | undefined> {
+		keepRecord(request, response);
 		const origin = request.resumption !== undefined && request.route.canResume
 			? await findOrigin(request, request.resumption)
 			: ok<StreamOrigin | undefined, Failure>(undefined);
--- a/src/gateway/node/stream-records.ts
+++ b/src/gateway/node/stream-records.ts
@@ -4,7 +4,7 @@
 import type {Clock} from '../../base/common/clock.js';
 import {joinDisposables, type Disposable} from '../../base/common/disposable.js';
 import {createNotRun, type Failure} from '../../base/common/failure.js';
-import {hashToHex, rankByRendezvous} from '../../base/common/hash.js';
+import {rankByRendezvous} from '../../base/common/hash.js';
 import type {Log} from '../../kernel/common/log.js';
 import type {Loop} from '../../kernel/common/loop.js';
 import type {Metrics} from '../../kernel/common/metrics.js';
@@ -13,6 +13,7 @@
 import {
 	chooseBase, createSoftwareVersions, STREAM_RETENTION_MS, UNKNOWN_VERSION, type Resumption, type StreamOrigin,
 } from '../common/stream-origin.js';
+import {createKeptStreamRecords, readText, type StreamRecord} from './kept-stream-records.js';
 
 /** The versions at which streams began, as one daemon knows them. */
 export type StreamRecords = Disposable & {
@@ -24,8 +25,11 @@
 	readonly recordBegin: (requestId: string, pool: string, softwareVersion: string) => Promise<Result<void, Failure>>;
 	/** Records that the version at which a stream began can't be told, so that nobody continues it. */
 	readonly recordUnknown: (requestId: string, pool: string) => Promise<void>;
-	/** Records that a stream is complete, so that nobody continues it. */
-	readonly recordComplete: (requestId: string) => void;
+	/**
+	 * Keeps the record of a stream, by the id of the request that began it, until the returned function is called, and for `STREAM_RETENTION_MS` after.
+	 * A response that was handed to the operating system may not have been read, so its caller may still continue the stream.
+	 */
+	readonly keep: (firstRequestId: string) => () => void;
 	/** Whether a server of the software version serves in the pool. */
 	readonly isServing: (pool: string, softwareVersion: string) => boolean;
 	/** Finds the servers at which a stream may be continued; fails with `notRun` when they can't be told. */
@@ -45,12 +49,9 @@
 	readonly metrics: Metrics;
 };
 
-/** Object kinds of the base versions, by pool, and of the streams, by the hash of their request's id. */
+/** Object kind of the base versions, which are named by their pools. */
 const BASE_KIND = 'stream-bases';
-const STREAM_KIND = 'streams';
 const RETRY_AFTER_MS = 300;
-/** Time for which a stream waits to be recorded; the store answers in a few milliseconds. */
-const RECORD_TIMEOUT_MS = 250;
 /** Time for which a stream that is taken up waits for its record: longer than a store that was just lost takes over another daemon. */
 const READ_TIMEOUT_MS = 900;
 const CHECK_PERIOD_MS = 250;
@@ -58,22 +59,8 @@
 const UNRECORDED_MS = 10_000;
 /** Interval at which records are removed that daemons left behind when they ended. */
 const CLEANUP_PERIOD_MS = 60_000;
-
-type StreamRecord = {
-	readonly pool: string;
-	readonly softwareVersion: string;
-};
-
-function readText(spec: unknown, field: string): string | undefined {
-	const value: unknown = typeof spec === 'object' && spec !== null ? Reflect.get(spec, field) : undefined;
-	return typeof value === 'string' ? value : undefined;
-}
-
-function readRecord(spec: unknown): StreamRecord | undefined {
-	const pool = readText(spec, 'pool');
-	const softwareVersion = readText(spec, 'softwareVersion');
-	return pool === undefined || softwareVersion === undefined ? undefined : {pool, softwareVersion};
-}
+/** Interval at which a write is repeated without which a stream of unknown version might be continued. */
+const REPEAT_MS = 1000;
 
 /** Creates the records of a daemon. */
 export function createStreamRecords(dependencies: StreamRecordsDependencies): StreamRecords {
@@ -83,13 +70,11 @@
 	const versions = createSoftwareVersions();
 	const baseByPool = new Map<string, string>();
 	const settlingPools = new Set<string>();
-	const recordByRequest = new Map<string, StreamRecord>();
-	const leftBehind = new Map<string, number>();
-	let hasCleanedUp = false;
+	const records = createKeptStreamRecords(dependencies);
+	/** Number of records that no running daemon keeps; undefined before the first look. */
+	let abandoned: number | undefined;
 	let unrecordedAt = Number.NEGATIVE_INFINITY;
 
-	const nameOf = (requestId: string): string => hashToHex(requestId).slice(0, 32);
-
 	function isServing(pool: string, softwareVersion: string): boolean {
 		return versions.listServing(pool).some(version => version.softwareVersion === softwareVersion);
 	}
@@ -146,39 +131,13 @@
 			});
 	}
 
-	async function write(requestId: string, record: StreamRecord): Promise<boolean> {
-		const id = {kind: STREAM_KIND, name: nameOf(requestId)};
-		const created = await api.create(id, record);
-		if (created.isOk()) {
-			return true;
-		}
-
-		const found = await api.read(id);
-		const stored = found.unwrapOr(undefined);
-		const isStored = readText(stored?.spec, 'softwareVersion') === record.softwareVersion && readText(stored?.spec, 'pool') === record.pool;
-		if (isStored || stored === undefined) {
-			return isStored;
-		}
-
-		const replaced = await api.replace(id, record, stored.revision);
-		return replaced.isOk();
-	}
-
-	/** Writes a record, and removes it when its stream is not continued any more; false when it is not stored in time. */
-	async function writeInTime(requestId: string, record: StreamRecord): Promise<boolean> {
-		recordByRequest.set(requestId, record);
-		loop.after(STREAM_RETENTION_MS, () => {
-			remove(requestId);
-		});
-		return Promise.race([write(requestId, record), loop.sleep(RECORD_TIMEOUT_MS).then(() => false)]);
-	}
-
-	function remove(requestId: string): void {
-		if (recordByRequest.delete(requestId)) {
-			void api.remove({kind: STREAM_KIND, name: nameOf(requestId)}).then(removed => {
-				if (removed.isErr()) {
-					log.debug('record of a stream is not removed', {requestId, reason: removed.error.message});
-				}
+	/** Repeats the write that nobody may continue a stream, for as long as a caller may ask. */
+	async function writeUnknown(requestId: string, record: StreamRecord, since: number): Promise<void> {
+		const isWritten = await records.write(requestId, record);
+		metrics.count('stream.recorded', 1, {outcome: isWritten ? 'unknown' : 'failed'});
+		if (!isWritten && clock.monotonic() - since < STREAM_RETENTION_MS) {
+			loop.after(REPEAT_MS, () => {
+				void writeUnknown(requestId, record, since);
 			});
 		}
 	}
@@ -187,37 +146,11 @@
 	async function cleanUp(now: number): Promise<void> {
 		const hasSeveral = resumablePools().some(pool => versions.soleVersion(pool, now) === undefined);
 		const isResponsible = rankByRendezvous('clean up streams', [mesh.self, ...mesh.others()], daemon => daemon.name)[0]?.name === mesh.self.name;
-		if (!isResponsible || resumablePools().length === 0 || (hasCleanedUp && !hasSeveral && leftBehind.size === 0)) {
-			return;
-		}
-
-		const listed = await api.list(STREAM_KIND);
-		if (listed.isErr()) {
+		if (!isResponsible || resumablePools().length === 0 || (abandoned === 0 && !hasSeveral)) {
 			return;
 		}
 
-		hasCleanedUp = true;
-		const names = new Set(listed.value.objects.map(object => object.name));
-		[...leftBehind.keys()].filter(name => !names.has(name)).forEach(name => {
-			leftBehind.delete(name);
-		});
-		names.forEach(name => {
-			leftBehind.set(name, leftBehind.get(name) ?? now);
-		});
-		await Promise.all([...leftBehind].filter(([, since]) => now - since > 2 * STREAM_RETENTION_MS).map(async ([name]) => api.remove({kind: STREAM_KIND, name})));
-	}
-
-	async function readOrigin(requestId: string): Promise<Result<StreamOrigin, Failure>> {
-		const origin = {step: 'read record of stream', peer: requestId};
-		const found = await api.read({kind: STREAM_KIND, name: nameOf(requestId)});
-		return found
-			.mapErr(failure => createNotRun('unavailable', origin, `the software version of the stream is not known: ${failure.message}`, RETRY_AFTER_MS))
-			.andThen<StreamOrigin, Failure>(object => {
-				const record = readRecord(object?.spec);
-				return object !== undefined && record === undefined
-					? err(createNotRun('unavailable', origin, 'the record of the stream can not be read', RETRY_AFTER_MS))
-					: ok(record === undefined ? {kind: 'base'} : {kind: 'version', ...record});
-			});
+		abandoned = await records.removeAbandoned(now) ?? abandoned;
 	}
 
 	view.onDidChange(() => {
@@ -237,13 +170,13 @@
 			return now - unrecordedAt < UNRECORDED_MS && base !== undefined && isServing(pool, base);
 		},
 		async recordBegin(requestId, pool, softwareVersion) {
-			const known = recordByRequest.get(requestId);
-			const isKnown = known === undefined ? baseByPool.get(pool) === softwareVersion : known.pool === pool && known.softwareVersion === softwareVersion;
+			const known = records.find(requestId);
+			const isKnown = known === undefined ? baseByPool.get(pool) === softwareVersion : known.isStored && known.pool === pool && known.softwareVersion === softwareVersion;
 			if (isKnown) {
 				return ok();
 			}
 
-			const isWritten = await writeInTime(requestId, {pool, softwareVersion});
+			const isWritten = await records.write(requestId, {pool, softwareVersion});
 			metrics.count('stream.recorded', 1, {outcome: isWritten ? 'written' : 'failed'});
 			if (isWritten) {
 				return ok();
@@ -253,14 +186,14 @@
 			return err(createNotRun('unavailable', {step: 'record stream', peer: requestId}, 'the software version of the stream can not be recorded', RETRY_AFTER_MS));
 		},
 		async recordUnknown(requestId, pool) {
-			const isWritten = await writeInTime(requestId, {pool, softwareVersion: UNKNOWN_VERSION});
-			metrics.count('stream.recorded', 1, {outcome: isWritten ? 'unknown' : 'failed'});
+			await writeUnknown(requestId, {pool, softwareVersion: UNKNOWN_VERSION}, clock.monotonic());
 		},
-		recordComplete: remove,
+		keep: records.keep,
 		async findOrigin({firstRequestId}, pools) {
-			const known = firstRequestId === undefined ? undefined : recordByRequest.get(firstRequestId);
-			if (known !== undefined) {
-				return ok({kind: 'version', ...known});
+			// What other daemons recorded since is in the store only, except what this one could not write yet.
+			const known = firstRequestId === undefined ? undefined : records.find(firstRequestId);
+			if (known?.softwareVersion === UNKNOWN_VERSION) {
+				return ok({kind: 'version', pool: known.pool, softwareVersion: UNKNOWN_VERSION});
 			}
 
 			const origin = {step: 'find software version of stream', peer: firstRequestId ?? 'request without an id'};
@@ -270,16 +203,22 @@
 
 			// The view of this daemon may be old: it may have stood still, or its feed source may. Only the store tells which versions began streams meanwhile.
 			const [found, ...areConfirmed] = await Promise.all([
-				Promise.race([readOrigin(firstRequestId), loop.sleep(READ_TIMEOUT_MS).then(() => undefined)]),
+				Promise.race([records.adopt(firstRequestId), loop.sleep(READ_TIMEOUT_MS).then(() => undefined)]),
 				...pools.map(async pool => Promise.race([settleBase(pool), loop.sleep(READ_TIMEOUT_MS).then(() => false)])),
 			]);
 			if (found === undefined) {
 				return err(createNotRun('unavailable', origin, 'the software version of the stream is not known: the store does not respond in time', RETRY_AFTER_MS));
 			}
 
-			return found.andThen<StreamOrigin, Failure>(streamOrigin => (streamOrigin.kind === 'base' && (areConfirmed.includes(false) || !pools.some(pool => baseByPool.has(pool)))
-				? err(createNotRun('unavailable', origin, 'the base version of the pool is not known, or not confirmed by the store', RETRY_AFTER_MS))
-				: ok(streamOrigin)));
+			return found.andThen<StreamOrigin, Failure>(record => {
+				if (record !== undefined) {
+					return ok({kind: 'version', ...record});
+				}
+
+				return areConfirmed.includes(false) || !pools.some(pool => baseByPool.has(pool))
+					? err(createNotRun('unavailable', origin, 'the base version of the pool is not known, or not confirmed by the store', RETRY_AFTER_MS))
+					: ok({kind: 'base'});
+			});
 		},
 		dispose: tasks.dispose,
 	};
--- a/test/fakes/memory-objects.ts
+++ b/test/fakes/memory-objects.ts
@@ -23,6 +23,7 @@
 	readonly put: (kind: string, name: string, spec: unknown) => void;
 	readonly drop: (kind: string, name: string) => void;
 	readonly find: (kind: string, name: string) => ApiObject | undefined;
+	readonly findAll: (kind: string) => readonly ApiObject[];
 };
 
 type Change = {
@@ -222,5 +223,6 @@
 			}
 		},
 		find: (kind, name) => objects.get(keyOf(kind, name)),
+		findAll: kind => [...objects].filter(([key]) => key.startsWith(keyOf(kind, ''))).map(([, object]) => object),
 	};
 }
--- a/test/fakes/versioned-fleet.ts
+++ b/test/fakes/versioned-fleet.ts
@@ -10,6 +10,7 @@
 import {createServerAcquisition} from '../../src/gateway/node/server-acquisition.js';
 import type {AttemptOptions, BackendResponse, ServerCaller} from '../../src/gateway/node/server-caller.js';
 import {createStreamForwarder, type StreamForwarder, type StreamForwarderDependencies} from '../../src/gateway/node/stream-forwarder.js';
+import {UNKNOWN_VERSION} from '../../src/gateway/common/stream-origin.js';
 import {createStreamRecords} from '../../src/gateway/node/stream-records.js';
 import {silentLog} from '../../src/kernel/common/log.js';
 import {silentMetrics} from '../../src/kernel/common/metrics.js';
@@ -66,18 +67,19 @@
 
 /** Records of streams that are all taken for streams of one version. */
 export const unrecordedStreams: StreamForwarderDependencies['records'] = {
-	baseOf: () => 'v1', findOrigin: async () => ok({kind: 'base'}), isServing: () => true, prefersBase: () => false, recordBegin: async () => ok(), recordComplete: () => undefined, recordUnknown: async () => undefined,
+	baseOf: () => 'v1', findOrigin: async () => ok({kind: 'base'}), isServing: () => true, prefersBase: () => false, keep: () => () => undefined, recordBegin: async () => ok(), recordUnknown: async () => undefined,
 };
 
 /** Creates the simulation with running daemons, and servers of version `v1`. With `isVersioned` false, daemons take no notice of software versions. */
-export function createVersionedFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number; readonly isVersioned?: boolean}) {
+export function createVersionedFleet(options: {readonly daemons: number; readonly servers: number; readonly seed: number; readonly isVersioned?: boolean; readonly eventIntervalMs?: number; readonly deadlineMs?: number}) {
 	const random = createSeededRandom(options.seed);
+	const {eventIntervalMs = EVENT_INTERVAL_MS, deadlineMs = DEADLINE_MS} = options;
 	const time = createVirtualTime(random);
 	const {clock, loop} = time;
 	const network = createMeshNetwork(loop);
 	const objects = createMemoryObjects(loop);
 	const route: Route = {
-		name: 'r', host: 'h', pathPrefix: '/', repeatability: 'stream', timeoutMs: DEADLINE_MS, goalMs: 400, priority: 1, attempts: 3, pools: [{pool: POOL, weight: 1}], canResume: true, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
+		name: 'r', host: 'h', pathPrefix: '/', repeatability: 'stream', timeoutMs: deadlineMs, goalMs: 400, priority: 1, attempts: 3, pools: [{pool: POOL, weight: 1}], canResume: true, dueMs: 0, giveUpAfterMs: 0, needsSingleVersion: false,
 	};
 	const servers: FleetServer[] = [];
 	const names = Array.from({length: options.daemons}, (_, index) => `d${index}`);
@@ -87,6 +89,8 @@
 	const disturbances: Array<{readonly daemon: string; readonly from: number; readonly until: number}> = [];
 	let count = 0;
 	let serverCount = 0;
+	/** Time between two events that a caller reads; with 0 it reads them as they come. */
+	let readIntervalMs = 0;
 
 	function toEntry(server: FleetServer): ServerEntry {
 		return {
@@ -183,18 +187,20 @@
 				}
 
 				onData?.(Buffer.from(`${id} ${softwareVersion}\n\n`));
-				loop.after(EVENT_INTERVAL_MS, () => {
+				loop.after(eventIntervalMs, () => {
 					sendEvent(id + 1);
 				});
 			};
 
-			loop.after(EVENT_INTERVAL_MS, () => {
+			loop.after(eventIntervalMs, () => {
 				sendEvent(after + 1);
 			});
 		});
 	}
 
+	let startCount = 0;
 	function start(name: string): void {
+		startCount += 1;
 		const view = createServerView(() => 'r');
 		const update = () => {
 			view.update(servers.map(toEntry), clock.monotonic());
@@ -216,7 +222,7 @@
 			close: () => undefined,
 		};
 		const records = createStreamRecords({
-			view, clock, loop, log: silentLog, metrics: silentMetrics, api: objects.open(name), mesh: network.join(name), resumablePools: () => [POOL],
+			view, clock, loop, log: silentLog, metrics: silentMetrics, api: objects.open(name), mesh: network.join(name, String(startCount)), resumablePools: () => [POOL],
 		});
 		const forwarder = createStreamForwarder({
 			clock,
@@ -253,10 +259,21 @@
 
 		return new Promise(resolve => {
 			const versions: string[] = [];
+			let unread: readonly string[] = [];
 			let isOpen = true;
+			let hasEnded = false;
+			const closeListeners: Array<() => void> = [];
+			const closeResponse = () => {
+				closeListeners.splice(0).forEach(listener => {
+					listener();
+				});
+			};
+
 			const close = (isWhole: boolean, retryAfterMs = 0) => {
 				isOpen = false;
+				reader?.dispose();
 				daemon.cuts.delete(cut);
+				closeResponse();
 				resolve({
 					id, versions, isWhole, retryAfterMs,
 				});
@@ -271,20 +288,45 @@
 			};
 
 			daemon.cuts.add(cut);
+			const read = (count_: number) => {
+				versions.push(...unread.slice(0, count_));
+				unread = unread.slice(count_);
+				if (hasEnded && unread.length === 0) {
+					close(true);
+				}
+			};
+
+			const reader = readIntervalMs === 0
+				? undefined
+				: loop.every({
+					name: 'slow reader', periodMs: readIntervalMs, run() {
+						read(1);
+					},
+				});
 			const ignore = () => undefined;
 			const response = {
 				writableLength: 0,
-				once: ignore,
+				closed: false,
+				once(_event: 'close', listener: () => void) {
+					closeListeners.push(listener);
+				},
 				writeHead: ignore,
 				flushHeaders: ignore,
 				write(chunk: Uint8Array) {
 					if (isOpen) {
-						versions.push(...Buffer.from(chunk).toString('utf8').split('\n\n').filter(line => line !== '').map(line => line.split(' ')[1]!));
+						unread = [...unread, ...Buffer.from(chunk).toString('utf8').split('\n\n').filter(line => line !== '').map(line => line.split(' ')[1]!)];
+					}
+
+					if (reader === undefined && isOpen) {
+						read(unread.length);
 					}
 				},
+				/** The response is handed over as a whole, whether or not the caller has read it. */
 				end() {
-					if (isOpen) {
-						close(true);
+					hasEnded = true;
+					closeResponse();
+					if (reader === undefined && isOpen) {
+						read(unread.length);
 					}
 				},
 				destroy: cut,
@@ -296,7 +338,7 @@
 				path: '/x',
 				headers: {...(firstRequestId !== undefined && {'Last-Event-Id': String(after), Resumes: firstRequestId})},
 				body: undefined,
-				deadlineAt: clock.monotonic() + DEADLINE_MS,
+				deadlineAt: clock.monotonic() + deadlineMs,
 				signal: disconnected.signal,
 				urgency: undefined,
 				permitUrgency: 'caller',
@@ -354,6 +396,24 @@
 	names.forEach(start);
 	return {
 		time, objects, names, servers, streams, attempts, random, outOfStep, addServer, crash, leave,
+		/** Lets callers whose streams begin from now on read an event at a time. */
+		setReadInterval(intervalMs: number) {
+			readIntervalMs = intervalMs;
+		},
+		/** Resets the connections of all callers at a daemon. */
+		resetCallers(name: string) {
+			[...daemons.get(name)?.cuts ?? []].forEach(cut => {
+				cut();
+			});
+		},
+		/** Number of records of streams in the store. */
+		countRecords: () => objects.findAll('streams').length,
+		/** Records at another daemon that nobody can tell the version of any recorded stream. */
+		markUnknown() {
+			objects.findAll('streams').forEach(({name, spec}) => {
+				objects.put('streams', name, {...spec as Record<string, unknown>, softwareVersion: UNKNOWN_VERSION});
+			});
+		},
 		/** Begins streams for a time. */
 		async play(durationMs: number, perSecond: number) {
 			const task = loop.every({
--- a/test/software-versions.test.ts
+++ b/test/software-versions.test.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
+import {STREAM_RETENTION_MS} from '../src/gateway/common/stream-origin.js';
 import {findStreamViolations, listMixedStreams} from './checkers/stream-checker.js';
 import {createVersionedFleet, type VersionedFleet} from './fakes/versioned-fleet.js';
 
@@ -176,6 +177,88 @@
 	assert.equal(listMixedStreams(fleet.streams), []);
 });
 
+/** Two versions serve; callers begin streams, and their connections are reset at each of these times since, in milliseconds. */
+async function playResets(fleet: VersionedFleet, resetTimes: readonly number[]): Promise<{readonly takenUp: number; readonly wentOn: number}> {
+	addServers(fleet, 4, 'v2');
+	await fleet.time.advance(1000);
+	const startedAt = fleet.time.clock.monotonic();
+	await fleet.play(1500, 20);
+	for (const resetAt of resetTimes) {
+		await fleet.time.advance(startedAt + resetAt - fleet.time.clock.monotonic());
+		fleet.names.forEach(name => {
+			fleet.resetCallers(name);
+		});
+	}
+
+	await fleet.time.advance(300_000);
+	const takeUps = fleet.attempts.filter(({resumes}) => resumes === 'v2');
+	return {takenUp: takeUps.length, wentOn: takeUps.filter(({hasEvents}) => hasEvents).length};
+}
+
+// Incident docs/incidents/forgotten-versions.md: the version of a stream was forgotten as its server had finished it, while its caller was still reading.
+test('a stream that its server has finished goes on at its own version after a reset', async () => {
+	const fleet = createVersionedFleet({daemons: 3, servers: 4, seed: 20});
+	fleet.setReadInterval(300);
+	const {takenUp, wentOn} = await playResets(fleet, [4500]);
+	assert.equal(listMixedStreams(fleet.streams), []);
+	assert.ok(takenUp > 5 && wentOn > takenUp * 0.9, `${wentOn} of ${takenUp} take-ups went on`);
+});
+
+test('the same after a second reset, when the daemon that began the stream has no more use for its record', async () => {
+	const fleet = createVersionedFleet({daemons: 3, servers: 4, seed: 21});
+	fleet.setReadInterval(5000);
+	const {takenUp, wentOn} = await playResets(fleet, [40_000, 90_000]);
+	assert.equal(listMixedStreams(fleet.streams), []);
+	assert.ok(takenUp > 10 && wentOn > takenUp * 0.9, `${wentOn} of ${takenUp} take-ups went on`);
+});
+
+test('the same when the daemon that began the stream was killed before the second reset', async () => {
+	const fleet = createVersionedFleet({daemons: 3, servers: 4, seed: 22});
+	fleet.setReadInterval(5000);
+	const played = playResets(fleet, [40_000, 90_000]);
+	fleet.restart(['d0'], 60_000);
+	const {takenUp} = await played;
+	assert.equal(listMixedStreams(fleet.streams), []);
+	assert.ok(takenUp > 10);
+});
+
+test('the same for a stream that lasts longer than records are kept without use', async () => {
+	const fleet = createVersionedFleet({
+		daemons: 3, servers: 4, seed: 23, eventIntervalMs: 12_000, deadlineMs: 300_000,
+	});
+	const {takenUp, wentOn} = await playResets(fleet, [100_000, 200_000]);
+	assert.equal(listMixedStreams(fleet.streams), []);
+	assert.ok(takenUp > 10 && wentOn > takenUp * 0.9, `${wentOn} of ${takenUp} take-ups went on`);
+});
+
+test('records of streams are removed once no caller may continue them, also those of daemons that were killed', async () => {
+	const fleet = createVersionedFleet({daemons: 3, servers: 4, seed: 24});
+	addServers(fleet, 4, 'v2');
+	await fleet.time.advance(1000);
+	await fleet.play(3000, 20);
+	fleet.resetCallers('d2');
+	await fleet.time.advance(1000);
+	fleet.restart(['d0', 'd1'], 1000);
+	assert.ok(fleet.countRecords() > 5);
+	await fleet.time.advance(6 * STREAM_RETENTION_MS);
+	assert.is(fleet.countRecords(), 0);
+});
+
+test('what another daemon recorded of a stream is known at the daemon that began it', async () => {
+	const fleet = createVersionedFleet({daemons: 1, servers: 4, seed: 25});
+	fleet.setReadInterval(1000);
+	addServers(fleet, 4, 'v2');
+	await fleet.time.advance(1000);
+	await fleet.play(1500, 20);
+	await fleet.time.advance(3000);
+	fleet.markUnknown();
+	fleet.resetCallers('d0');
+	await fleet.time.advance(20_000);
+	const takeUps = fleet.attempts.filter(({resumes}) => resumes === 'v2');
+	assert.ok(takeUps.length > 5);
+	assert.ok(takeUps.every(({hasEvents}) => !hasEvents));
+});
+
 /** Plays releases of software, crashes, kills and outages of the store at random. */
 async function playFaults(seed: number, isVersioned = true): Promise<VersionedFleet> {
 	const fleet = createVersionedFleet({
