Keep a batch that is not well-formed so without its white space

Cause: compactJson joined two numbers or words between which only white space stood, so that `[4 2]` was read as `[42]`; before, such a batch got 400.

Change: one space is kept between two such values. A test has three forms of it.

--- a/src/hosting/common/json-size.ts
+++ b/src/hosting/common/json-size.ts
@@ -2,6 +2,7 @@
 
 const QUOTE = 0x22;
 const BACKSLASH = 0x5C;
+const SPACE = 0x20;
 /** Bytes outside of texts that begin a value. */
 const BEGINNINGS = '[{,:';
 /** Bytes outside of texts without a meaning. */
@@ -11,6 +12,7 @@
 /** Tables of all bytes, as lookups in a set take several times as long. */
 const beginsValue = markBytes(BEGINNINGS);
 const isWhiteSpace = markBytes(WHITE_SPACE);
+const isPunctuation = markBytes('[]{},:"');
 
 /** Bounds of a JSON text. */
 export type JsonBounds = {
@@ -23,7 +25,10 @@
 /** A JSON text without the white space between values, or the bound that it exceeds. */
 export type CompactJson = {readonly text: Uint8Array} | {readonly exceeds: keyof JsonBounds};
 
-/** Removes the white space between the values of a JSON text; what it allocates and reads follows from the bounds, and from the white space. */
+/**
+ * Removes the white space between the values of a JSON text; what it allocates follows from the bounds alone. A text that is not well-formed stays so:
+ * one space is kept between two numbers or words, which would become one.
+ */
 export function compactJson(text: Uint8Array, bounds: JsonBounds): CompactJson {
 	const compact = new Uint8Array(Math.min(text.length, bounds.bytes));
 	let length = 0;
@@ -43,13 +48,18 @@
 		} else {
 			isInText = byte === QUOTE;
 			values += beginsValue[byte]!;
+			const isBehindSpace = length > 0 && isWhiteSpace[text[position - 2]!] === 1;
+			if (isBehindSpace && isPunctuation[byte] === 0 && isPunctuation[compact[length - 1]!] === 0) {
+				compact[length] = SPACE;
+				length += 1;
+			}
 		}
 
 		if (values > bounds.values) {
 			return {exceeds: 'values'};
 		}
 
-		if (length === bounds.bytes) {
+		if (length >= bounds.bytes) {
 			return {exceeds: 'bytes'};
 		}
 
--- a/src/hosting/test/json-size.test.ts
+++ b/src/hosting/test/json-size.test.ts
@@ -36,6 +36,12 @@
 	assert.is(compact(`${' '.repeat(1_000_000)}{}`, {bytes: 2}), '{}');
 });
 
+test('a text that is not well-formed does not become so without its white space', () => {
+	assert.is(compact('{"items": [4 \n 2]}'), '{"items":[4 2]}');
+	assert.is(compact('[tr ue, "a" 1, - 1, 1 ]'), '[tr ue,"a"1,- 1,1]');
+	assert.is(compact('1 2', {bytes: 2}), 'exceeds bytes');
+});
+
 test('the largest batch that can be stored is within the limit also when each of its characters is escaped', () => {
 	const text = `"${String.raw`\u03bf`.repeat(899_000)}"`;
 	assert.is(compact(text, BATCH_BOUNDS), text);
