KNOWN-RED: a test of a planned stop failed once beside other work

The new test with bodies of 33 MB stood before it in the file, and what it leaves to the garbage collector may come on top; it stands at the end now.

--- a/src/hosting/test/caller-server.test.ts
+++ b/src/hosting/test/caller-server.test.ts
@@ -127,19 +127,6 @@
 	});
 }
 
-// Case review/13: a submitted batch of 33 MB was decoded, parsed and rendered before it was refused, which took a process of 250 MB over its memory.
-test('a batch that can not be stored is refused without being decoded, and white space is not decoded either', async () => {
-	const {server, callers, holder, decodedLengths} = await openServer(async () => answered(200, {}, ''));
-	holder.offer({...deployment, version: 2, limits: {...deployment.limits, maximumBodyBytes: 33_554_432}});
-	const tooLarge = await call(callers, '/g/large', `{"items":[{"group":"ομάδα","body":"${'a'.repeat(33_000_000)}"}]}`);
-	assert.is(tooLarge.status, 413);
-	assert.equal(decodedLengths, []);
-	const spaced = await call(callers, '/g/spaced', `${' '.repeat(33_000_000)}{"items": []}`);
-	assert.is(spaced.status, 400);
-	assert.equal(decodedLengths, ['{"items":[]}'.length]);
-	server.close();
-});
-
 const origin = {step: 'forward', peer: 's1'};
 
 function answered(status: number, headers: Readonly<Record<string, string>>, body: string) {
@@ -481,4 +468,17 @@
 	server.close();
 });
 
+// Case review/13: a submitted batch of 33 MB was decoded, parsed and rendered before it was refused, which took a process of 250 MB over its memory.
+test('a batch that can not be stored is refused without being decoded, and white space is not decoded either', async () => {
+	const {server, callers, holder, decodedLengths} = await openServer(async () => answered(200, {}, ''));
+	holder.offer({...deployment, version: 2, limits: {...deployment.limits, maximumBodyBytes: 33_554_432}});
+	const tooLarge = await call(callers, '/g/large', `{"items":[{"group":"ομάδα","body":"${'a'.repeat(33_000_000)}"}]}`);
+	assert.is(tooLarge.status, 413);
+	assert.equal(decodedLengths, []);
+	const spaced = await call(callers, '/g/spaced', `${' '.repeat(33_000_000)}{"items": []}`);
+	assert.is(spaced.status, 400);
+	assert.equal(decodedLengths, ['{"items":[]}'.length]);
+	server.close();
+});
+
 test.run();
